--- /dev/null
+++ b/bench/load_main.cc
@@ -0,0 +1,112 @@
+#include <csignal>
+#include <cxxopts.hpp>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+#include "bench/runner.h"
+#include "crocusmast/core/error.h"
+
+namespace {
+
+namespace core = crocusmast::core;
+
+constexpr int kExitUsage = 2;
+constexpr double kMsPerSecond = 1000;
+
+cxxopts::Options MakeOptions() {
+  cxxopts::Options options("crocusmast-load", "Sends load and sums it up.");
+  auto add = options.add_options();
+  add("to", "addresses HOST:PORT with commas between",
+      cxxopts::value<std::vector<std::string>>());
+  add("path", "path to post to: /requests, or /run at a target",
+      cxxopts::value<std::string>()->default_value("/requests"));
+  add("mix", "file with the mix of requests", cxxopts::value<std::string>());
+  add("rate", "requests a second; 0 sends as fast as answers come",
+      cxxopts::value<double>()->default_value("100"));
+  add("seconds", "length of the run",
+      cxxopts::value<double>()->default_value("10"));
+  add("threads", "threads that send",
+      cxxopts::value<std::size_t>()->default_value("64"));
+  add("seed", "seed of all that is random",
+      cxxopts::value<std::uint64_t>()->default_value("1"));
+  add("id-prefix", "start of the requests' ids",
+      cxxopts::value<std::string>()->default_value("load"));
+  add("output", "table or json",
+      cxxopts::value<std::string>()->default_value("table"));
+  add("outcomes", "file for each request's end",
+      cxxopts::value<std::string>()->default_value(""));
+  add("help", "print this and end");
+  return options;
+}
+
+core::Result<crocusmast::fleet::Endpoint> ReadAddress(
+    const std::string& text) {
+  const std::size_t colon = text.rfind(':');
+  std::istringstream port_text(
+      colon == std::string::npos ? "" : text.substr(colon + 1));
+  std::uint16_t port = 0;
+  if (!(port_text >> port) || port == 0) {
+    return core::Fail(core::Step::kParseSettings, "to",
+                      "'" + text + "' is not HOST:PORT");
+  }
+  return crocusmast::fleet::Endpoint{text.substr(0, colon), port};
+}
+
+core::Result<bench::RunSettings> ReadSettings(
+    const cxxopts::ParseResult& parsed) {
+  bench::RunSettings settings;
+  for (const std::string& text :
+       parsed["to"].as<std::vector<std::string>>()) {
+    BOOST_LEAF_AUTO(address, ReadAddress(text));
+    settings.sender.addresses.push_back(address);
+  }
+  settings.sender.path = parsed["path"].as<std::string>();
+  settings.rate = parsed["rate"].as<double>();
+  settings.length = std::chrono::milliseconds(static_cast<long>(
+      parsed["seconds"].as<double>() * kMsPerSecond));
+  settings.threads = parsed["threads"].as<std::size_t>();
+  settings.seed = parsed["seed"].as<std::uint64_t>();
+  settings.id_prefix = parsed["id-prefix"].as<std::string>();
+  return settings;
+}
+
+core::Result<int> Run(const cxxopts::ParseResult& parsed) {
+  BOOST_LEAF_AUTO(settings, ReadSettings(parsed));
+  BOOST_LEAF_AUTO(mix, bench::ReadMix(parsed["mix"].as<std::string>()));
+  bench::OutcomeLog log(parsed["outcomes"].as<std::string>());
+  bench::Report report;
+  const auto started_at = std::chrono::steady_clock::now();
+  bench::Run(settings, mix, log, report);
+  const double seconds =
+      std::chrono::duration<double>(std::chrono::steady_clock::now() -
+                                    started_at)
+          .count();
+  std::cout << (parsed["output"].as<std::string>() == "json"
+                    ? report.FormatJson(seconds)
+                    : report.FormatTable(seconds));
+  return EXIT_SUCCESS;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  std::signal(SIGPIPE, SIG_IGN);
+  cxxopts::Options options = MakeOptions();
+  try {
+    const cxxopts::ParseResult parsed = options.parse(argc, argv);
+    if (parsed.count("help") > 0) {
+      std::cout << options.help();
+      return EXIT_SUCCESS;
+    }
+    return core::Handle([&] { return Run(parsed); },
+                        [](const core::Error& error) {
+                          std::cerr << "crocusmast-load: " << Describe(error)
+                                    << "\n";
+                          return kExitUsage;
+                        });
+  } catch (const cxxopts::exceptions::exception& error) {
+    std::cerr << "crocusmast-load: " << error.what() << "\n";
+    return kExitUsage;
+  }
+}
--- /dev/null
+++ b/src/crocusmast/adapters/admin_server.cc
@@ -0,0 +1,249 @@
+#include "crocusmast/adapters/admin_server.h"
+
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "crocusmast/adapters/admin_codec.h"
+#include "crocusmast/adapters/http_server.h"
+#include "crocusmast/adapters/lists_codec.h"
+
+namespace crocusmast::adapters {
+namespace internal {
+
+constexpr std::size_t kAdminThreads = 8;
+constexpr std::chrono::seconds kApplyWait{20};
+constexpr std::chrono::seconds kQueryWait{2};
+constexpr int kBadRequest = 400;
+constexpr int kUnauthorized = 401;
+constexpr int kNotFound = 404;
+constexpr int kConflict = 409;
+constexpr int kUnavailable = 503;
+
+int StatusOf(core::Step step) {
+  switch (step) {
+    case core::Step::kMergeEdit:
+      return kConflict;
+    case core::Step::kReadStore:
+    case core::Step::kWriteStore:
+    case core::Step::kConnect:
+      return kUnavailable;
+    default:
+      return kBadRequest;
+  }
+}
+
+void WriteError(const core::Error& error, httplib::Response& response) {
+  response.status = StatusOf(error.step);
+  response.set_content(FormatError(error), "application/json");
+}
+
+void WriteJson(std::string json, httplib::Response& response) {
+  response.set_content(std::move(json), "application/json");
+}
+
+core::Error Overloaded() {
+  return core::Error{core::Step::kConnect, "this instance",
+                     "did not answer in time; try again"};
+}
+
+/** @brief Sends a query to a duty and waits for its answer. */
+template <typename Answer, typename Message, typename Query>
+std::optional<Answer> Ask(core::BoundedRing<Message>& ring,
+                          Query query,
+                          core::Duration wait) {
+  const auto reply = std::make_shared<core::BoundedRing<Answer>>(1);
+  query.reply = reply;
+  if (!ring.TryPush(Message(std::move(query)))) {
+    return std::nullopt;
+  }
+  return reply->PopFor(wait);
+}
+
+}  // namespace internal
+
+/** @brief The server and its ports. */
+struct AdminServer::State {
+  explicit State(AdminServerPorts chosen)
+      : ports(std::move(chosen)),
+        server({internal::kAdminThreads, kMaxListsBytes}) {}
+
+  void AddRoutes();
+  bool IsAuthorized(const httplib::Request& request,
+                    httplib::Response& response) const;
+  void Apply(const httplib::Request& request, httplib::Response& response);
+  void Show(const httplib::Request& request, httplib::Response& response);
+  void History(httplib::Response& response);
+  void Explain(const httplib::Request& request, httplib::Response& response);
+  void Status(httplib::Response& response);
+
+  AdminServerPorts ports;
+  internal::HttpServer server;
+};
+
+bool AdminServer::State::IsAuthorized(const httplib::Request& request,
+                                      httplib::Response& response) const {
+  if (request.get_header_value("Authorization") == "Bearer " + ports.token) {
+    return true;
+  }
+  internal::WriteError({core::Step::kAdministration, "operator's token",
+                        "the token is missing or wrong"},
+                       response);
+  response.status = internal::kUnauthorized;
+  ports.logger.Write({core::Part::kHttp,
+                      core::Severity::kWarning,
+                      "Refused an administration call without a valid token.",
+                      {{"path", request.path}}});
+  return false;
+}
+
+void AdminServer::State::Apply(const httplib::Request& request,
+                               httplib::Response& response) {
+  core::Handle(
+      [&]() -> core::Result<void> {
+        BOOST_LEAF_AUTO(edit, ParseEdit(request.body));
+        const auto reply = internal::Ask<configuration::ApplyReply>(
+            ports.configuration,
+            configuration::ApplyEdit{std::move(edit), nullptr},
+            internal::kApplyWait);
+        if (!reply) {
+          internal::WriteError(internal::Overloaded(), response);
+        } else if (const auto* error = std::get_if<core::Error>(&*reply)) {
+          internal::WriteError(*error, response);
+        } else {
+          internal::WriteJson(
+              FormatRevision(std::get<core::Revision>(*reply)), response);
+        }
+        return {};
+      },
+      [&](const core::Error& error) {
+        internal::WriteError(error, response);
+      });
+}
+
+void AdminServer::State::Show(const httplib::Request& request,
+                              httplib::Response& response) {
+  std::optional<core::Revision> revision;
+  if (request.has_param("revision")) {
+    const std::string text = request.get_param_value("revision");
+    constexpr std::size_t kMaxDigits = 18;
+    if (text.empty() || text.size() > kMaxDigits ||
+        text.find_first_not_of("0123456789") != std::string::npos) {
+      internal::WriteError({core::Step::kAdministration, "revision",
+                            "'" + text + "' is not a whole number from 0"},
+                           response);
+      return;
+    }
+    revision = core::Revision(std::stoull(text));
+  }
+  const auto reply = internal::Ask<configuration::ViewReply>(
+      ports.configuration, configuration::ViewQuery{revision, nullptr},
+      internal::kApplyWait);
+  if (!reply) {
+    internal::WriteError(internal::Overloaded(), response);
+  } else if (const auto* error = std::get_if<core::Error>(&*reply)) {
+    internal::WriteError(*error, response);
+  } else {
+    internal::WriteJson(
+        FormatSnapshot(std::get<configuration::Snapshot>(*reply)), response);
+  }
+}
+
+void AdminServer::State::History(httplib::Response& response) {
+  const auto changes = internal::Ask<std::vector<configuration::Change>>(
+      ports.configuration, configuration::HistoryQuery{},
+      internal::kApplyWait);
+  if (!changes) {
+    internal::WriteError(internal::Overloaded(), response);
+    return;
+  }
+  internal::WriteJson(FormatChanges(*changes), response);
+}
+
+void AdminServer::State::Explain(const httplib::Request& request,
+                                 httplib::Response& response) {
+  core::Handle(
+      [&]() -> core::Result<void> {
+        BOOST_LEAF_AUTO(id, core::RequestId::Create(
+                                request.get_param_value("request")));
+        const auto decisions = internal::Ask<std::vector<request::Decision>>(
+            ports.router, routing::ExplainQuery{std::move(id), nullptr},
+            internal::kQueryWait);
+        if (!decisions) {
+          internal::WriteError(internal::Overloaded(), response);
+          return {};
+        }
+        internal::WriteJson(FormatDecisions(*decisions), response);
+        if (decisions->empty()) {
+          response.status = internal::kNotFound;
+        }
+        return {};
+      },
+      [&](const core::Error& error) {
+        internal::WriteError(error, response);
+      });
+}
+
+void AdminServer::State::Status(httplib::Response& response) {
+  const auto status = internal::Ask<routing::RouterStatus>(
+      ports.router, routing::StatusQuery{}, internal::kQueryWait);
+  if (!status) {
+    internal::WriteError(internal::Overloaded(), response);
+    return;
+  }
+  internal::WriteJson(
+      FormatStatus(InstanceStatus{ports.self, ports.zone, *status}), response);
+}
+
+void AdminServer::State::AddRoutes() {
+  using httplib::Request;
+  using httplib::Response;
+  httplib::Server& routes = server.Routes();
+  routes.set_pre_routing_handler(
+      [this](const Request& request, Response& response) {
+        using HandlerResponse = httplib::Server::HandlerResponse;
+        return request.path == "/metrics" || IsAuthorized(request, response)
+                   ? HandlerResponse::Unhandled
+                   : HandlerResponse::Handled;
+      });
+  routes.Get("/metrics", [this](const Request&, Response& response) {
+    response.set_content(ports.format_metrics(), "text/plain");
+  });
+  routes.Put("/configuration",
+             [this](const Request& request, Response& response) {
+               Apply(request, response);
+             });
+  routes.Get("/configuration",
+             [this](const Request& request, Response& response) {
+               Show(request, response);
+             });
+  routes.Get("/history", [this](const Request&, Response& response) {
+    History(response);
+  });
+  routes.Get("/explain", [this](const Request& request, Response& response) {
+    Explain(request, response);
+  });
+  routes.Get("/status", [this](const Request&, Response& response) {
+    Status(response);
+  });
+}
+
+core::Result<std::unique_ptr<AdminServer>> AdminServer::Create(
+    const fleet::Endpoint& address,
+    AdminServerPorts ports) {
+  auto state = std::make_unique<State>(std::move(ports));
+  state->AddRoutes();
+  BOOST_LEAF_CHECK(state->server.Start(address));
+  return std::unique_ptr<AdminServer>(new AdminServer(std::move(state)));
+}
+
+AdminServer::AdminServer(std::unique_ptr<State> state)
+    : m_state(std::move(state)) {}
+
+AdminServer::~AdminServer() = default;
+
+void AdminServer::Stop() {
+  m_state->server.Stop();
+}
+
+}  // namespace crocusmast::adapters
--- /dev/null
+++ b/src/crocusmast/adapters/fwd.h
@@ -0,0 +1,18 @@
+#ifndef CROCUSMAST_ADAPTERS_FWD_H_
+#define CROCUSMAST_ADAPTERS_FWD_H_
+
+namespace crocusmast::adapters {
+
+class AdminServer;
+class BoostLogger;
+class CallerServer;
+class MembershipClient;
+class MetricsRegistry;
+class PeerLink;
+class PeerTransport;
+class StoreClient;
+class TargetClient;
+
+}  // namespace crocusmast::adapters
+
+#endif  // CROCUSMAST_ADAPTERS_FWD_H_
--- /dev/null
+++ b/src/crocusmast/adapters/http_client.cc
@@ -0,0 +1,75 @@
+#include "crocusmast/adapters/http_client.h"
+
+#include <httplib.h>
+
+#include <utility>
+
+namespace crocusmast::adapters {
+namespace internal {
+
+constexpr std::chrono::milliseconds kConnectWait{500};
+
+}  // namespace internal
+
+/** @brief The library's client and the name of the service. */
+struct HttpClient::State {
+  State(const fleet::Endpoint& address, std::string service)
+      : client(address.host, address.port), name(std::move(service)) {}
+
+  void SetWait(core::Duration wait) {
+    const auto micros =
+        std::chrono::duration_cast<std::chrono::microseconds>(wait);
+    client.set_read_timeout(micros);
+    client.set_write_timeout(micros);
+  }
+
+  core::Result<HttpAnswer> Finish(const httplib::Result& result,
+                                  const std::string& path) const {
+    if (!result) {
+      return core::Fail(core::Step::kConnect, name,
+                        path + ": " + httplib::to_string(result.error()));
+    }
+    return HttpAnswer{result->status, result->body};
+  }
+
+  httplib::Client client;
+  std::string name;
+};
+
+HttpClient::HttpClient(std::unique_ptr<State> state)
+    : m_state(std::move(state)) {}
+
+HttpClient::~HttpClient() = default;
+
+std::unique_ptr<HttpClient> HttpClient::Create(const fleet::Endpoint& address,
+                                               const std::string& token) {
+  auto state = std::make_unique<State>(
+      address, address.host + ":" + std::to_string(address.port));
+  state->client.set_keep_alive(true);
+  state->client.set_tcp_nodelay(true);
+  state->client.set_connection_timeout(internal::kConnectWait);
+  if (!token.empty()) {
+    state->client.set_bearer_token_auth(token);
+  }
+  return std::unique_ptr<HttpClient>(new HttpClient(std::move(state)));
+}
+
+core::Result<HttpAnswer> HttpClient::Get(const std::string& path,
+                                         core::Duration wait) {
+  m_state->SetWait(wait);
+  return m_state->Finish(m_state->client.Get(path), path);
+}
+
+core::Result<HttpAnswer> HttpClient::Put(const std::string& path,
+                                         const std::string& body,
+                                         core::Duration wait) {
+  m_state->SetWait(wait);
+  return m_state->Finish(
+      m_state->client.Put(path, body, "application/json"), path);
+}
+
+void HttpClient::Stop() {
+  m_state->client.stop();
+}
+
+}  // namespace crocusmast::adapters
--- /dev/null
+++ b/src/crocusmast/adapters/membership_client.h
@@ -0,0 +1,42 @@
+#ifndef CROCUSMAST_ADAPTERS_MEMBERSHIP_CLIENT_H_
+#define CROCUSMAST_ADAPTERS_MEMBERSHIP_CLIENT_H_
+
+#include <memory>
+
+#include "crocusmast/adapters/http_client.h"
+#include "crocusmast/core/meter.h"
+#include "crocusmast/membership/membership_list.h"
+
+namespace crocusmast::adapters {
+
+/** @brief Reads the platform's membership list over HTTP. */
+class MembershipClient final : public membership::MembershipList {
+ public:
+  /**
+   * @brief Makes a client.
+   * @param address The service.
+   * @param meter Counts calls and bytes; outlives the client.
+   */
+  static std::unique_ptr<MembershipClient> Create(
+      const fleet::Endpoint& address,
+      core::Meter& meter);
+
+  core::Result<membership::ListUpdate> ReadAfter(
+      membership::ListVersion after) override;
+
+ private:
+  MembershipClient(std::unique_ptr<HttpClient> http, core::Meter& meter);
+
+  std::unique_ptr<HttpClient> m_http;
+  core::Meter& m_meter;
+};
+
+/**
+ * @brief Reads an update of the membership list.
+ * @param text JSON.
+ */
+core::Result<membership::ListUpdate> ParseListUpdate(std::string_view text);
+
+}  // namespace crocusmast::adapters
+
+#endif  // CROCUSMAST_ADAPTERS_MEMBERSHIP_CLIENT_H_
--- /dev/null
+++ b/src/crocusmast/adapters/metrics_registry.cc
@@ -0,0 +1,157 @@
+#include "crocusmast/adapters/metrics_registry.h"
+
+#include <sys/resource.h>
+
+#include <array>
+#include <atomic>
+#include <boost/histogram.hpp>
+#include <mutex>
+#include <sstream>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace crocusmast::adapters {
+namespace internal {
+
+namespace histogram = boost::histogram;
+
+constexpr auto kCounters = static_cast<std::size_t>(core::Counter::kCount);
+constexpr auto kTimings = static_cast<std::size_t>(core::Timing::kCount);
+constexpr int kBuckets = 40;
+constexpr double kShortest = 50e-6;
+constexpr double kLongest = 60.0;
+
+constexpr std::array<std::string_view, kCounters> kCounterNames{
+    "requests_answered_total",
+    "requests_refused_total",
+    "requests_unknown_total",
+    "requests_forwarded_total",
+    "requests_retried_total",
+    "duplicates_stopped_total",
+    "circuits_opened_total",
+    "configurations_adopted_total",
+    "store_calls_total",
+    "store_failures_total",
+    "store_bytes_total",
+    "membership_calls_total",
+    "membership_bytes_total",
+    "peer_messages_sent_total",
+    "peer_bytes_sent_total",
+    "peer_control_bytes_sent_total",
+    "peer_messages_received_total",
+    "peer_bytes_received_total",
+    "peer_messages_rejected_total",
+    "peer_messages_dropped_total",
+    "replies_dropped_total",
+};
+
+constexpr std::array<std::string_view, kTimings> kTimingNames{
+    "request_seconds", "target_call_seconds", "queue_wait_seconds"};
+
+using Axis = histogram::axis::regular<double, histogram::axis::transform::log>;
+using Buckets = histogram::accumulators::count<std::uint64_t, true>;
+using Histogram = histogram::histogram<std::tuple<Axis>,
+                                       histogram::dense_storage<Buckets>>;
+
+Histogram MakeTimes() {
+  return histogram::make_histogram_with(
+      histogram::dense_storage<Buckets>(),
+      Axis(static_cast<unsigned>(kBuckets), kShortest, kLongest));
+}
+
+double ProcessorSeconds() {
+  rusage usage{};
+  getrusage(RUSAGE_SELF, &usage);
+  constexpr double kMicro = 1e-6;
+  return static_cast<double>(usage.ru_utime.tv_sec + usage.ru_stime.tv_sec) +
+         kMicro * static_cast<double>(usage.ru_utime.tv_usec +
+                                      usage.ru_stime.tv_usec);
+}
+
+}  // namespace internal
+
+/** @brief The counts. */
+struct MetricsRegistry::State {
+  std::array<std::atomic<std::uint64_t>, internal::kCounters> counters{};
+  std::vector<internal::Histogram> timings;
+  std::array<std::atomic<std::uint64_t>, internal::kTimings> nanoseconds{};
+  mutable std::mutex mutex;
+  std::vector<std::pair<std::string, ReadGauge>> gauges;
+};
+
+std::unique_ptr<MetricsRegistry> MetricsRegistry::Create() {
+  return std::unique_ptr<MetricsRegistry>(new MetricsRegistry());
+}
+
+MetricsRegistry::MetricsRegistry() : m_state(std::make_unique<State>()) {
+  for (std::size_t index = 0; index < internal::kTimings; ++index) {
+    m_state->timings.push_back(internal::MakeTimes());
+  }
+}
+
+MetricsRegistry::~MetricsRegistry() = default;
+
+void MetricsRegistry::Add(core::Counter counter, std::uint64_t amount) {
+  m_state->counters[static_cast<std::size_t>(counter)].fetch_add(
+      amount, std::memory_order_relaxed);
+}
+
+void MetricsRegistry::Observe(core::Timing timing, core::Duration value) {
+  const auto index = static_cast<std::size_t>(timing);
+  m_state->timings[index](std::chrono::duration<double>(value).count());
+  const auto nanoseconds =
+      std::chrono::duration_cast<std::chrono::nanoseconds>(value).count();
+  m_state->nanoseconds[index].fetch_add(
+      static_cast<std::uint64_t>(nanoseconds > 0 ? nanoseconds : 0),
+      std::memory_order_relaxed);
+}
+
+void MetricsRegistry::AddGauge(std::string name, ReadGauge read) {
+  const std::lock_guard<std::mutex> lock(m_state->mutex);
+  m_state->gauges.emplace_back(std::move(name), std::move(read));
+}
+
+namespace internal {
+
+void FormatTimes(std::ostream& out,
+                 std::string_view name,
+                 const Histogram& times,
+                 double sum) {
+  std::uint64_t count = times.at(-1).value();
+  const auto& axis = times.axis(0);
+  for (int index = 0; index < axis.size(); ++index) {
+    count += times.at(index).value();
+    out << "crocusmast_" << name << "_bucket{le=\"" << axis.value(index + 1)
+        << "\"} " << count << "\n";
+  }
+  count += times.at(axis.size()).value();
+  out << "crocusmast_" << name << "_bucket{le=\"+Inf\"} " << count << "\n"
+      << "crocusmast_" << name << "_count " << count << "\n"
+      << "crocusmast_" << name << "_sum " << sum << "\n";
+}
+
+}  // namespace internal
+
+std::string MetricsRegistry::Format() const {
+  constexpr double kNano = 1e-9;
+  std::ostringstream out;
+  for (std::size_t index = 0; index < internal::kCounters; ++index) {
+    out << "crocusmast_" << internal::kCounterNames[index] << " "
+        << m_state->counters[index].load(std::memory_order_relaxed) << "\n";
+  }
+  for (std::size_t index = 0; index < internal::kTimings; ++index) {
+    const auto nanoseconds = static_cast<double>(
+        m_state->nanoseconds[index].load(std::memory_order_relaxed));
+    internal::FormatTimes(out, internal::kTimingNames[index],
+                          m_state->timings[index], nanoseconds * kNano);
+  }
+  const std::lock_guard<std::mutex> lock(m_state->mutex);
+  for (const auto& [name, read] : m_state->gauges) {
+    out << "crocusmast_" << name << " " << read() << "\n";
+  }
+  out << "process_cpu_seconds_total " << internal::ProcessorSeconds() << "\n";
+  return out.str();
+}
+
+}  // namespace crocusmast::adapters
--- /dev/null
+++ b/src/crocusmast/adapters/store_client.cc
@@ -0,0 +1,145 @@
+#include "crocusmast/adapters/store_client.h"
+
+#include <cstdio>
+#include <utility>
+
+#include "crocusmast/adapters/json_reader.h"
+#include "crocusmast/adapters/lists_codec.h"
+
+namespace crocusmast::adapters {
+namespace internal {
+
+constexpr std::chrono::seconds kCallWait{2};
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+
+// Keys sort by revision, so that a range of keys is a range of revisions.
+std::string ChangeKey(core::Revision revision) {
+  char text[sizeof "configuration/change/00000000000000000000"];
+  std::snprintf(text, sizeof text, "configuration/change/%020llu",
+                static_cast<unsigned long long>(revision.Count()));
+  return text;
+}
+
+core::Result<std::vector<configuration::Change>> ParseRange(
+    const std::string& body) {
+  BOOST_LEAF_AUTO(json, ParseStrict(body, "store", core::Step::kReadStore));
+  if (!json.is_array()) {
+    return core::Fail(core::Step::kReadStore, "store", "no array of values");
+  }
+  std::vector<configuration::Change> changes;
+  for (const Json& value : json) {
+    if (!value.is_string()) {
+      return core::Fail(core::Step::kReadStore, "store", "a value is no text");
+    }
+    BOOST_LEAF_AUTO(change, ParseChange(value.get<std::string>()));
+    changes.push_back(std::move(change));
+  }
+  return changes;
+}
+
+boost::leaf::error_id Unexpected(core::Step step, const HttpAnswer& answer) {
+  return core::Fail(step, "store",
+                    "answered with status " + std::to_string(answer.status));
+}
+
+}  // namespace internal
+
+using configuration::AppendOutcome;
+using configuration::Change;
+using configuration::Snapshot;
+using core::Step;
+
+StoreClient::StoreClient(std::unique_ptr<HttpClient> http, core::Meter& meter)
+    : m_http(std::move(http)), m_meter(meter) {}
+
+std::unique_ptr<StoreClient> StoreClient::Create(
+    const fleet::Endpoint& address,
+    core::Meter& meter) {
+  return std::unique_ptr<StoreClient>(
+      new StoreClient(HttpClient::Create(address, ""), meter));
+}
+
+core::Result<HttpAnswer> StoreClient::Count(core::Result<HttpAnswer> answer) {
+  m_meter.Add(core::Counter::kStoreCalls, 1);
+  if (answer) {
+    m_meter.Add(core::Counter::kStoreBytes, answer->body.size());
+  } else {
+    m_meter.Add(core::Counter::kStoreFailures, 1);
+  }
+  return answer;
+}
+
+core::Result<HttpAnswer> StoreClient::Get(const std::string& path,
+                                          core::Duration wait) {
+  return Count(m_http->Get(path, wait + internal::kCallWait));
+}
+
+core::Result<HttpAnswer> StoreClient::Put(const std::string& path,
+                                          const std::string& body) {
+  m_meter.Add(core::Counter::kStoreBytes, body.size());
+  return Count(m_http->Put(path, body, internal::kCallWait));
+}
+
+core::Result<AppendOutcome> StoreClient::Append(const Change& change) {
+  const std::string path =
+      "/keys/" + internal::ChangeKey(change.revision) + "?expect=0";
+  core::Result<HttpAnswer> answer = Put(path, FormatChange(change));
+  if (answer && answer->status == internal::kOk) {
+    return AppendOutcome::kAppended;
+  }
+  return ReadBack(change);
+}
+
+core::Result<AppendOutcome> StoreClient::ReadBack(const Change& change) {
+  BOOST_LEAF_AUTO(answer, Get("/keys/" + internal::ChangeKey(change.revision),
+                              core::Duration::zero()));
+  if (answer.status == internal::kNotFound) {
+    return core::Fail(Step::kWriteStore, "store",
+                      "the change is not there; nothing changed, try again");
+  }
+  if (answer.status != internal::kOk) {
+    return internal::Unexpected(Step::kWriteStore, answer);
+  }
+  BOOST_LEAF_AUTO(stored, ParseChange(answer.body));
+  return stored.origin.id == change.origin.id ? AppendOutcome::kAppended
+                                              : AppendOutcome::kTaken;
+}
+
+core::Result<std::vector<Change>> StoreClient::ReadAfter(core::Revision after,
+                                                         core::Duration wait) {
+  const auto wait_ms =
+      std::chrono::duration_cast<std::chrono::milliseconds>(wait).count();
+  const std::string path = "/range?prefix=configuration/change/&after=" +
+                           internal::ChangeKey(after) +
+                           "&wait_ms=" + std::to_string(wait_ms);
+  BOOST_LEAF_AUTO(answer, Get(path, wait));
+  if (answer.status != internal::kOk) {
+    return internal::Unexpected(Step::kReadStore, answer);
+  }
+  return internal::ParseRange(answer.body);
+}
+
+core::Result<std::optional<Snapshot>> StoreClient::ReadSnapshot() {
+  BOOST_LEAF_AUTO(answer, Get("/keys/configuration/snapshot",
+                              core::Duration::zero()));
+  if (answer.status == internal::kNotFound) {
+    return std::optional<Snapshot>();
+  }
+  if (answer.status != internal::kOk) {
+    return internal::Unexpected(Step::kReadStore, answer);
+  }
+  BOOST_LEAF_AUTO(snapshot, ParseSnapshot(answer.body));
+  return std::optional<Snapshot>(std::move(snapshot));
+}
+
+core::Result<void> StoreClient::WriteSnapshot(const Snapshot& snapshot) {
+  BOOST_LEAF_AUTO(answer, Put("/keys/configuration/snapshot",
+                              FormatSnapshot(snapshot)));
+  if (answer.status != internal::kOk) {
+    return internal::Unexpected(Step::kWriteStore, answer);
+  }
+  return {};
+}
+
+}  // namespace crocusmast::adapters
--- /dev/null
+++ b/src/crocusmast/adapters/target_client.cc
@@ -0,0 +1,139 @@
+#include "crocusmast/adapters/target_client.h"
+
+#include <httplib.h>
+
+#include <algorithm>
+#include <chrono>
+#include <map>
+#include <mutex>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace crocusmast::adapters {
+namespace internal {
+
+using routing::SendResult;
+using Connection = std::unique_ptr<httplib::Client>;
+
+constexpr std::chrono::milliseconds kTargetConnectWait{300};
+constexpr std::size_t kIdleConnections = 8;
+constexpr int kTooManyRequests = 429;
+constexpr int kFirstFailure = 500;
+constexpr int kUnavailable = 503;
+constexpr std::chrono::seconds kDefaultPause{1};
+
+Connection Connect(const fleet::Endpoint& address) {
+  auto client = std::make_unique<httplib::Client>(address.host, address.port);
+  client->set_keep_alive(true);
+  client->set_tcp_nodelay(true);
+  client->set_connection_timeout(kTargetConnectWait);
+  return client;
+}
+
+bool IsSurelyNotRun(httplib::Error error) {
+  return error == httplib::Error::Connection ||
+         error == httplib::Error::ConnectionTimeout ||
+         error == httplib::Error::BindIPAddress;
+}
+
+std::chrono::seconds PauseOf(const httplib::Response& response) {
+  const std::string text = response.get_header_value("Retry-After");
+  if (text.empty() || text.size() > 4 ||
+      !std::all_of(text.begin(), text.end(),
+                   [](unsigned char c) { return std::isdigit(c) != 0; })) {
+    return kDefaultPause;
+  }
+  return std::chrono::seconds(std::stoi(text));
+}
+
+SendResult Classify(httplib::Response response) {
+  SendResult result;
+  const bool is_not_run = response.has_header("Target-Not-Run");
+  result.report.delivery = is_not_run ? request::Delivery::kNotRun
+                                      : request::Delivery::kAnswered;
+  result.report.is_throttle =
+      response.status == kTooManyRequests ||
+      (response.status == kUnavailable && response.has_header("Retry-After"));
+  result.report.is_failure = !result.report.is_throttle &&
+                             response.status >= kFirstFailure && !is_not_run;
+  result.report.is_leaving = response.has_header("Target-Leaving");
+  result.report.pause = PauseOf(response);
+  result.answer.status = response.status;
+  result.answer.content_type = response.get_header_value("Content-Type");
+  result.answer.body = std::move(response.body);
+  return result;
+}
+
+}  // namespace internal
+
+/** @brief The open connections that no request uses. */
+struct TargetClient::State {
+  using Key = std::pair<std::string, std::uint16_t>;
+
+  internal::Connection Take(const fleet::Endpoint& address) {
+    const std::lock_guard<std::mutex> lock(mutex);
+    std::vector<internal::Connection>& idle_here =
+        idle[Key(address.host, address.port)];
+    if (idle_here.empty()) {
+      return internal::Connect(address);
+    }
+    internal::Connection connection = std::move(idle_here.back());
+    idle_here.pop_back();
+    return connection;
+  }
+
+  void Return(const fleet::Endpoint& address, internal::Connection connection) {
+    const std::lock_guard<std::mutex> lock(mutex);
+    std::vector<internal::Connection>& idle_here =
+        idle[Key(address.host, address.port)];
+    if (idle_here.size() < internal::kIdleConnections) {
+      idle_here.push_back(std::move(connection));
+    }
+  }
+
+  std::mutex mutex;
+  std::map<Key, std::vector<internal::Connection>> idle;
+};
+
+TargetClient::TargetClient() : m_state(std::make_unique<State>()) {}
+
+TargetClient::~TargetClient() = default;
+
+std::unique_ptr<TargetClient> TargetClient::Create() {
+  return std::unique_ptr<TargetClient>(new TargetClient());
+}
+
+routing::SendResult TargetClient::Send(const core::InstanceId& target,
+                                       const fleet::Endpoint& address,
+                                       const request::RequestSpec& spec,
+                                       const std::string& body,
+                                       core::Duration wait) {
+  const auto started_at = std::chrono::steady_clock::now();
+  internal::Connection connection = m_state->Take(address);
+  const auto micros =
+      std::chrono::duration_cast<std::chrono::microseconds>(wait);
+  connection->set_read_timeout(micros);
+  connection->set_write_timeout(micros);
+  const httplib::Headers headers{
+      {"Crocusmast-Request-Id", spec.id.Text()},
+      {"Crocusmast-Plan", spec.plan.Text()},
+      {"Crocusmast-Kind", spec.kind.Text()},
+  };
+  httplib::Result answer = connection->Post("/run", headers, body,
+                                            "application/octet-stream");
+  routing::SendResult result;
+  if (answer) {
+    result = internal::Classify(std::move(answer.value()));
+    m_state->Return(address, std::move(connection));
+  } else {
+    result.report.delivery = internal::IsSurelyNotRun(answer.error())
+                                 ? request::Delivery::kNotRun
+                                 : request::Delivery::kUnknown;
+    result.report.is_failure = true;
+  }
+  result.report.latency = std::chrono::steady_clock::now() - started_at;
+  return result;
+}
+
+}  // namespace crocusmast::adapters
--- /dev/null
+++ b/src/crocusmast/adapters/target_client.h
@@ -0,0 +1,39 @@
+#ifndef CROCUSMAST_ADAPTERS_TARGET_CLIENT_H_
+#define CROCUSMAST_ADAPTERS_TARGET_CLIENT_H_
+
+#include <memory>
+
+#include "crocusmast/routing/target_port.h"
+
+namespace crocusmast::adapters {
+
+/**
+ * @brief Sends requests to targets over HTTP and keeps connections open.
+ *
+ * Nothing is sent twice: a request counts as not run only if no connection
+ * could be made, or if the target said so.
+ */
+class TargetClient final : public routing::TargetPort {
+ public:
+  /** @brief Makes a client without connections. */
+  static std::unique_ptr<TargetClient> Create();
+
+  ~TargetClient() override;
+
+  routing::SendResult Send(const core::InstanceId& target,
+                           const fleet::Endpoint& address,
+                           const request::RequestSpec& spec,
+                           const std::string& body,
+                           core::Duration wait) override;
+
+ private:
+  struct State;
+
+  TargetClient();
+
+  std::unique_ptr<State> m_state;
+};
+
+}  // namespace crocusmast::adapters
+
+#endif  // CROCUSMAST_ADAPTERS_TARGET_CLIENT_H_
--- /dev/null
+++ b/src/crocusmast/cli/admin_client.cc
@@ -0,0 +1,86 @@
+#include "crocusmast/cli/admin_client.h"
+
+#include <memory>
+#include <utility>
+
+#include "crocusmast/adapters/admin_codec.h"
+
+namespace crocusmast::cli {
+namespace internal {
+
+using core::Step;
+
+constexpr std::chrono::seconds kAnswerWait{30};
+constexpr int kOk = 200;
+constexpr int kUnauthorized = 401;
+constexpr int kNotFound = 404;
+constexpr int kConflict = 409;
+constexpr int kUnavailable = 503;
+
+Step StepFor(int status) {
+  switch (status) {
+    case kUnauthorized:
+      return Step::kAdministration;
+    case kConflict:
+      return Step::kMergeEdit;
+    case kUnavailable:
+      return Step::kConnect;
+    default:
+      return Step::kValidateLists;
+  }
+}
+
+core::Result<std::string> Finish(const adapters::HttpAnswer& answer,
+                                 const fleet::Endpoint& instance) {
+  if (answer.status == kOk || answer.status == kNotFound) {
+    return answer.body;
+  }
+  return core::Fail(StepFor(answer.status),
+                    instance.host + ":" + std::to_string(instance.port),
+                    adapters::ParseError(answer.body));
+}
+
+}  // namespace internal
+
+AdminClient::AdminClient(std::vector<fleet::Endpoint> instances,
+                         std::string token)
+    : m_instances(std::move(instances)), m_token(std::move(token)) {}
+
+core::Result<std::string> AdminClient::GetFrom(
+    const fleet::Endpoint& instance,
+    const std::string& path) const {
+  const auto http = adapters::HttpClient::Create(instance, m_token);
+  BOOST_LEAF_AUTO(answer, http->Get(path, internal::kAnswerWait));
+  return internal::Finish(answer, instance);
+}
+
+core::Result<std::string> AdminClient::Get(const std::string& path) const {
+  for (std::size_t index = 0; index + 1 < m_instances.size(); ++index) {
+    const auto http =
+        adapters::HttpClient::Create(m_instances[index], m_token);
+    core::Result<adapters::HttpAnswer> answer =
+        http->Get(path, internal::kAnswerWait);
+    if (answer) {
+      return internal::Finish(*answer, m_instances[index]);
+    }
+  }
+  return GetFrom(m_instances.back(), path);
+}
+
+core::Result<std::string> AdminClient::Put(const std::string& path,
+                                           const std::string& body) const {
+  for (std::size_t index = 0; index + 1 < m_instances.size(); ++index) {
+    const auto http =
+        adapters::HttpClient::Create(m_instances[index], m_token);
+    core::Result<adapters::HttpAnswer> answer =
+        http->Put(path, body, internal::kAnswerWait);
+    if (answer) {
+      return internal::Finish(*answer, m_instances[index]);
+    }
+  }
+  const auto http = adapters::HttpClient::Create(m_instances.back(), m_token);
+  BOOST_LEAF_AUTO(answer, http->Put(path, body, internal::kAnswerWait));
+  return internal::Finish(answer, m_instances.back());
+}
+
+}  // namespace crocusmast::cli
--- /dev/null
+++ b/src/crocusmast/cli/arguments.cc
@@ -0,0 +1,187 @@
+#include "crocusmast/cli/arguments.h"
+
+#include <cstdint>
+#include <cstdlib>
+#include <cxxopts.hpp>
+#include <fstream>
+#include <limits>
+#include <sstream>
+#include <utility>
+
+namespace crocusmast::cli {
+namespace internal {
+
+using core::Fail;
+using core::Result;
+using core::Step;
+
+constexpr char kExamples[] = R"(
+Commands:
+  check               check the two files; asks no instance
+  apply               put the two files into force
+  diff                show what apply would change
+  show                show the lists in force, or at --revision
+  history             list the changes
+  rollback REVISION   put the lists of a revision into force again
+  status              show every instance: revision, peers, pools
+  explain REQUEST-ID  show why a request went where it went
+
+Examples:
+  crocusmast check --plans plans.json --allowances allowances.json
+  crocusmast show --directory lists
+  crocusmast apply --plans lists/plans.json --allowances \
+      lists/allowances.json --reason "more slots for checkout"
+  crocusmast status --output json
+
+Exit codes:
+  0 done; 1 differences, or nothing found; 2 command line; 3 file or list;
+  4 conflict; 5 no answer; 6 token
+
+The token is read from CROCUSMAST_OPERATOR_TOKEN.
+)";
+
+std::string ReadEnvironment(const char* name) {
+  const char* value = std::getenv(name);
+  return value == nullptr ? "" : value;
+}
+
+std::string ReadToken() {
+  std::string token = ReadEnvironment("CROCUSMAST_OPERATOR_TOKEN");
+  const std::string file = ReadEnvironment("CROCUSMAST_OPERATOR_TOKEN_FILE");
+  if (token.empty() && !file.empty()) {
+    std::ifstream stream(file);
+    std::getline(stream, token);
+  }
+  return token;
+}
+
+Result<fleet::Endpoint> ReadAddress(const std::string& text) {
+  const std::size_t colon = text.rfind(':');
+  std::istringstream port_text(
+      colon == std::string::npos ? "" : text.substr(colon + 1));
+  unsigned port = 0;
+  if (colon == 0 || !(port_text >> port) || port == 0 ||
+      port > std::numeric_limits<std::uint16_t>::max()) {
+    return Fail(Step::kParseSettings, "instances",
+                "'" + text + "' is not HOST:PORT with a port of 1 to 65535");
+  }
+  return fleet::Endpoint{text.substr(0, colon),
+                         static_cast<std::uint16_t>(port)};
+}
+
+Result<std::vector<fleet::Endpoint>> ReadAddresses(const std::string& text) {
+  std::vector<fleet::Endpoint> addresses;
+  std::istringstream stream(text);
+  std::string item;
+  while (std::getline(stream, item, ',')) {
+    BOOST_LEAF_AUTO(address, ReadAddress(item));
+    addresses.push_back(address);
+  }
+  return addresses;
+}
+
+Result<core::Revision> ReadRevision(const std::string& text) {
+  constexpr std::size_t kMaxDigits = 18;
+  if (text.empty() || text.size() > kMaxDigits ||
+      text.find_first_not_of("0123456789") != std::string::npos) {
+    return Fail(Step::kParseSettings, "revision",
+                "'" + text + "' is not a whole number from 0");
+  }
+  return core::Revision(std::stoull(text));
+}
+
+cxxopts::Options MakeOptions() {
+  cxxopts::Options options("crocusmast", "The operators' tool.");
+  const std::string user = ReadEnvironment("USER");
+  auto add = options.add_options();
+  add("command", "the command", cxxopts::value<std::string>());
+  add("operands", "what the command is about",
+      cxxopts::value<std::vector<std::string>>());
+  add("instances",
+      "administration addresses with commas between [CROCUSMAST_INSTANCES]",
+      cxxopts::value<std::string>());
+  add("plans", "file with the list of plans",
+      cxxopts::value<std::string>()->default_value("plans.json"));
+  add("allowances", "file with the list of allowances",
+      cxxopts::value<std::string>()->default_value("allowances.json"));
+  add("directory", "folder that show writes the two files to",
+      cxxopts::value<std::string>()->default_value(""));
+  add("author", "who acts",
+      cxxopts::value<std::string>()->default_value(user.empty() ? "operator"
+                                                                : user));
+  add("reason", "why",
+      cxxopts::value<std::string>()->default_value("not said"));
+  add("revision", "a revision, for show and diff",
+      cxxopts::value<std::string>());
+  add("base", "the revision that the files were read at, for apply and diff",
+      cxxopts::value<std::string>());
+  add("output", "table or json",
+      cxxopts::value<std::string>()->default_value("table"));
+  add("help", "print this and end");
+  options.parse_positional({"command", "operands"});
+  options.positional_help("COMMAND");
+  return options;
+}
+
+Result<void> ReadValues(const cxxopts::ParseResult& parsed,
+                        Arguments& arguments) {
+  arguments.plans_file = parsed["plans"].as<std::string>();
+  arguments.allowances_file = parsed["allowances"].as<std::string>();
+  arguments.directory = parsed["directory"].as<std::string>();
+  arguments.author = parsed["author"].as<std::string>();
+  arguments.reason = parsed["reason"].as<std::string>();
+  const std::string output = parsed["output"].as<std::string>();
+  if (output != "table" && output != "json") {
+    return Fail(Step::kParseSettings, "output",
+                "value '" + output + "'; allowed are table, json");
+  }
+  arguments.is_json = output == "json";
+  for (const char* name : {"revision", "base"}) {
+    if (parsed.count(name) > 0) {
+      BOOST_LEAF_AUTO(revision, ReadRevision(parsed[name].as<std::string>()));
+      arguments.revision = revision;
+    }
+  }
+  return {};
+}
+
+Result<Arguments> Read(const cxxopts::ParseResult& parsed) {
+  Arguments arguments;
+  arguments.command = parsed["command"].as<std::string>();
+  if (parsed.count("operands") > 0) {
+    arguments.operands = parsed["operands"].as<std::vector<std::string>>();
+  }
+  const std::string instances = parsed.count("instances") > 0
+                                    ? parsed["instances"].as<std::string>()
+                                    : ReadEnvironment("CROCUSMAST_INSTANCES");
+  BOOST_LEAF_ASSIGN(
+      arguments.instances,
+      ReadAddresses(instances.empty() ? "127.0.0.1:8081" : instances));
+  BOOST_LEAF_CHECK(ReadValues(parsed, arguments));
+  arguments.token = ReadToken();
+  return arguments;
+}
+
+}  // namespace internal
+
+core::Result<Arguments> ParseArguments(int argc, const char* const* argv) {
+  cxxopts::Options options = internal::MakeOptions();
+  try {
+    const cxxopts::ParseResult parsed = options.parse(argc, argv);
+    if (parsed.count("help") > 0) {
+      Arguments arguments;
+      arguments.text_to_print = options.help() + internal::kExamples;
+      return arguments;
+    }
+    if (parsed.count("command") == 0) {
+      return core::Fail(core::Step::kParseSettings, "command line",
+                        "no command; see --help");
+    }
+    return internal::Read(parsed);
+  } catch (const cxxopts::exceptions::exception& error) {
+    return core::Fail(core::Step::kParseSettings, "command line",
+                      error.what());
+  }
+}
+
+}  // namespace crocusmast::cli
--- /dev/null
+++ b/src/crocusmast/cli/commands.h
@@ -0,0 +1,19 @@
+#ifndef CROCUSMAST_CLI_COMMANDS_H_
+#define CROCUSMAST_CLI_COMMANDS_H_
+
+#include "crocusmast/cli/arguments.h"
+#include "crocusmast/cli/exit_code.h"
+#include "crocusmast/core/error.h"
+
+namespace crocusmast::cli {
+
+/**
+ * @brief Runs a command and prints what it finds.
+ * @param arguments What the tool was called with.
+ * @return The exit code, or an error.
+ */
+core::Result<ExitCode> RunCommand(const Arguments& arguments);
+
+}  // namespace crocusmast::cli
+
+#endif  // CROCUSMAST_CLI_COMMANDS_H_
--- /dev/null
+++ b/src/crocusmast/configuration/configuration.cc
@@ -0,0 +1,126 @@
+#include "crocusmast/configuration/configuration.h"
+
+#include <ctime>
+#include <string>
+
+namespace crocusmast::configuration {
+namespace internal {
+
+std::string FormatTime(core::WallTime time) {
+  const std::time_t seconds = std::chrono::system_clock::to_time_t(time);
+  std::tm parts{};
+  gmtime_r(&seconds, &parts);
+  char text[sizeof "2000-01-01T00:00:00Z"];
+  std::strftime(text, sizeof text, "%Y-%m-%dT%H:%M:%SZ", &parts);
+  return text;
+}
+
+boost::leaf::error_id Conflict(const RowChange& wanted, const Change& other) {
+  std::optional<Row> theirs;
+  for (const RowChange& row : other.rows) {
+    if (row.key == wanted.key) {
+      theirs = row.after;
+    }
+  }
+  return core::Fail(
+      core::Step::kMergeEdit, Describe(wanted.key),
+      "conflict: you want {" + Describe(wanted.after) + "}, but revision " +
+          std::to_string(other.revision.Count()) + " by " +
+          other.origin.author + " at " + FormatTime(other.origin.at) +
+          " set {" + Describe(theirs) + "}");
+}
+
+bool SameOutcome(const RowChange& wanted, const Lists& current) {
+  const auto found = current.Rows().find(wanted.key);
+  if (found == current.Rows().end()) {
+    return !wanted.after.has_value();
+  }
+  return wanted.after.has_value() && *wanted.after == found->second;
+}
+
+}  // namespace internal
+
+Configuration::Configuration() : m_lists(std::make_shared<const Lists>()) {}
+
+core::Result<Change> Configuration::Propose(const Edit& edit) const {
+  BOOST_LEAF_AUTO(base, ListsAt(edit.base));
+  std::vector<RowChange> merged;
+  for (RowChange& wanted : base.DifferenceTo(edit.lists)) {
+    if (internal::SameOutcome(wanted, *m_lists)) {
+      continue;
+    }
+    if (const Change* other = LastChangeOf(wanted.key, edit.base)) {
+      return internal::Conflict(wanted, *other);
+    }
+    merged.push_back(std::move(wanted));
+  }
+  BOOST_LEAF_CHECK(m_lists->With(merged));
+  return Change{core::Revision(m_revision.Count() + 1), edit.origin,
+                std::move(merged)};
+}
+
+core::Result<bool> Configuration::Adopt(const Change& change) {
+  if (change.revision.Count() != m_revision.Count() + 1) {
+    return false;
+  }
+  BOOST_LEAF_AUTO(lists, m_lists->With(change.rows));
+  m_lists = std::make_shared<const Lists>(std::move(lists));
+  m_revision = change.revision;
+  m_history.push_back(change);
+  if (m_history.size() > kHistoryKept) {
+    m_history.pop_front();
+  }
+  return true;
+}
+
+bool Configuration::Restore(const Snapshot& snapshot) {
+  if (!(m_revision < snapshot.revision)) {
+    return false;
+  }
+  m_revision = snapshot.revision;
+  m_lists = std::make_shared<const Lists>(snapshot.lists);
+  m_history.clear();
+  return true;
+}
+
+core::Result<Lists> Configuration::ListsAt(core::Revision revision) const {
+  const std::uint64_t oldest = m_revision.Count() - m_history.size();
+  if (m_revision < revision || revision.Count() < oldest) {
+    return core::Fail(core::Step::kMergeEdit,
+                      "revision " + std::to_string(revision.Count()),
+                      "not known here; known are " + std::to_string(oldest) +
+                          " to " + std::to_string(m_revision.Count()));
+  }
+  std::vector<RowChange> undo;
+  for (auto change = m_history.rbegin();
+       change != m_history.rend() && revision < change->revision; ++change) {
+    for (const RowChange& row : change->rows) {
+      undo.push_back(RowChange{row.key, row.after, row.before});
+    }
+  }
+  return m_lists->With(undo);
+}
+
+const Change* Configuration::FindChange(const core::ChangeId& id) const {
+  for (const Change& change : m_history) {
+    if (change.origin.id == id) {
+      return &change;
+    }
+  }
+  return nullptr;
+}
+
+const Change* Configuration::LastChangeOf(const RowKey& key,
+                                          core::Revision after) const {
+  for (auto change = m_history.rbegin();
+       change != m_history.rend() && after < change->revision; ++change) {
+    for (const RowChange& row : change->rows) {
+      if (row.key == key) {
+        return &*change;
+      }
+    }
+  }
+  return nullptr;
+}
+
+}  // namespace crocusmast::configuration
--- /dev/null
+++ b/src/crocusmast/configuration/lists.cc
@@ -0,0 +1,143 @@
+#include "crocusmast/configuration/lists.h"
+
+#include <string>
+#include <utility>
+
+namespace crocusmast::configuration {
+namespace internal {
+
+using core::Fail;
+using core::Result;
+using core::Step;
+
+constexpr std::uint64_t kWhole = 100;
+constexpr std::uint64_t kMaxHeadroom = 500;
+constexpr std::size_t kMaxCustomerLength = 128;
+
+/** @brief The least and the greatest value of a field. */
+struct Bounds {
+  std::uint64_t least;
+  std::uint64_t greatest;
+};
+
+Result<void> CheckField(const RowKey& key,
+                        const char* field,
+                        std::uint64_t value,
+                        Bounds bounds) {
+  if (value < bounds.least || value > bounds.greatest) {
+    return Fail(Step::kValidateLists, Describe(key),
+                std::string("field '") + field + "' is " +
+                    std::to_string(value) + "; allowed are " +
+                    std::to_string(bounds.least) + " to " +
+                    std::to_string(bounds.greatest));
+  }
+  return {};
+}
+
+Result<void> CheckPlan(const RowKey& key, const Plan& plan) {
+  BOOST_LEAF_CHECK(CheckField(key, "availability", plan.availability.Count(),
+                              {1, kWhole}));
+  BOOST_LEAF_CHECK(
+      CheckField(key, "headroom", plan.headroom.Count(), {0, kMaxHeadroom}));
+  return CheckField(key, "customer (length)", plan.customer.size(),
+                    {1, kMaxCustomerLength});
+}
+
+Result<void> CheckAllowance(const RowKey& key, const Allowance& allowance) {
+  const Bounds bounds{1, kMaxAllowance};
+  BOOST_LEAF_CHECK(
+      CheckField(key, "instances", allowance.instances.Count(), bounds));
+  BOOST_LEAF_CHECK(CheckField(key, "slots", allowance.slots.Count(), bounds));
+  return CheckField(key, "connections", allowance.connections.Count(), bounds);
+}
+
+Result<void> CheckRow(const RowKey& key, const Row& row) {
+  if (const Plan* plan = std::get_if<Plan>(&row)) {
+    return CheckPlan(key, *plan);
+  }
+  return CheckAllowance(key, std::get<Allowance>(row));
+}
+
+Result<void> CheckPlansExist(const std::map<RowKey, Row>& rows) {
+  for (const auto& [key, row] : rows) {
+    if (!key.kind.IsEmpty() && rows.count(RowKey{key.plan, {}}) == 0) {
+      return Fail(Step::kValidateLists, Describe(key),
+                  "field 'plan' is '" + key.plan.Text() +
+                      "'; allowed are plans of the list of plans");
+    }
+  }
+  return {};
+}
+
+}  // namespace internal
+
+core::Result<Lists> Lists::Create(const std::vector<Row>& rows) {
+  using internal::Fail;
+  using internal::Step;
+  if (rows.size() > kMaxRows) {
+    return Fail(Step::kValidateLists, "both lists",
+                std::to_string(rows.size()) + " rows; allowed are " +
+                    std::to_string(kMaxRows));
+  }
+  Lists lists;
+  for (const Row& row : rows) {
+    const RowKey key = KeyOf(row);
+    BOOST_LEAF_CHECK(internal::CheckRow(key, row));
+    if (!lists.m_rows.emplace(key, row).second) {
+      return Fail(Step::kValidateLists, Describe(key),
+                  "the row stands twice; allowed is one row a key");
+    }
+  }
+  BOOST_LEAF_CHECK(internal::CheckPlansExist(lists.m_rows));
+  return lists;
+}
+
+std::optional<Allowance> Lists::FindAllowance(const core::PlanId& plan,
+                                              const core::KindId& kind) const {
+  const auto found = m_rows.find(RowKey{plan, kind});
+  if (kind.IsEmpty() || found == m_rows.end()) {
+    return std::nullopt;
+  }
+  return std::get<Allowance>(found->second);
+}
+
+bool Lists::HasPlan(const core::PlanId& plan) const {
+  return m_rows.count(RowKey{plan, {}}) > 0;
+}
+
+core::Result<Lists> Lists::With(const std::vector<RowChange>& changes) const {
+  std::map<RowKey, Row> rows = m_rows;
+  for (const RowChange& change : changes) {
+    if (change.after) {
+      rows.insert_or_assign(change.key, *change.after);
+    } else {
+      rows.erase(change.key);
+    }
+  }
+  std::vector<Row> flat;
+  flat.reserve(rows.size());
+  for (const auto& [key, row] : rows) {
+    flat.push_back(row);
+  }
+  return Create(flat);
+}
+
+std::vector<RowChange> Lists::DifferenceTo(const Lists& target) const {
+  std::vector<RowChange> changes;
+  for (const auto& [key, row] : m_rows) {
+    const auto found = target.m_rows.find(key);
+    if (found == target.m_rows.end()) {
+      changes.push_back(RowChange{key, row, std::nullopt});
+    } else if (!(found->second == row)) {
+      changes.push_back(RowChange{key, row, found->second});
+    }
+  }
+  for (const auto& [key, row] : target.m_rows) {
+    if (m_rows.count(key) == 0) {
+      changes.push_back(RowChange{key, std::nullopt, row});
+    }
+  }
+  return changes;
+}
+
+}  // namespace crocusmast::configuration
--- /dev/null
+++ b/src/crocusmast/configuration/service.cc
@@ -0,0 +1,174 @@
+#include "crocusmast/configuration/service.h"
+
+#include <string>
+#include <utility>
+
+namespace crocusmast::configuration {
+
+void Service::Handle(Message&& message) {
+  std::visit([this](auto& content) { On(content); }, message);
+}
+
+void Service::On(ApplyEdit& message) {
+  message.edit.origin.at = m_ports.clock.WallNow();
+  ApplyReply reply = core::Handle(
+      [&]() -> core::Result<ApplyReply> {
+        BOOST_LEAF_AUTO(revision, Apply(message.edit));
+        return ApplyReply(revision);
+      },
+      [](const core::Error& error) { return ApplyReply(error); });
+  message.reply->TryPush(std::move(reply));
+}
+
+core::Result<core::Revision> Service::Apply(Edit& edit) {
+  CatchUpFromStore();
+  for (int attempt = 0; attempt < kAppendAttempts; ++attempt) {
+    if (const Change* done = m_configuration.FindChange(edit.origin.id)) {
+      return done->revision;
+    }
+    BOOST_LEAF_AUTO(change, m_configuration.Propose(edit));
+    if (change.rows.empty()) {
+      return m_configuration.CurrentRevision();
+    }
+    BOOST_LEAF_AUTO(appended, AppendOnce(change));
+    if (appended) {
+      return change.revision;
+    }
+    CatchUpFromStore();
+  }
+  return core::Fail(core::Step::kWriteStore, "store",
+                    "other edits kept taking the next revision; try again");
+}
+
+core::Result<bool> Service::AppendOnce(const Change& change) {
+  BOOST_LEAF_AUTO(outcome, m_ports.store.Append(change));
+  if (outcome == AppendOutcome::kTaken) {
+    return false;
+  }
+  BOOST_LEAF_CHECK(m_configuration.Adopt(change));
+  m_ports.peers.Announce(change);
+  Publish("an edit by " + change.origin.author);
+  MaybeWriteSnapshot();
+  return true;
+}
+
+void Service::CatchUpFromStore() {
+  core::Handle(
+      [&]() -> core::Result<void> {
+        BOOST_LEAF_AUTO(changes, m_ports.store.ReadAfter(
+                                     m_configuration.CurrentRevision(),
+                                     core::Duration::zero()));
+        if (AdoptAll(changes)) {
+          Publish("the store");
+        }
+        return {};
+      },
+      [this](const core::Error& error) {
+        m_ports.logger.Write({core::Part::kConfiguration,
+                              core::Severity::kWarning,
+                              "Could not catch up. " + core::Describe(error),
+                              {}});
+      });
+}
+
+bool Service::AdoptAll(const std::vector<Change>& changes) {
+  bool adopted = false;
+  for (const Change& change : changes) {
+    adopted |= core::Handle(
+        [&]() -> core::Result<bool> { return m_configuration.Adopt(change); },
+        [this](const core::Error& error) {
+          m_ports.logger.Write({core::Part::kConfiguration,
+                                core::Severity::kError,
+                                "Rejected a change. " + core::Describe(error),
+                                {}});
+          return false;
+        });
+  }
+  return adopted;
+}
+
+void Service::MaybeWriteSnapshot() {
+  const core::Revision revision = m_configuration.CurrentRevision();
+  if (revision.Count() % kSnapshotInterval != 0) {
+    return;
+  }
+  core::Handle(
+      [&]() -> core::Result<void> {
+        return m_ports.store.WriteSnapshot(
+            Snapshot{revision, *m_configuration.CurrentLists()});
+      },
+      [](const core::Error&) {});
+}
+
+void Service::On(ChangesSeen& message) {
+  if (AdoptAll(message.changes)) {
+    Publish(message.source.IsEmpty() ? "the store" : message.source.Text());
+  }
+  const bool has_gap = !message.changes.empty() &&
+                       m_configuration.CurrentRevision() <
+                           message.changes.back().revision;
+  if (has_gap && !message.source.IsEmpty()) {
+    m_ports.peers.Pull(message.source, m_configuration.CurrentRevision());
+  }
+}
+
+void Service::On(SnapshotSeen& message) {
+  if (m_configuration.Restore(message.snapshot)) {
+    Publish("a snapshot");
+  }
+}
+
+void Service::On(PeerRevision& message) {
+  if (m_configuration.CurrentRevision() < message.revision) {
+    m_ports.peers.Pull(message.peer, m_configuration.CurrentRevision());
+  }
+}
+
+void Service::On(PullRequested& message) {
+  const core::Revision current = m_configuration.CurrentRevision();
+  if (!(message.after < current)) {
+    return;
+  }
+  const auto& history = m_configuration.History();
+  const std::uint64_t missing = current.Count() - message.after.Count();
+  if (missing > history.size()) {
+    m_ports.peers.SendSnapshot(
+        message.peer, Snapshot{current, *m_configuration.CurrentLists()});
+    return;
+  }
+  const auto first = history.end() - static_cast<std::ptrdiff_t>(missing);
+  m_ports.peers.SendChanges(message.peer,
+                            std::vector<Change>(first, history.end()));
+}
+
+void Service::On(ViewQuery& message) {
+  const core::Revision revision =
+      message.revision.value_or(m_configuration.CurrentRevision());
+  ViewReply reply = core::Handle(
+      [&]() -> core::Result<ViewReply> {
+        BOOST_LEAF_AUTO(lists, m_configuration.ListsAt(revision));
+        return ViewReply(Snapshot{revision, std::move(lists)});
+      },
+      [](const core::Error& error) { return ViewReply(error); });
+  message.reply->TryPush(std::move(reply));
+}
+
+void Service::On(HistoryQuery& message) {
+  const auto& history = m_configuration.History();
+  message.reply->TryPush(
+      std::vector<Change>(history.begin(), history.end()));
+}
+
+void Service::Publish(const std::string& source) {
+  const core::Revision revision = m_configuration.CurrentRevision();
+  const std::string number = std::to_string(revision.Count());
+  m_ports.publisher.InForce(revision, m_configuration.CurrentLists());
+  m_ports.meter.Add(core::Counter::kConfigurationsAdopted, 1);
+  m_ports.logger.Write({core::Part::kConfiguration,
+                        core::Severity::kInfo,
+                        "Revision " + number + " is in force. It came from " +
+                            source + ".",
+                        {{"revision", number}, {"source", source}}});
+}
+
+}  // namespace crocusmast::configuration
--- /dev/null
+++ b/src/crocusmast/core/duty.h
@@ -0,0 +1,103 @@
+#ifndef CROCUSMAST_CORE_DUTY_H_
+#define CROCUSMAST_CORE_DUTY_H_
+
+#include <pthread.h>
+
+#include <cstddef>
+#include <string>
+#include <thread>
+#include <utility>
+
+#include "crocusmast/core/bounded_ring.h"
+
+namespace crocusmast::core {
+
+/**
+ * @brief Decides on the messages of one duty.
+ * @tparam Message The messages that the duty takes.
+ */
+template <typename Message>
+class DutyHandler {
+ public:
+  virtual ~DutyHandler() = default;
+  /**
+   * @brief Handles one message.
+   * @param message The message.
+   */
+  virtual void Handle(Message&& message) = 0;
+  /** @brief Does what is due with time; called at least once an interval. */
+  virtual void Tick() = 0;
+};
+
+/**
+ * @brief A named thread that owns a handler and feeds it from a bounded ring.
+ * @tparam Message The messages that the duty takes.
+ */
+template <typename Message>
+class Duty {
+ public:
+  /**
+   * @brief Makes a duty that is not started.
+   * @param name The thread's name, at most 15 characters.
+   * @param capacity The capacity of the ring.
+   * @param interval The longest time between two ticks.
+   */
+  Duty(std::string name, std::size_t capacity, Duration interval)
+      : m_name(std::move(name)), m_ring(capacity), m_interval(interval) {}
+
+  ~Duty() { Stop(); }
+
+  Duty(const Duty&) = delete;
+  Duty& operator=(const Duty&) = delete;
+
+  /**
+   * @brief Starts the thread.
+   * @param handler The handler; outlives the duty.
+   * @param clock Tells when a tick is due; outlives the duty.
+   */
+  void Start(DutyHandler<Message>& handler, const Clock& clock) {
+    m_thread = std::thread([this, &handler, &clock] { Run(handler, clock); });
+    pthread_setname_np(m_thread.native_handle(), m_name.substr(0, 15).c_str());
+  }
+
+  /** @brief Closes the ring, lets the handler finish it, joins the thread. */
+  void Stop() {
+    m_ring.Close();
+    if (m_thread.joinable()) {
+      m_thread.join();
+    }
+  }
+
+  /** @brief Returns the ring that feeds the duty. */
+  BoundedRing<Message>& Ring() { return m_ring; }
+
+  /** @brief Returns the duty's name. */
+  const std::string& Name() const { return m_name; }
+
+ private:
+  void Run(DutyHandler<Message>& handler, const Clock& clock) {
+    TimePoint next_tick = clock.Now();
+    while (true) {
+      const TimePoint now = clock.Now();
+      if (now >= next_tick) {
+        handler.Tick();
+        next_tick = now + m_interval;
+      }
+      std::optional<Message> message = m_ring.PopFor(next_tick - now);
+      if (message) {
+        handler.Handle(std::move(*message));
+      } else if (m_ring.IsClosed()) {
+        return;
+      }
+    }
+  }
+
+  const std::string m_name;
+  BoundedRing<Message> m_ring;
+  const Duration m_interval;
+  std::thread m_thread;
+};
+
+}  // namespace crocusmast::core
+
+#endif  // CROCUSMAST_CORE_DUTY_H_
--- /dev/null
+++ b/src/crocusmast/daemon/fwd.h
@@ -0,0 +1,12 @@
+#ifndef CROCUSMAST_DAEMON_FWD_H_
+#define CROCUSMAST_DAEMON_FWD_H_
+
+namespace crocusmast::daemon {
+
+class Daemon;
+class DutyWiring;
+struct Settings;
+
+}  // namespace crocusmast::daemon
+
+#endif  // CROCUSMAST_DAEMON_FWD_H_
--- /dev/null
+++ b/src/crocusmast/daemon/membership_poller.cc
@@ -0,0 +1,47 @@
+#include "crocusmast/daemon/membership_poller.h"
+
+#include <utility>
+
+namespace crocusmast::daemon {
+
+MembershipPoller::MembershipPoller(
+    membership::MembershipList& list,
+    core::BoundedRing<membership::Message>& ring,
+    core::Logger& logger)
+    : m_list(list), m_ring(ring), m_logger(logger) {}
+
+void MembershipPoller::Tick() {
+  core::Handle(
+      [&]() -> core::Result<void> {
+        BOOST_LEAF_AUTO(update, m_list.ReadAfter(m_version));
+        Report(true, {});
+        const membership::ListVersion version = update.version;
+        if (version == m_version) {
+          return {};
+        }
+        if (m_ring.TryPush(membership::ListRead{std::move(update)})) {
+          m_version = version;
+        }
+        return {};
+      },
+      [this](const core::Error& error) { Report(false, error); });
+}
+
+void MembershipPoller::Report(bool is_reachable, const core::Error& error) {
+  if (is_reachable == m_is_reachable) {
+    return;
+  }
+  m_is_reachable = is_reachable;
+  const std::string sentence =
+      is_reachable ? "The membership list answers again."
+                   : "The membership list does not answer. The last view "
+                     "stays in use. " +
+                         core::Describe(error) + ".";
+  m_logger.Write({core::Part::kMembership,
+                  is_reachable ? core::Severity::kInfo
+                               : core::Severity::kWarning,
+                  sentence,
+                  {}});
+}
+
+}  // namespace crocusmast::daemon
--- /dev/null
+++ b/src/crocusmast/membership/messages.h
@@ -0,0 +1,40 @@
+#ifndef CROCUSMAST_MEMBERSHIP_MESSAGES_H_
+#define CROCUSMAST_MEMBERSHIP_MESSAGES_H_
+
+#include <variant>
+
+#include "crocusmast/membership/membership_list.h"
+
+namespace crocusmast::membership {
+
+/** @brief An update was read from the list. */
+struct ListRead {
+  /** @brief The update. */
+  ListUpdate update;
+};
+
+/** @brief A link to a peer is up. */
+struct LinkUp {
+  /** @brief The peer. */
+  core::InstanceId peer;
+};
+
+/** @brief A link to a peer is down. */
+struct LinkDown {
+  /** @brief The peer. */
+  core::InstanceId peer;
+};
+
+/** @brief An instance said itself, or by a peer, that it leaves. */
+struct LeavingSeen {
+  /** @brief The instance. */
+  core::InstanceId instance;
+};
+
+/** @brief The messages of the membership duty. */
+using Message =
+    std::variant<std::monostate, ListRead, LinkUp, LinkDown, LeavingSeen>;
+
+}  // namespace crocusmast::membership
+
+#endif  // CROCUSMAST_MEMBERSHIP_MESSAGES_H_
--- /dev/null
+++ b/src/crocusmast/membership/roster.cc
@@ -0,0 +1,204 @@
+#include "crocusmast/membership/roster.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "crocusmast/membership/rendezvous.h"
+
+namespace crocusmast::membership {
+
+using fleet::InstanceRecord;
+using fleet::Role;
+
+Roster::Roster(Self self) : m_self(std::move(self)) {}
+
+bool Roster::Apply(const ListUpdate& update, core::TimePoint now) {
+  m_version = update.version;
+  bool changed = update.is_whole && RemoveMissing(update);
+  for (const InstanceRecord& record : update.changed) {
+    ApplyRecord(record, now);
+    changed = true;
+  }
+  for (const core::InstanceId& id : update.removed) {
+    changed |= m_instances.erase(id) > 0;
+    m_links.erase(id);
+  }
+  return changed;
+}
+
+void Roster::ApplyRecord(const InstanceRecord& record, core::TimePoint now) {
+  const auto [place, is_new] =
+      m_instances.try_emplace(record.id, fleet::Instance(record));
+  if (!is_new) {
+    place->second.Report(record);
+  }
+  if (is_new && record.role == Role::kEntry && record.id != m_self.id) {
+    m_links.try_emplace(record.id, Link{now + kFirstLinkGrace, false, false});
+  }
+}
+
+bool Roster::RemoveMissing(const ListUpdate& update) {
+  std::set<core::InstanceId> listed;
+  for (const InstanceRecord& record : update.changed) {
+    listed.insert(record.id);
+  }
+  bool removed = false;
+  for (auto place = m_instances.begin(); place != m_instances.end();) {
+    if (listed.count(place->first) > 0) {
+      ++place;
+      continue;
+    }
+    m_links.erase(place->first);
+    place = m_instances.erase(place);
+    removed = true;
+  }
+  return removed;
+}
+
+bool Roster::MarkLeaving(const core::InstanceId& id) {
+  const auto found = m_instances.find(id);
+  if (found == m_instances.end()) {
+    return false;
+  }
+  const core::Incarnation incarnation = found->second.Record().incarnation;
+  return found->second.Leave(incarnation) == fleet::InstanceEvent::kLeft;
+}
+
+bool Roster::LinkUp(const core::InstanceId& peer) {
+  Link& link = m_links[peer];
+  const bool was_down = link.is_down;
+  link.is_linked = true;
+  link.is_down = false;
+  return was_down;
+}
+
+void Roster::LinkDown(const core::InstanceId& peer, core::TimePoint now) {
+  Link& link = m_links[peer];
+  if (link.is_linked) {
+    link.is_linked = false;
+    link.down_deadline = now + kPeerGrace;
+  }
+}
+
+bool Roster::ExpireLinks(core::TimePoint now) {
+  bool changed = false;
+  for (auto& [peer, link] : m_links) {
+    if (!link.is_linked && !link.is_down && link.down_deadline <= now) {
+      link.is_down = true;
+      changed = true;
+    }
+  }
+  return changed;
+}
+
+bool Roster::IsUp(const InstanceRecord& entry) const {
+  if (entry.id == m_self.id) {
+    return true;
+  }
+  const auto link = m_links.find(entry.id);
+  return link == m_links.end() || !link->second.is_down;
+}
+
+std::vector<core::InstanceId> Roster::UpEntries() const {
+  std::vector<core::InstanceId> entries;
+  for (const auto& [id, instance] : m_instances) {
+    const InstanceRecord& record = instance.Record();
+    if (record.role == Role::kEntry && record.region == m_self.region &&
+        instance.IsLive() && IsUp(record)) {
+      entries.push_back(id);
+    }
+  }
+  return entries;
+}
+
+RosterView Roster::View() const {
+  RosterView view;
+  view.entries = UpEntries();
+  const auto place =
+      std::find(view.entries.begin(), view.entries.end(), m_self.id);
+  view.rank = static_cast<std::size_t>(place - view.entries.begin());
+  AddPeers(view);
+  for (const auto& [id, instance] : m_instances) {
+    const InstanceRecord& record = instance.Record();
+    if (record.role == Role::kTarget && record.region == m_self.region) {
+      AddTarget(record, view);
+    }
+  }
+  view.watches_store = WatchesStore(view);
+  return view;
+}
+
+void Roster::AddPeers(RosterView& view) const {
+  for (const core::InstanceId& id : view.entries) {
+    if (id != m_self.id) {
+      view.peers.push_back(PeerView{id, m_instances.at(id).Record().zone});
+    }
+  }
+}
+
+void Roster::AddTarget(const InstanceRecord& target, RosterView& view) const {
+  const bool is_live = target.state == fleet::InstanceState::kLive;
+  if (is_live) {
+    view.pools[target.pool].push_back(target.id);
+  }
+  const std::vector<core::InstanceId> owners = OwnersFor(target, view);
+  if (owners.empty()) {
+    return;
+  }
+  if (owners.front() == m_self.id) {
+    view.owned.push_back(target);
+  }
+  if (is_live) {
+    view.owner_of.emplace(target.id, owners.front());
+  }
+}
+
+std::vector<core::InstanceId> Roster::OwnersFor(
+    const InstanceRecord& target,
+    const RosterView& view) const {
+  std::vector<core::InstanceId> candidates;
+  for (const core::InstanceId& id : view.entries) {
+    if (m_instances.at(id).Record().zone == target.zone) {
+      candidates.push_back(id);
+    }
+  }
+  if (candidates.empty()) {
+    candidates = view.entries;
+  }
+  return RankByRendezvous(target.id.Text(), candidates, 1);
+}
+
+bool Roster::WatchesStore(const RosterView& view) const {
+  for (const core::InstanceId& id : view.entries) {
+    if (m_instances.at(id).Record().zone == m_self.zone) {
+      return id == m_self.id;
+    }
+  }
+  return true;
+}
+
+std::vector<PeerAddress> Roster::LinkedPeers() const {
+  std::vector<PeerAddress> peers;
+  std::map<core::RegionId, std::vector<core::InstanceId>> remote;
+  for (const auto& [id, instance] : m_instances) {
+    const InstanceRecord& record = instance.Record();
+    if (record.role != Role::kEntry || id == m_self.id) {
+      continue;
+    }
+    if (record.region == m_self.region) {
+      peers.push_back(PeerAddress{id, record.address, false});
+    } else {
+      remote[record.region].push_back(id);
+    }
+  }
+  for (const auto& [region, candidates] : remote) {
+    const std::vector<core::InstanceId> chosen =
+        RankByRendezvous(m_self.id.Text(), candidates, 1);
+    peers.push_back(PeerAddress{
+        chosen.front(), m_instances.at(chosen.front()).Record().address, true});
+  }
+  return peers;
+}
+
+}  // namespace crocusmast::membership
--- /dev/null
+++ b/src/crocusmast/membership/service.cc
@@ -0,0 +1,79 @@
+#include "crocusmast/membership/service.h"
+
+#include <memory>
+#include <utility>
+
+namespace crocusmast::membership {
+
+Service::Service(Self self,
+                 Listener& listener,
+                 core::Logger& logger,
+                 const core::Clock& clock)
+    : m_roster(std::move(self)),
+      m_listener(listener),
+      m_logger(logger),
+      m_clock(clock) {}
+
+void Service::Handle(Message&& message) {
+  std::visit([this](const auto& content) { On(content); }, message);
+}
+
+void Service::Tick() {
+  if (m_roster.ExpireLinks(m_clock.Now())) {
+    m_logger.Write({core::Part::kMembership,
+                    core::Severity::kWarning,
+                    "A peer without a link counts as down.",
+                    {}});
+    Publish();
+  }
+}
+
+void Service::On(const ListRead& message) {
+  if (!m_roster.Apply(message.update, m_clock.Now())) {
+    return;
+  }
+  m_logger.Write(
+      {core::Part::kMembership,
+       core::Severity::kInfo,
+       "Took in version " + std::to_string(message.update.version.Count()) +
+           " of the membership list.",
+       {{"version", std::to_string(message.update.version.Count())},
+        {"changed", std::to_string(message.update.changed.size())}}});
+  Publish();
+}
+
+void Service::On(const LinkUp& message) {
+  Log(core::Severity::kInfo, "The link is up", message.peer);
+  if (m_roster.LinkUp(message.peer)) {
+    Publish();
+  }
+}
+
+void Service::On(const LinkDown& message) {
+  Log(core::Severity::kWarning, "The link is down", message.peer);
+  m_roster.LinkDown(message.peer, m_clock.Now());
+}
+
+void Service::On(const LeavingSeen& message) {
+  if (m_roster.MarkLeaving(message.instance)) {
+    Log(core::Severity::kInfo, "An instance is leaving", message.instance);
+    Publish();
+  }
+}
+
+void Service::Publish() {
+  m_listener.RosterChanged(
+      std::make_shared<const RosterView>(m_roster.View()));
+  m_listener.PeersChanged(m_roster.LinkedPeers());
+}
+
+void Service::Log(core::Severity severity,
+                  std::string sentence,
+                  const core::InstanceId& instance) {
+  m_logger.Write({core::Part::kMembership,
+                  severity,
+                  std::move(sentence) + ": " + instance.Text() + ".",
+                  {{"instance", instance.Text()}}});
+}
+
+}  // namespace crocusmast::membership
--- /dev/null
+++ b/src/crocusmast/membership/service.h
@@ -0,0 +1,52 @@
+#ifndef CROCUSMAST_MEMBERSHIP_SERVICE_H_
+#define CROCUSMAST_MEMBERSHIP_SERVICE_H_
+
+#include <string>
+
+#include "crocusmast/core/duty.h"
+#include "crocusmast/core/logger.h"
+#include "crocusmast/membership/listener.h"
+#include "crocusmast/membership/messages.h"
+#include "crocusmast/membership/roster.h"
+
+namespace crocusmast::membership {
+
+/** @brief Keeps the roster and tells the process when it changes. */
+class Service final : public core::DutyHandler<Message> {
+ public:
+  /**
+   * @brief Makes the service.
+   * @param self The instance that runs it.
+   * @param listener Takes the changes; outlives the service.
+   * @param logger The log; outlives the service.
+   * @param clock The time; outlives the service.
+   */
+  Service(Self self,
+          Listener& listener,
+          core::Logger& logger,
+          const core::Clock& clock);
+
+  void Handle(Message&& message) override;
+  void Tick() override;
+
+ private:
+  void On(const std::monostate& nothing) {}
+  void On(const ListRead& message);
+  void On(const LinkUp& message);
+  void On(const LinkDown& message);
+  void On(const LeavingSeen& message);
+
+  void Publish();
+  void Log(core::Severity severity,
+           std::string sentence,
+           const core::InstanceId& instance);
+
+  Roster m_roster;
+  Listener& m_listener;
+  core::Logger& m_logger;
+  const core::Clock& m_clock;
+};
+
+}  // namespace crocusmast::membership
+
+#endif  // CROCUSMAST_MEMBERSHIP_SERVICE_H_
--- /dev/null
+++ b/src/crocusmast/request/history.cc
@@ -0,0 +1,61 @@
+#include "crocusmast/request/history.h"
+
+#include <utility>
+
+namespace crocusmast::request {
+
+std::string_view DecisionName(DecisionKind kind) {
+  switch (kind) {
+    case DecisionKind::kQueued:
+      return "queued";
+    case DecisionKind::kClaimed:
+      return "claimed";
+    case DecisionKind::kSent:
+      return "sent";
+    case DecisionKind::kForwarded:
+      return "forwarded";
+    case DecisionKind::kRetried:
+      return "retried";
+    case DecisionKind::kAnswered:
+      return "answered";
+    case DecisionKind::kRefused:
+      return "refused";
+    case DecisionKind::kUnknown:
+      return "unknown";
+  }
+  return "unknown";
+}
+
+std::string Describe(const Decision& decision) {
+  std::string sentence = "Request " + decision.request.Text() + " of plan " +
+                         decision.plan.Text() + " is " +
+                         std::string(DecisionName(decision.kind));
+  if (!decision.destination.IsEmpty()) {
+    const bool has_answered = decision.kind == DecisionKind::kAnswered;
+    sentence += has_answered ? " by " : " to ";
+    sentence += decision.destination.Text();
+  }
+  if (decision.reason != Reason::kNone) {
+    sentence += " (" + std::string(ReasonName(decision.reason)) + ")";
+  }
+  return sentence + ".";
+}
+
+void History::Add(Decision decision) {
+  m_decisions.push_back(std::move(decision));
+  if (m_decisions.size() > kCapacity) {
+    m_decisions.pop_front();
+  }
+}
+
+std::vector<Decision> History::Find(const core::RequestId& request) const {
+  std::vector<Decision> found;
+  for (const Decision& decision : m_decisions) {
+    if (decision.request == request) {
+      found.push_back(decision);
+    }
+  }
+  return found;
+}
+
+}  // namespace crocusmast::request
--- /dev/null
+++ b/src/crocusmast/request/outcome.h
@@ -0,0 +1,102 @@
+#ifndef CROCUSMAST_REQUEST_OUTCOME_H_
+#define CROCUSMAST_REQUEST_OUTCOME_H_
+
+#include <string_view>
+
+namespace crocusmast::request {
+
+/** @brief What a caller is told of its request. */
+enum class Outcome {
+  /** @brief A target answered; the answer is whole. */
+  kAnswered,
+  /** @brief It did not run. */
+  kRefused,
+  /** @brief It may have run. */
+  kUnknown,
+};
+
+/** @brief How an attempt at a target or peer ended. */
+enum class Delivery {
+  /** @brief The whole answer arrived. */
+  kAnswered,
+  /** @brief It surely did not run there. */
+  kNotRun,
+  /** @brief It may have run there. */
+  kUnknown,
+};
+
+/** @brief Why a request was not answered. */
+enum class Reason {
+  kNone,
+  kBadRequest,
+  kUnknownPlan,
+  kNoAllowance,
+  kOverloaded,
+  kQueueFull,
+  kNoTargets,
+  kDeadline,
+  kAttempts,
+  kRetryBudget,
+  kLostAnswer,
+  kDuplicate,
+  kClaimFailed,
+  kDraining,
+};
+
+/**
+ * @brief Names an outcome as the callers' header does.
+ * @param outcome The outcome.
+ */
+constexpr std::string_view OutcomeName(Outcome outcome) {
+  switch (outcome) {
+    case Outcome::kAnswered:
+      return "answered";
+    case Outcome::kRefused:
+      return "refused";
+    case Outcome::kUnknown:
+      return "unknown";
+  }
+  return "unknown";
+}
+
+/**
+ * @brief Names a reason as the callers' header does.
+ * @param reason The reason.
+ */
+constexpr std::string_view ReasonName(Reason reason) {
+  switch (reason) {
+    case Reason::kNone:
+      return "none";
+    case Reason::kBadRequest:
+      return "bad-request";
+    case Reason::kUnknownPlan:
+      return "unknown-plan";
+    case Reason::kNoAllowance:
+      return "no-allowance";
+    case Reason::kOverloaded:
+      return "overloaded";
+    case Reason::kQueueFull:
+      return "queue-full";
+    case Reason::kNoTargets:
+      return "no-targets";
+    case Reason::kDeadline:
+      return "deadline";
+    case Reason::kAttempts:
+      return "attempts";
+    case Reason::kRetryBudget:
+      return "retry-budget";
+    case Reason::kLostAnswer:
+      return "lost-answer";
+    case Reason::kDuplicate:
+      return "duplicate";
+    case Reason::kClaimFailed:
+      return "claim-failed";
+    case Reason::kDraining:
+      return "draining";
+  }
+  return "none";
+}
+
+}  // namespace crocusmast::request
+
+#endif  // CROCUSMAST_REQUEST_OUTCOME_H_
--- /dev/null
+++ b/src/crocusmast/routing/driver.cc
@@ -0,0 +1,114 @@
+#include "crocusmast/routing/driver.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+namespace crocusmast::routing {
+namespace internal {
+
+// Router and driver each end a request at its deadline; the driver later.
+constexpr std::chrono::seconds kRouterGrace{2};
+constexpr std::chrono::milliseconds kClaimWait{500};
+constexpr std::chrono::seconds kRetryAfterOverload{2};
+// Each thread has at most three messages under way: arrival, report, abandon.
+constexpr std::chrono::seconds kPostWait{5};
+
+}  // namespace internal
+
+using request::Delivery;
+using request::Outcome;
+using request::Reason;
+
+Reply Driver::Run(const request::RequestSpec& spec,
+                  const std::string& body,
+                  bool is_forwarded) const {
+  const core::TimePoint started_at = m_ports.clock.Now();
+  Call call{spec, body, std::make_shared<InstructionRing>(2), {}};
+  Message arrival = Arrival{spec, is_forwarded, call.instructions};
+  if (!m_ports.router.TryPush(std::move(arrival))) {
+    call.reply.reason = Reason::kOverloaded;
+    call.reply.retry_after = internal::kRetryAfterOverload;
+    m_ports.meter.Add(core::Counter::kRequestsRefused, 1);
+    return call.reply;
+  }
+  while (!call.is_done) {
+    std::optional<Instruction> instruction = call.instructions->PopFor(
+        Remaining(call) + internal::kRouterGrace);
+    if (!instruction) {
+      Abandon(call);
+      break;
+    }
+    std::visit([&](const auto& content) { Follow(call, content); },
+               *instruction);
+  }
+  m_ports.meter.Observe(core::Timing::kRequest,
+                        m_ports.clock.Now() - started_at);
+  return std::move(call.reply);
+}
+
+core::Duration Driver::Remaining(const Call& call) const {
+  return std::max(call.spec.deadline - m_ports.clock.Now(),
+                  core::Duration::zero());
+}
+
+void Driver::Follow(Call& call, const SendTo& instruction) const {
+  const core::InstanceId& target = instruction.choice.target;
+  SendResult result =
+      m_ports.targets.Send(target, instruction.choice.address, call.spec,
+                           call.body, Remaining(call));
+  Report(call, instruction.key, target, std::move(result));
+}
+
+void Driver::Follow(Call& call, const ForwardTo& instruction) const {
+  SendResult result = m_ports.peers.Forward(instruction.peer, call.spec,
+                                            call.body, Remaining(call));
+  Report(call, instruction.key, instruction.peer, std::move(result));
+}
+
+void Driver::Report(Call& call,
+                    core::RequestKey key,
+                    const core::InstanceId& source,
+                    SendResult result) const {
+  const bool is_answered = result.report.delivery == Delivery::kAnswered;
+  call.was_sent =
+      call.was_sent || result.report.delivery != Delivery::kNotRun;
+  call.is_done = is_answered && !result.report.is_failure;
+  Post(SendFinished{key, source, result.report, result.reason});
+  if (is_answered) {
+    call.reply.outcome = Outcome::kAnswered;
+    call.reply.answer = std::move(result.answer);
+    call.reply.source = source;
+  }
+}
+
+void Driver::Follow(Call& call, const ClaimAt& instruction) const {
+  const core::Duration wait = std::min<core::Duration>(
+      Remaining(call), internal::kClaimWait);
+  Post(ClaimFinished{instruction.key, instruction.peer,
+                     m_ports.peers.Claim(instruction.peer, call.spec.id,
+                                         instruction.token, wait)});
+}
+
+void Driver::Follow(Call& call, const GiveUp& instruction) const {
+  call.reply = Reply{instruction.outcome, instruction.reason,
+                     instruction.retry_after, {}, {}};
+  call.is_done = true;
+}
+
+void Driver::Follow(Call& call, const ReturnAnswer& instruction) const {
+  call.is_done = true;
+}
+
+void Driver::Abandon(Call& call) const {
+  Post(Abandoned{call.instructions});
+  call.reply = Reply{call.was_sent ? Outcome::kUnknown : Outcome::kRefused,
+                     Reason::kOverloaded, internal::kRetryAfterOverload, {},
+                     {}};
+}
+
+void Driver::Post(Message message) const {
+  m_ports.router.PushFor(std::move(message), internal::kPostWait);
+}
+
+}  // namespace crocusmast::routing
--- /dev/null
+++ b/src/crocusmast/routing/peer_loads.cc
@@ -0,0 +1,71 @@
+#include "crocusmast/routing/peer_loads.h"
+
+#include <algorithm>
+#include <set>
+#include <tuple>
+
+namespace crocusmast::routing {
+
+void PeerLoads::Take(const core::InstanceId& peer,
+                     const std::vector<PoolLoad>& loads) {
+  for (const PoolLoad& load : loads) {
+    m_free[load.pool][peer] = load.free.Count();
+  }
+}
+
+void PeerLoads::Keep(const std::vector<membership::PeerView>& peers) {
+  std::set<core::InstanceId> kept;
+  for (const membership::PeerView& peer : peers) {
+    kept.insert(peer.id);
+  }
+  for (auto& [pool, free] : m_free) {
+    for (auto place = free.begin(); place != free.end();) {
+      place = kept.count(place->first) > 0 ? std::next(place)
+                                           : free.erase(place);
+    }
+  }
+}
+
+std::optional<core::InstanceId> PeerLoads::Choose(
+    const core::PoolId& pool,
+    const std::vector<membership::PeerView>& candidates,
+    const core::ZoneId& own_zone,
+    const std::vector<core::InstanceId>& tried) {
+  std::map<core::InstanceId, std::uint64_t>& free = m_free[pool];
+  const core::InstanceId* best = nullptr;
+  std::tuple<bool, std::uint64_t> best_rank;
+  for (const membership::PeerView& peer : candidates) {
+    const auto load = free.find(peer.id);
+    const bool was_tried =
+        std::find(tried.begin(), tried.end(), peer.id) != tried.end();
+    if (load == free.end() || load->second == 0 || was_tried) {
+      continue;
+    }
+    const std::tuple<bool, std::uint64_t> rank(peer.zone == own_zone,
+                                               load->second);
+    if (best == nullptr || best_rank < rank) {
+      best = &peer.id;
+      best_rank = rank;
+    }
+  }
+  if (best == nullptr) {
+    return std::nullopt;
+  }
+  --free[*best];
+  return *best;
+}
+
+void PeerLoads::Finish(const core::PoolId& pool,
+                       const core::InstanceId& peer,
+                       bool is_full) {
+  const auto found = m_free.find(pool);
+  if (found == m_free.end()) {
+    return;
+  }
+  const auto load = found->second.find(peer);
+  if (load != found->second.end()) {
+    load->second = is_full ? 0 : load->second + 1;
+  }
+}
+
+}  // namespace crocusmast::routing
--- /dev/null
+++ b/src/crocusmast/routing/recorder.h
@@ -0,0 +1,55 @@
+#ifndef CROCUSMAST_ROUTING_RECORDER_H_
+#define CROCUSMAST_ROUTING_RECORDER_H_
+
+#include <vector>
+
+#include "crocusmast/core/logger.h"
+#include "crocusmast/core/meter.h"
+#include "crocusmast/request/history.h"
+#include "crocusmast/request/request_spec.h"
+
+namespace crocusmast::routing {
+
+/** @brief Logs, counts and keeps each decision about a request. */
+class Recorder {
+ public:
+  /**
+   * @brief Makes a recorder.
+   * @param logger The log; outlives the recorder.
+   * @param meter The metrics; outlive the recorder.
+   * @param clock The time; outlives the recorder.
+   */
+  Recorder(core::Logger& logger, core::Meter& meter, const core::Clock& clock);
+
+  /**
+   * @brief Records a decision.
+   * @param spec The request.
+   * @param kind What was decided.
+   * @param destination The target or peer; empty if there is none.
+   * @param reason Why, where the request was not answered.
+   */
+  void Record(const request::RequestSpec& spec,
+              request::DecisionKind kind,
+              const core::InstanceId& destination = {},
+              request::Reason reason = request::Reason::kNone);
+
+  /**
+   * @brief Finds the decisions about a request.
+   * @param request The request.
+   */
+  std::vector<request::Decision> Find(const core::RequestId& request) const {
+    return m_history.Find(request);
+  }
+
+ private:
+  void Count(request::DecisionKind kind);
+
+  core::Logger& m_logger;
+  core::Meter& m_meter;
+  const core::Clock& m_clock;
+  request::History m_history;
+};
+
+}  // namespace crocusmast::routing
+
+#endif  // CROCUSMAST_ROUTING_RECORDER_H_
--- /dev/null
+++ b/standin/main.cc
@@ -0,0 +1,92 @@
+#include <csignal>
+#include <cxxopts.hpp>
+#include <exception>
+#include <iostream>
+#include <string>
+
+#include "standin/membership.h"
+#include "standin/platform.h"
+#include "standin/store.h"
+#include "standin/target.h"
+
+namespace {
+
+constexpr int kExitUsage = 2;
+
+cxxopts::Options MakeOptions() {
+  cxxopts::Options options(
+      "crocusmast-standin",
+      "Stands in for the platform: store, membership, platform, target.");
+  auto add = options.add_options();
+  add("service", "store, membership, platform or target",
+      cxxopts::value<std::string>());
+  add("port", "port, or the first port of the targets",
+      cxxopts::value<int>()->default_value("9001"));
+  add("threads", "connections served at once, for each port",
+      cxxopts::value<int>()->default_value("32"));
+  add("members", "file with the members at the start",
+      cxxopts::value<std::string>()->default_value("members.json"));
+  add("lag-ms", "how late the membership list shows a change",
+      cxxopts::value<long>()->default_value("1000"));
+  add("membership", "address of the membership list, for the platform",
+      cxxopts::value<std::string>()->default_value("127.0.0.1:9002"));
+  add("reboot-ms", "how long a reboot takes",
+      cxxopts::value<long>()->default_value("1000"));
+  add("count", "number of targets", cxxopts::value<int>()->default_value("1"));
+  add("slots", "slots of a target",
+      cxxopts::value<int>()->default_value("8"));
+  add("service-ms", "mean time that a request takes",
+      cxxopts::value<double>()->default_value("5"));
+  add("help", "print this and end");
+  options.parse_positional({"service"});
+  options.positional_help("SERVICE");
+  return options;
+}
+
+standin::Listen ReadListen(const cxxopts::ParseResult& parsed) {
+  standin::Listen listen;
+  listen.port = static_cast<std::uint16_t>(parsed["port"].as<int>());
+  listen.threads = static_cast<std::size_t>(parsed["threads"].as<int>());
+  return listen;
+}
+
+int Run(const cxxopts::ParseResult& parsed) {
+  const std::string service = parsed["service"].as<std::string>();
+  const standin::Listen listen = ReadListen(parsed);
+  const std::string members = parsed["members"].as<std::string>();
+  if (service == "store") {
+    standin::RunStore(listen);
+  } else if (service == "membership") {
+    standin::RunMembership(listen, members, parsed["lag-ms"].as<long>());
+  } else if (service == "platform") {
+    standin::RunPlatform({listen, members,
+                          parsed["membership"].as<std::string>(),
+                          parsed["reboot-ms"].as<long>()});
+  } else if (service == "target") {
+    standin::RunTargets({listen, parsed["count"].as<int>(),
+                         parsed["slots"].as<int>(),
+                         parsed["service-ms"].as<double>()});
+  } else {
+    std::cerr << "crocusmast-standin: no service '" << service << "'\n";
+    return kExitUsage;
+  }
+  return EXIT_SUCCESS;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  std::signal(SIGPIPE, SIG_IGN);
+  cxxopts::Options options = MakeOptions();
+  try {
+    const cxxopts::ParseResult parsed = options.parse(argc, argv);
+    if (parsed.count("help") > 0 || parsed.count("service") == 0) {
+      std::cout << options.help();
+      return parsed.count("help") > 0 ? EXIT_SUCCESS : kExitUsage;
+    }
+    return Run(parsed);
+  } catch (const std::exception& error) {
+    std::cerr << "crocusmast-standin: " << error.what() << "\n";
+    return kExitUsage;
+  }
+}
--- /dev/null
+++ b/standin/membership.cc
@@ -0,0 +1,127 @@
+#include "standin/membership.h"
+
+#include <algorithm>
+#include <chrono>
+#include <fstream>
+#include <map>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <vector>
+
+namespace standin {
+namespace {
+
+using Clock = std::chrono::steady_clock;
+using nlohmann::json;
+
+constexpr int kNotFound = 404;
+
+/** @brief One change of the list. */
+struct Event {
+  Clock::time_point visible_at;
+  std::string id;
+  json record;
+};
+
+/** @brief The list and what happened to it. */
+class List {
+ public:
+  List(const std::string& file, long lag_ms) : m_lag_ms(lag_ms) {
+    std::ifstream stream(file);
+    for (const json& record : json::parse(stream)) {
+      Add(record["id"], record, 0);
+    }
+  }
+
+  void AddRoutes(httplib::Server& server);
+
+ private:
+  void Add(const std::string& id, const json& record, long lag_ms) {
+    m_now[id] = record;
+    m_events.push_back(
+        Event{Clock::now() + std::chrono::milliseconds(lag_ms), id, record});
+  }
+
+  void Read(const httplib::Request& request, httplib::Response& response);
+  void Change(const std::string& id,
+              const json& change,
+              httplib::Response& response);
+  void Remove(const std::string& id);
+
+  const long m_lag_ms;
+  std::mutex m_mutex;
+  std::map<std::string, json> m_now;
+  std::vector<Event> m_events;
+};
+
+void List::Read(const httplib::Request& request, httplib::Response& response) {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  const auto after =
+      static_cast<std::size_t>(std::max(0L, NumberOf(request, "after", 0)));
+  std::map<std::string, json> changed;
+  std::size_t version = std::min(after, m_events.size());
+  const Clock::time_point now = Clock::now();
+  while (version < m_events.size() && m_events[version].visible_at <= now) {
+    changed[m_events[version].id] = m_events[version].record;
+    ++version;
+  }
+  json update{{"version", version},
+              {"whole", after == 0 ? 1 : 0},
+              {"changed", json::array()},
+              {"removed", json::array()}};
+  for (const auto& [id, record] : changed) {
+    if (record.is_null()) {
+      update["removed"].push_back(id);
+    } else {
+      update["changed"].push_back(record);
+    }
+  }
+  response.set_content(update.dump(), "application/json");
+}
+
+void List::Change(const std::string& id,
+                  const json& change,
+                  httplib::Response& response) {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  json record = m_now.count(id) > 0 ? m_now[id] : json();
+  if (record.is_null() && !change.contains("host")) {
+    response.status = kNotFound;
+    return;
+  }
+  record.merge_patch(change);
+  Add(id, record, m_lag_ms);
+}
+
+void List::Remove(const std::string& id) {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  Add(id, json(), m_lag_ms);
+}
+
+void List::AddRoutes(httplib::Server& server) {
+  using httplib::Request;
+  using httplib::Response;
+  server.Get("/members", [this](const Request& request, Response& response) {
+    Read(request, response);
+  });
+  server.Put("/members/(.+)",
+             [this](const Request& request, Response& response) {
+               Change(request.matches[1], json::parse(request.body), response);
+             });
+  server.Put("/leave/(.+)", [this](const Request& request, Response& response) {
+    Change(request.matches[1], json{{"state", "leaving"}}, response);
+  });
+  server.Put("/remove/(.+)", [this](const Request& request, Response&) {
+    Remove(request.matches[1]);
+  });
+}
+
+}  // namespace
+
+void RunMembership(const Listen& listen, const std::string& file, long lag_ms) {
+  List list(file, lag_ms);
+  httplib::Server server;
+  list.AddRoutes(server);
+  Serve(server, listen);
+}
+
+}  // namespace standin
--- /dev/null
+++ b/tools/make_examples.py
@@ -0,0 +1,25 @@
+"""Writes the example lists and mixes of both deployments under examples/."""
+
+import json
+import pathlib
+
+from fleet import DEPLOYMENTS
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+
+
+def write(path, value):
+    path.write_text(json.dumps(value, indent=2) + "\n")
+
+
+def main():
+    for name, deployment in DEPLOYMENTS.items():
+        folder = ROOT / "examples" / name
+        folder.mkdir(parents=True, exist_ok=True)
+        write(folder / "plans.json", {"plans": deployment.plans})
+        write(folder / "allowances.json", {"allowances": deployment.allowances})
+        write(folder / "mix.json", deployment.mix)
+
+
+if __name__ == "__main__":
+    main()
