--- a/bench/forwarder_main.cc
+++ b/bench/forwarder_main.cc
@@ -29,8 +29,8 @@
                 request.get_header_value("Crocusmast-Request-Id"))
                 .value();
   auto result = targets.Send({}, target, spec, request.body, kWait);
-  response.status = result.answer.status == 0 ? kUnavailable
-                                              : result.answer.status;
+  response.status =
+      result.answer.status == 0 ? kUnavailable : result.answer.status;
   response.set_content(result.answer.body, result.answer.content_type);
 }
 
--- a/bench/load_main.cc
+++ b/bench/load_main.cc
@@ -40,8 +40,7 @@
   return options;
 }
 
-core::Result<crocusmast::fleet::Endpoint> ReadAddress(
-    const std::string& text) {
+core::Result<crocusmast::fleet::Endpoint> ReadAddress(const std::string& text) {
   const std::size_t colon = text.rfind(':');
   std::istringstream port_text(
       colon == std::string::npos ? "" : text.substr(colon + 1));
@@ -56,15 +55,14 @@
 core::Result<bench::RunSettings> ReadSettings(
     const cxxopts::ParseResult& parsed) {
   bench::RunSettings settings;
-  for (const std::string& text :
-       parsed["to"].as<std::vector<std::string>>()) {
+  for (const std::string& text : parsed["to"].as<std::vector<std::string>>()) {
     BOOST_LEAF_AUTO(address, ReadAddress(text));
     settings.sender.addresses.push_back(address);
   }
   settings.sender.path = parsed["path"].as<std::string>();
   settings.rate = parsed["rate"].as<double>();
-  settings.length = std::chrono::milliseconds(static_cast<long>(
-      parsed["seconds"].as<double>() * kMsPerSecond));
+  settings.length = std::chrono::milliseconds(
+      static_cast<long>(parsed["seconds"].as<double>() * kMsPerSecond));
   settings.threads = parsed["threads"].as<std::size_t>();
   settings.seed = parsed["seed"].as<std::uint64_t>();
   settings.id_prefix = parsed["id-prefix"].as<std::string>();
@@ -78,10 +76,9 @@
   bench::Report report;
   const auto started_at = std::chrono::steady_clock::now();
   bench::Run(settings, mix, log, report);
-  const double seconds =
-      std::chrono::duration<double>(std::chrono::steady_clock::now() -
-                                    started_at)
-          .count();
+  const double seconds = std::chrono::duration<double>(
+                             std::chrono::steady_clock::now() - started_at)
+                             .count();
   std::cout << (parsed["output"].as<std::string>() == "json"
                     ? report.FormatJson(seconds)
                     : report.FormatTable(seconds));
--- a/bench/mix.cc
+++ b/bench/mix.cc
@@ -17,8 +17,7 @@
 core::Result<MixEntry> ReadEntry(const Json& json, const std::string& where) {
   const ObjectReader reader(json, where, core::Step::kReadFile);
   BOOST_LEAF_CHECK(reader.CheckFields({"plan", "kind", "urgency", "repeatable",
-                                       "weight", "body_bytes",
-                                       "deadline_ms"}));
+                                       "weight", "body_bytes", "deadline_ms"}));
   MixEntry entry;
   BOOST_LEAF_ASSIGN(entry.plan, reader.Text("plan"));
   BOOST_LEAF_ASSIGN(entry.kind, reader.Text("kind"));
@@ -49,8 +48,7 @@
   }
   std::vector<MixEntry> entries;
   for (std::size_t index = 0; index < json.size(); ++index) {
-    const std::string where =
-        file_name + " entry " + std::to_string(index + 1);
+    const std::string where = file_name + " entry " + std::to_string(index + 1);
     BOOST_LEAF_AUTO(entry, internal::ReadEntry(json[index], where));
     entries.push_back(std::move(entry));
   }
--- a/bench/runner.cc
+++ b/bench/runner.cc
@@ -39,8 +39,8 @@
     for (const MixEntry& entry : mix) {
       weights.push_back(entry.weight);
     }
-    m_pick = std::discrete_distribution<std::size_t>(weights.begin(),
-                                                     weights.end());
+    m_pick =
+        std::discrete_distribution<std::size_t>(weights.begin(), weights.end());
   }
 
   LoadRequest Next() {
@@ -125,8 +125,7 @@
       internal::SendAll(*MakeHttpSender(chosen), jobs, done);
     });
   }
-  std::thread collector(
-      [&] { internal::Collect(done, log, report); });
+  std::thread collector([&] { internal::Collect(done, log, report); });
   internal::Schedule schedule(settings, mix);
   internal::Feed(settings, schedule, jobs);
   jobs.Close();
--- a/bench/sender.cc
+++ b/bench/sender.cc
@@ -13,12 +13,15 @@
 constexpr std::chrono::milliseconds kConnectWait{500};
 constexpr std::chrono::milliseconds kAnswerGrace{3000};
 constexpr std::chrono::seconds kPassOver{2};
+// Entry instances close connections that are idle for a second.
+constexpr std::chrono::milliseconds kIdleLimit{700};
 constexpr int kOk = 200;
 
 /** @brief One address and the connection to it. */
 struct Destination {
   std::unique_ptr<httplib::Client> client;
   Clock::time_point passed_over_until;
+  Clock::time_point used_at;
 };
 
 /** @brief Sends over HTTP. */
@@ -74,8 +77,7 @@
 Destination& HttpSender::Next() {
   const Clock::time_point now = Clock::now();
   for (std::size_t tried = 0; tried < m_destinations.size(); ++tried) {
-    Destination& destination =
-        m_destinations[m_next++ % m_destinations.size()];
+    Destination& destination = m_destinations[m_next++ % m_destinations.size()];
     if (destination.passed_over_until <= now) {
       return destination;
     }
@@ -97,8 +99,13 @@
   const auto wait = std::chrono::duration_cast<std::chrono::microseconds>(
       entry.deadline + kAnswerGrace);
   destination.client->set_read_timeout(wait);
-  return destination.client->Post(m_settings.path, headers, body,
-                                  "application/octet-stream");
+  if (destination.used_at + kIdleLimit < Clock::now()) {
+    destination.client->stop();
+  }
+  httplib::Result result = destination.client->Post(
+      m_settings.path, headers, body, "application/octet-stream");
+  destination.used_at = Clock::now();
+  return result;
 }
 
 LoadOutcome HttpSender::Send(const LoadRequest& request) {
--- a/src/crocusmast/adapters/admin_codec.cc
+++ b/src/crocusmast/adapters/admin_codec.cc
@@ -20,8 +20,7 @@
 
 std::string ParseError(std::string_view text) {
   const Json json = Json::parse(text, nullptr, false);
-  if (json.is_object() && json.contains("error") &&
-      json["error"].is_string()) {
+  if (json.is_object() && json.contains("error") && json["error"].is_string()) {
     return json["error"].get<std::string>();
   }
   return std::string(text);
--- a/src/crocusmast/adapters/admin_server.cc
+++ b/src/crocusmast/adapters/admin_server.cc
@@ -111,14 +111,12 @@
         } else if (const auto* error = std::get_if<core::Error>(&*reply)) {
           internal::WriteError(*error, response);
         } else {
-          internal::WriteJson(
-              FormatRevision(std::get<core::Revision>(*reply)), response);
+          internal::WriteJson(FormatRevision(std::get<core::Revision>(*reply)),
+                              response);
         }
         return {};
       },
-      [&](const core::Error& error) {
-        internal::WriteError(error, response);
-      });
+      [&](const core::Error& error) { internal::WriteError(error, response); });
 }
 
 void AdminServer::State::Show(const httplib::Request& request,
@@ -151,8 +149,7 @@
 
 void AdminServer::State::History(httplib::Response& response) {
   const auto changes = internal::Ask<std::vector<configuration::Change>>(
-      ports.configuration, configuration::HistoryQuery{},
-      internal::kApplyWait);
+      ports.configuration, configuration::HistoryQuery{}, internal::kApplyWait);
   if (!changes) {
     internal::WriteError(internal::Overloaded(), response);
     return;
@@ -164,8 +161,8 @@
                                  httplib::Response& response) {
   core::Handle(
       [&]() -> core::Result<void> {
-        BOOST_LEAF_AUTO(id, core::RequestId::Create(
-                                request.get_param_value("request")));
+        BOOST_LEAF_AUTO(
+            id, core::RequestId::Create(request.get_param_value("request")));
         const auto decisions = internal::Ask<std::vector<request::Decision>>(
             ports.router, routing::ExplainQuery{std::move(id), nullptr},
             internal::kQueryWait);
@@ -179,9 +176,7 @@
         }
         return {};
       },
-      [&](const core::Error& error) {
-        internal::WriteError(error, response);
-      });
+      [&](const core::Error& error) { internal::WriteError(error, response); });
 }
 
 void AdminServer::State::Status(httplib::Response& response) {
@@ -217,15 +212,13 @@
              [this](const Request& request, Response& response) {
                Show(request, response);
              });
-  routes.Get("/history", [this](const Request&, Response& response) {
-    History(response);
-  });
+  routes.Get("/history",
+             [this](const Request&, Response& response) { History(response); });
   routes.Get("/explain", [this](const Request& request, Response& response) {
     Explain(request, response);
   });
-  routes.Get("/status", [this](const Request&, Response& response) {
-    Status(response);
-  });
+  routes.Get("/status",
+             [this](const Request&, Response& response) { Status(response); });
 }
 
 core::Result<std::unique_ptr<AdminServer>> AdminServer::Create(
--- a/src/crocusmast/adapters/boost_logger.cc
+++ b/src/crocusmast/adapters/boost_logger.cc
@@ -98,9 +98,9 @@
   if (!IsEnabled(record.severity)) {
     return;
   }
-  BOOST_LOG(m_sink->source) << (m_format == LogFormat::kText
-                                    ? internal::FormatText(record)
-                                    : internal::FormatJson(record));
+  BOOST_LOG(m_sink->source)
+      << (m_format == LogFormat::kText ? internal::FormatText(record)
+                                       : internal::FormatJson(record));
 }
 
 }  // namespace crocusmast::adapters
--- a/src/crocusmast/adapters/caller_headers.cc
+++ b/src/crocusmast/adapters/caller_headers.cc
@@ -12,9 +12,9 @@
 boost::leaf::error_id Wrong(const char* header,
                             const std::string& value,
                             const std::string& allowed) {
-  return core::Fail(core::Step::kDecodeHeaders, header,
-                    "value '" + value.substr(0, kMaxShown) +
-                        "'; allowed are " + allowed);
+  return core::Fail(
+      core::Step::kDecodeHeaders, header,
+      "value '" + value.substr(0, kMaxShown) + "'; allowed are " + allowed);
 }
 
 template <typename Id>
@@ -23,8 +23,7 @@
   if (id) {
     return id;
   }
-  return Wrong(header, value,
-               "1 to 64 letters, digits, '.', '_', ':', '-'");
+  return Wrong(header, value, "1 to 64 letters, digits, '.', '_', ':', '-'");
 }
 
 core::Result<request::Urgency> ReadUrgency(const std::string& value) {
@@ -50,8 +49,7 @@
   return Wrong("Crocusmast-Repeatable", value, "yes, no");
 }
 
-core::Result<std::chrono::milliseconds> ReadDeadline(
-    const std::string& value) {
+core::Result<std::chrono::milliseconds> ReadDeadline(const std::string& value) {
   if (value.empty()) {
     return kDefaultDeadline;
   }
@@ -73,13 +71,12 @@
     const CallerHeaders& headers,
     core::TimePoint now) {
   request::RequestSpec spec;
-  BOOST_LEAF_ASSIGN(spec.id,
-                    internal::ReadId<core::RequestId>("Crocusmast-Request-Id",
-                                                      headers.request_id));
-  BOOST_LEAF_ASSIGN(spec.plan, internal::ReadId<core::PlanId>(
-                                   "Crocusmast-Plan", headers.plan));
-  BOOST_LEAF_ASSIGN(spec.kind, internal::ReadId<core::KindId>(
-                                   "Crocusmast-Kind", headers.kind));
+  BOOST_LEAF_ASSIGN(spec.id, internal::ReadId<core::RequestId>(
+                                 "Crocusmast-Request-Id", headers.request_id));
+  BOOST_LEAF_ASSIGN(spec.plan, internal::ReadId<core::PlanId>("Crocusmast-Plan",
+                                                              headers.plan));
+  BOOST_LEAF_ASSIGN(spec.kind, internal::ReadId<core::KindId>("Crocusmast-Kind",
+                                                              headers.kind));
   BOOST_LEAF_ASSIGN(spec.urgency, internal::ReadUrgency(headers.urgency));
   BOOST_LEAF_ASSIGN(spec.repeat, internal::ReadRepeat(headers.repeatable));
   BOOST_LEAF_AUTO(deadline, internal::ReadDeadline(headers.deadline_ms));
--- a/src/crocusmast/adapters/caller_server.cc
+++ b/src/crocusmast/adapters/caller_server.cc
@@ -58,8 +58,7 @@
   response.status = StatusOf(reply);
   response.set_header("Crocusmast-Reason",
                       std::string(request::ReasonName(reply.reason)));
-  response.set_header("Retry-After",
-                      std::to_string(reply.retry_after.count()));
+  response.set_header("Retry-After", std::to_string(reply.retry_after.count()));
   response.set_content(Explain(reply), "text/plain");
 }
 
@@ -89,9 +88,8 @@
   }
   return core::Handle(
       [&]() -> core::Result<routing::Reply> {
-        BOOST_LEAF_AUTO(spec,
-                        ParseCallerHeaders(internal::ReadHeaders(request),
-                                           ports.clock.Now()));
+        BOOST_LEAF_AUTO(spec, ParseCallerHeaders(internal::ReadHeaders(request),
+                                                 ports.clock.Now()));
         return ports.driver.Run(spec, request.body, false);
       },
       [&](const core::Error& error) {
@@ -109,7 +107,8 @@
   if (!problem.empty()) {
     response.set_content(problem, "text/plain");
   }
-  if (is_draining || internal::IsOverflowThread()) {
+  if (is_draining || internal::IsOverflowThread() ||
+      internal::IsCrowdedThread()) {
     response.set_header("Connection", "close");
   }
   in_flight.fetch_sub(1);
@@ -121,10 +120,10 @@
                                   httplib::Response& response) {
     Serve(request, response);
   });
-  routes.Get("/healthz", [](const httplib::Request&,
-                            httplib::Response& response) {
-    response.set_content("ok\n", "text/plain");
-  });
+  routes.Get("/healthz",
+             [](const httplib::Request&, httplib::Response& response) {
+               response.set_content("ok\n", "text/plain");
+             });
   routes.Get("/readyz", [this](const httplib::Request&,
                                httplib::Response& response) {
     const bool is_ready = !is_draining && ports.is_ready();
--- a/src/crocusmast/adapters/http_client.cc
+++ b/src/crocusmast/adapters/http_client.cc
@@ -64,8 +64,8 @@
                                          const std::string& body,
                                          core::Duration wait) {
   m_state->SetWait(wait);
-  return m_state->Finish(
-      m_state->client.Put(path, body, "application/json"), path);
+  return m_state->Finish(m_state->client.Put(path, body, "application/json"),
+                         path);
 }
 
 void HttpClient::Stop() {
--- a/src/crocusmast/adapters/http_server.cc
+++ b/src/crocusmast/adapters/http_server.cc
@@ -15,13 +15,20 @@
 using Job = std::function<void()>;
 
 constexpr std::size_t kRequestsPerConnection = 1000000;
-constexpr std::chrono::seconds kIdleConnection{15};
+// The library wakes each thread of an idle connection every 10 ms, and a
+// thread that refuses is taken until its connection closes; so this is short.
+constexpr std::chrono::seconds kIdleConnection{1};
 constexpr std::chrono::seconds kSlowClient{10};
 constexpr std::chrono::milliseconds kIdleThread{1000};
-constexpr std::size_t kOverflowThreads = 2;
+constexpr std::size_t kOverflowThreads = 8;
 constexpr std::size_t kOverflowQueue = 128;
+constexpr std::chrono::milliseconds kStartPause{1};
+// Connections are kept while fewer than this share of the threads is taken.
+constexpr double kCrowdedShare = 0.75;
 
 thread_local bool t_is_overflow = false;
+thread_local const std::atomic<std::size_t>* t_busy = nullptr;
+thread_local std::size_t t_limit = 0;
 
 /**
  * @brief Serves connections on a fixed number of threads.
@@ -61,6 +68,8 @@
   void Serve(core::BoundedRing<Job>& jobs, bool is_overflow) {
     pthread_setname_np(pthread_self(), is_overflow ? "http-refuse" : "http");
     t_is_overflow = is_overflow;
+    t_busy = &m_busy;
+    t_limit = m_limit;
     while (true) {
       std::optional<Job> job = jobs.PopFor(kIdleThread);
       if (job) {
@@ -91,6 +100,11 @@
   return t_is_overflow;
 }
 
+bool IsCrowdedThread() {
+  return t_busy != nullptr && static_cast<double>(*t_busy) >
+                                  kCrowdedShare * static_cast<double>(t_limit);
+}
+
 HttpServer::HttpServer(HttpServerLimits limits) {
   m_server.new_task_queue = [threads = limits.threads] {
     return new BoundedTaskQueue(threads);
@@ -116,6 +130,11 @@
   }
   m_thread = std::thread([this] { m_server.listen_after_bind(); });
   pthread_setname_np(m_thread.native_handle(), "http-accept");
+  // The library ignores a stop before this.
+  core::BoundedRing<Job> pause(1);
+  while (!m_server.is_running()) {
+    pause.PopFor(kStartPause);
+  }
   return {};
 }
 
--- a/src/crocusmast/adapters/http_server.h
+++ b/src/crocusmast/adapters/http_server.h
@@ -29,6 +29,13 @@
  */
 bool IsOverflowThread();
 
+/**
+ * @brief Tells whether most threads of this thread's server are taken.
+ *
+ * Answers then ask clients to close, so that idle connections free threads.
+ */
+bool IsCrowdedThread();
+
 /** @brief Listens with a bounded number of threads. */
 class HttpServer {
  public:
--- a/src/crocusmast/adapters/json_reader.cc
+++ b/src/crocusmast/adapters/json_reader.cc
@@ -52,8 +52,7 @@
     }
     return parsed;
   } catch (const Json::exception& error) {
-    return core::Fail(step, source,
-                      std::string("not JSON: ") + error.what());
+    return core::Fail(step, source, std::string("not JSON: ") + error.what());
   }
 }
 
@@ -68,9 +67,9 @@
       for (const std::string_view known : names) {
         allowed += (allowed.empty() ? "" : ", ") + std::string(known);
       }
-      return core::Fail(m_step, m_where,
-                        "field '" + Shorten(name) +
-                            "' is not known; allowed are " + allowed);
+      return core::Fail(
+          m_step, m_where,
+          "field '" + Shorten(name) + "' is not known; allowed are " + allowed);
     }
   }
   return {};
--- a/src/crocusmast/adapters/lists_codec.cc
+++ b/src/crocusmast/adapters/lists_codec.cc
@@ -80,8 +80,7 @@
                                       Step::kParseLists);
   BOOST_LEAF_CHECK(plan_reader.CheckFields({"revision", "plans"}));
   BOOST_LEAF_CHECK(allowance_reader.CheckFields({"revision", "allowances"}));
-  BOOST_LEAF_AUTO(revision,
-                  internal::ReadOptionalRevision(plans, plan_reader));
+  BOOST_LEAF_AUTO(revision, internal::ReadOptionalRevision(plans, plan_reader));
   BOOST_LEAF_AUTO(other,
                   internal::ReadOptionalRevision(allowances, allowance_reader));
   if (revision && other && *revision != *other) {
@@ -104,8 +103,7 @@
 
 core::Result<Edit> ParseEdit(std::string_view text) {
   BOOST_LEAF_CHECK(internal::CheckSize(text.size(), "edit"));
-  BOOST_LEAF_AUTO(json,
-                  internal::ParseStrict(text, "edit", Step::kParseLists));
+  BOOST_LEAF_AUTO(json, internal::ParseStrict(text, "edit", Step::kParseLists));
   const ObjectReader reader(json, "edit", Step::kParseLists);
   BOOST_LEAF_CHECK(reader.CheckFields(
       {"base", "change", "author", "reason", "plans", "allowances"}));
--- a/src/crocusmast/adapters/membership_client.cc
+++ b/src/crocusmast/adapters/membership_client.cc
@@ -43,9 +43,8 @@
 core::Result<InstanceRecord> ReadRecord(const Json& json) {
   const ObjectReader reader(json, "membership list", Step::kReadMembership);
   BOOST_LEAF_CHECK(reader.CheckFields({"id", "role", "state", "incarnation",
-                                       "region", "zone", "rack", "pool",
-                                       "host", "port", "slots",
-                                       "connections"}));
+                                       "region", "zone", "rack", "pool", "host",
+                                       "port", "slots", "connections"}));
   InstanceRecord record;
   BOOST_LEAF_ASSIGN(record.id, reader.ReadId<core::InstanceId>("id"));
   BOOST_LEAF_AUTO(role, reader.Text("role"));
@@ -53,8 +52,7 @@
   BOOST_LEAF_AUTO(incarnation, reader.Number("incarnation"));
   BOOST_LEAF_ASSIGN(record.address, ReadEndpoint(reader));
   BOOST_LEAF_CHECK(ReadPlace(reader, record));
-  record.role =
-      role == "entry" ? fleet::Role::kEntry : fleet::Role::kTarget;
+  record.role = role == "entry" ? fleet::Role::kEntry : fleet::Role::kTarget;
   record.state = state == "live" ? fleet::InstanceState::kLive
                                  : fleet::InstanceState::kLeaving;
   record.incarnation = core::Incarnation(incarnation);
--- a/src/crocusmast/adapters/metrics_registry.cc
+++ b/src/crocusmast/adapters/metrics_registry.cc
@@ -51,8 +51,8 @@
 
 using Axis = histogram::axis::regular<double, histogram::axis::transform::log>;
 using Buckets = histogram::accumulators::count<std::uint64_t, true>;
-using Histogram = histogram::histogram<std::tuple<Axis>,
-                                       histogram::dense_storage<Buckets>>;
+using Histogram =
+    histogram::histogram<std::tuple<Axis>, histogram::dense_storage<Buckets>>;
 
 Histogram MakeTimes() {
   return histogram::make_histogram_with(
--- a/src/crocusmast/adapters/peer_codec.cc
+++ b/src/crocusmast/adapters/peer_codec.cc
@@ -306,8 +306,7 @@
   constexpr std::uint64_t kMaxStatus = 999;
   ForwardReplyMessage message;
   BOOST_LEAF_ASSIGN(message.call, in.ReadCount<routing::CallNumber>());
-  BOOST_LEAF_ASSIGN(message.delivery,
-                    in.ReadEnum(request::Delivery::kUnknown));
+  BOOST_LEAF_ASSIGN(message.delivery, in.ReadEnum(request::Delivery::kUnknown));
   BOOST_LEAF_ASSIGN(message.reason, in.ReadEnum(request::Reason::kDraining));
   BOOST_LEAF_AUTO(status, in.Number());
   BOOST_LEAF_ASSIGN(message.answer.content_type, in.Text());
@@ -407,8 +406,7 @@
                           std::to_string(kMaxPeerMessageBytes));
   }
   const Json fields = Json::from_cbor(bytes, true, false);
-  if (!fields.is_array() || fields.empty() ||
-      !fields[0].is_number_unsigned()) {
+  if (!fields.is_array() || fields.empty() || !fields[0].is_number_unsigned()) {
     return core::Fail(core::Step::kDecodeMessage, peer,
                       "not CBOR of an array that starts with a type");
   }
--- a/src/crocusmast/adapters/peer_link.cc
+++ b/src/crocusmast/adapters/peer_link.cc
@@ -25,9 +25,8 @@
 routing::SendResult ToResult(ForwardReplyMessage reply) {
   routing::SendResult result;
   result.report.delivery = reply.delivery;
-  result.report.is_failure =
-      reply.delivery == request::Delivery::kAnswered &&
-      reply.answer.status >= kFirstFailure;
+  result.report.is_failure = reply.delivery == request::Delivery::kAnswered &&
+                             reply.answer.status >= kFirstFailure;
   result.reason = reply.reason;
   result.answer = std::move(reply.answer);
   return result;
@@ -230,8 +229,7 @@
   m_ports.membership.TryPush(membership::LinkDown{peer});
 }
 
-bool PeerLink::OnMessage(const core::InstanceId& peer,
-                         std::string_view bytes) {
+bool PeerLink::OnMessage(const core::InstanceId& peer, std::string_view bytes) {
   m_ports.meter.Add(core::Counter::kPeerMessagesReceived, 1);
   m_ports.meter.Add(core::Counter::kPeerBytesReceived, bytes.size());
   return core::Handle(
@@ -294,8 +292,10 @@
   const routing::CallNumber call = message.call;
   ForwardedWork work{peer, std::move(message)};
   if (!m_ports.forwarded.TryPush(std::move(work))) {
-    Post({peer}, ForwardReplyMessage{call, request::Delivery::kNotRun,
-                                   request::Reason::kOverloaded, {}});
+    Post({peer}, ForwardReplyMessage{call,
+                                     request::Delivery::kNotRun,
+                                     request::Reason::kOverloaded,
+                                     {}});
   }
 }
 
--- a/src/crocusmast/adapters/peer_link.h
+++ b/src/crocusmast/adapters/peer_link.h
@@ -118,8 +118,7 @@
   core::Result<core::InstanceId> OnHello(std::string_view bytes) override;
   void OnUp(const core::InstanceId& peer) override;
   void OnDown(const core::InstanceId& peer) override;
-  bool OnMessage(const core::InstanceId& peer,
-                 std::string_view bytes) override;
+  bool OnMessage(const core::InstanceId& peer, std::string_view bytes) override;
 
   // routing::PeerCalls
   routing::SendResult Forward(const core::InstanceId& peer,
--- a/src/crocusmast/adapters/peer_transport.cc
+++ b/src/crocusmast/adapters/peer_transport.cc
@@ -111,10 +111,10 @@
     server.start_accept(failed);
   }
   if (failed) {
-    return core::Fail(core::Step::kListen,
-                      settings.listen.host + ":" +
-                          std::to_string(settings.listen.port),
-                      "peer links: " + failed.message());
+    return core::Fail(
+        core::Step::kListen,
+        settings.listen.host + ":" + std::to_string(settings.listen.port),
+        "peer links: " + failed.message());
   }
   return {};
 }
@@ -169,9 +169,9 @@
       return;
     }
     const auto named = by_peer.find(link->second.peer);
-    const bool is_current =
-        named != by_peer.end() && !named->second.owner_before(handle) &&
-        !handle.owner_before(named->second);
+    const bool is_current = named != by_peer.end() &&
+                            !named->second.owner_before(handle) &&
+                            !handle.owner_before(named->second);
     if (is_current) {
       lost = link->second.peer;
       by_peer.erase(named);
@@ -206,9 +206,9 @@
 
 bool PeerTransport::State::Identify(const Handle& handle,
                                     const std::string& bytes) {
-  const core::InstanceId peer = core::Handle(
-      [&] { return listener.OnHello(bytes); },
-      [](const core::Error&) { return core::InstanceId(); });
+  const core::InstanceId peer =
+      core::Handle([&] { return listener.OnHello(bytes); },
+                   [](const core::Error&) { return core::InstanceId(); });
   if (peer.IsEmpty() || peer == settings.self) {
     return false;
   }
--- a/src/crocusmast/adapters/peer_transport.h
+++ b/src/crocusmast/adapters/peer_transport.h
@@ -13,7 +13,8 @@
 
 namespace crocusmast::adapters {
 
-/** @brief Takes what happens on peer links; called on the transport's thread. */
+/** @brief Takes what happens on peer links; called on the transport's thread.
+ */
 class TransportListener {
  public:
   virtual ~TransportListener() = default;
--- a/src/crocusmast/adapters/rows_json.cc
+++ b/src/crocusmast/adapters/rows_json.cc
@@ -35,12 +35,9 @@
   BOOST_LEAF_AUTO(instances, reader.Number("instances"));
   BOOST_LEAF_AUTO(slots, reader.Number("slots"));
   BOOST_LEAF_AUTO(connections, reader.Number("connections"));
-  return Allowance{std::move(plan),
-                   std::move(kind),
-                   std::move(pool),
-                   core::InstanceCount(instances),
-                   core::Slots(slots),
-                   core::Connections(connections)};
+  return Allowance{std::move(plan),    std::move(kind),
+                   std::move(pool),    core::InstanceCount(instances),
+                   core::Slots(slots), core::Connections(connections)};
 }
 
 core::Result<Lists> ReadLists(const Json& plans, const Json& allowances) {
@@ -56,10 +53,9 @@
     rows.emplace_back(std::move(plan));
   }
   for (std::size_t index = 0; index < allowance_rows->size(); ++index) {
-    BOOST_LEAF_AUTO(
-        allowance,
-        ReadAllowance((*allowance_rows)[index],
-                      "allowances row " + std::to_string(index + 1)));
+    BOOST_LEAF_AUTO(allowance, ReadAllowance((*allowance_rows)[index],
+                                             "allowances row " +
+                                                 std::to_string(index + 1)));
     rows.emplace_back(std::move(allowance));
   }
   return Lists::Create(rows);
--- a/src/crocusmast/adapters/store_client.cc
+++ b/src/crocusmast/adapters/store_client.cc
@@ -53,9 +53,8 @@
 StoreClient::StoreClient(std::unique_ptr<HttpClient> http, core::Meter& meter)
     : m_http(std::move(http)), m_meter(meter) {}
 
-std::unique_ptr<StoreClient> StoreClient::Create(
-    const fleet::Endpoint& address,
-    core::Meter& meter) {
+std::unique_ptr<StoreClient> StoreClient::Create(const fleet::Endpoint& address,
+                                                 core::Meter& meter) {
   return std::unique_ptr<StoreClient>(
       new StoreClient(HttpClient::Create(address, ""), meter));
 }
@@ -121,8 +120,8 @@
 }
 
 core::Result<std::optional<Snapshot>> StoreClient::ReadSnapshot() {
-  BOOST_LEAF_AUTO(answer, Get("/keys/configuration/snapshot",
-                              core::Duration::zero()));
+  BOOST_LEAF_AUTO(answer,
+                  Get("/keys/configuration/snapshot", core::Duration::zero()));
   if (answer.status == internal::kNotFound) {
     return std::optional<Snapshot>();
   }
@@ -134,8 +133,8 @@
 }
 
 core::Result<void> StoreClient::WriteSnapshot(const Snapshot& snapshot) {
-  BOOST_LEAF_AUTO(answer, Put("/keys/configuration/snapshot",
-                              FormatSnapshot(snapshot)));
+  BOOST_LEAF_AUTO(
+      answer, Put("/keys/configuration/snapshot", FormatSnapshot(snapshot)));
   if (answer.status != internal::kOk) {
     return internal::Unexpected(Step::kWriteStore, answer);
   }
--- a/src/crocusmast/adapters/target_client.cc
+++ b/src/crocusmast/adapters/target_client.cc
@@ -18,11 +18,19 @@
 
 constexpr std::chrono::milliseconds kTargetConnectWait{300};
 constexpr std::size_t kIdleConnections = 8;
+// A target may close a connection that was idle for longer under a request.
+constexpr std::chrono::milliseconds kIdleLimit{800};
 constexpr int kTooManyRequests = 429;
 constexpr int kFirstFailure = 500;
 constexpr int kUnavailable = 503;
 constexpr std::chrono::seconds kDefaultPause{1};
 
+/** @brief A connection that no request uses. */
+struct IdleConnection {
+  Connection connection;
+  std::chrono::steady_clock::time_point since;
+};
+
 Connection Connect(const fleet::Endpoint& address) {
   auto client = std::make_unique<httplib::Client>(address.host, address.port);
   client->set_keep_alive(true);
@@ -50,8 +58,8 @@
 SendResult Classify(httplib::Response response) {
   SendResult result;
   const bool is_not_run = response.has_header("Target-Not-Run");
-  result.report.delivery = is_not_run ? request::Delivery::kNotRun
-                                      : request::Delivery::kAnswered;
+  result.report.delivery =
+      is_not_run ? request::Delivery::kNotRun : request::Delivery::kAnswered;
   result.report.is_throttle =
       response.status == kTooManyRequests ||
       (response.status == kUnavailable && response.has_header("Retry-After"));
@@ -72,28 +80,31 @@
   using Key = std::pair<std::string, std::uint16_t>;
 
   internal::Connection Take(const fleet::Endpoint& address) {
+    const auto oldest = std::chrono::steady_clock::now() - internal::kIdleLimit;
     const std::lock_guard<std::mutex> lock(mutex);
-    std::vector<internal::Connection>& idle_here =
+    std::vector<internal::IdleConnection>& idle_here =
         idle[Key(address.host, address.port)];
-    if (idle_here.empty()) {
+    if (idle_here.empty() || idle_here.back().since < oldest) {
+      idle_here.clear();
       return internal::Connect(address);
     }
-    internal::Connection connection = std::move(idle_here.back());
+    internal::Connection connection = std::move(idle_here.back().connection);
     idle_here.pop_back();
     return connection;
   }
 
   void Return(const fleet::Endpoint& address, internal::Connection connection) {
+    const auto now = std::chrono::steady_clock::now();
     const std::lock_guard<std::mutex> lock(mutex);
-    std::vector<internal::Connection>& idle_here =
+    std::vector<internal::IdleConnection>& idle_here =
         idle[Key(address.host, address.port)];
     if (idle_here.size() < internal::kIdleConnections) {
-      idle_here.push_back(std::move(connection));
+      idle_here.push_back({std::move(connection), now});
     }
   }
 
   std::mutex mutex;
-  std::map<Key, std::vector<internal::Connection>> idle;
+  std::map<Key, std::vector<internal::IdleConnection>> idle;
 };
 
 TargetClient::TargetClient() : m_state(std::make_unique<State>()) {}
@@ -120,8 +131,8 @@
       {"Crocusmast-Plan", spec.plan.Text()},
       {"Crocusmast-Kind", spec.kind.Text()},
   };
-  httplib::Result answer = connection->Post("/run", headers, body,
-                                            "application/octet-stream");
+  httplib::Result answer =
+      connection->Post("/run", headers, body, "application/octet-stream");
   routing::SendResult result;
   if (answer) {
     result = internal::Classify(std::move(answer.value()));
--- a/src/crocusmast/cli/admin_client.cc
+++ b/src/crocusmast/cli/admin_client.cc
@@ -46,9 +46,8 @@
                          std::string token)
     : m_instances(std::move(instances)), m_token(std::move(token)) {}
 
-core::Result<std::string> AdminClient::GetFrom(
-    const fleet::Endpoint& instance,
-    const std::string& path) const {
+core::Result<std::string> AdminClient::GetFrom(const fleet::Endpoint& instance,
+                                               const std::string& path) const {
   const auto http = adapters::HttpClient::Create(instance, m_token);
   BOOST_LEAF_AUTO(answer, http->Get(path, internal::kAnswerWait));
   return internal::Finish(answer, instance);
@@ -56,8 +55,7 @@
 
 core::Result<std::string> AdminClient::Get(const std::string& path) const {
   for (std::size_t index = 0; index + 1 < m_instances.size(); ++index) {
-    const auto http =
-        adapters::HttpClient::Create(m_instances[index], m_token);
+    const auto http = adapters::HttpClient::Create(m_instances[index], m_token);
     core::Result<adapters::HttpAnswer> answer =
         http->Get(path, internal::kAnswerWait);
     if (answer) {
@@ -70,8 +68,7 @@
 core::Result<std::string> AdminClient::Put(const std::string& path,
                                            const std::string& body) const {
   for (std::size_t index = 0; index + 1 < m_instances.size(); ++index) {
-    const auto http =
-        adapters::HttpClient::Create(m_instances[index], m_token);
+    const auto http = adapters::HttpClient::Create(m_instances[index], m_token);
     core::Result<adapters::HttpAnswer> answer =
         http->Put(path, body, internal::kAnswerWait);
     if (answer) {
--- a/src/crocusmast/cli/admin_client.h
+++ b/src/crocusmast/cli/admin_client.h
@@ -43,9 +43,7 @@
                                     const std::string& path) const;
 
   /** @brief Returns the instances' addresses. */
-  const std::vector<fleet::Endpoint>& Instances() const {
-    return m_instances;
-  }
+  const std::vector<fleet::Endpoint>& Instances() const { return m_instances; }
 
  private:
   std::vector<fleet::Endpoint> m_instances;
--- a/src/crocusmast/cli/arguments.cc
+++ b/src/crocusmast/cli/arguments.cc
@@ -179,8 +179,7 @@
     }
     return internal::Read(parsed);
   } catch (const cxxopts::exceptions::exception& error) {
-    return core::Fail(core::Step::kParseSettings, "command line",
-                      error.what());
+    return core::Fail(core::Step::kParseSettings, "command line", error.what());
   }
 }
 
--- a/src/crocusmast/cli/commands.cc
+++ b/src/crocusmast/cli/commands.cc
@@ -147,8 +147,7 @@
 
 Result<ExitCode> Diff(const Arguments& arguments) {
   BOOST_LEAF_AUTO(files, ReadFiles(arguments));
-  BOOST_LEAF_AUTO(current,
-                  FetchSnapshot(ClientFor(arguments), std::nullopt));
+  BOOST_LEAF_AUTO(current, FetchSnapshot(ClientFor(arguments), std::nullopt));
   const auto changes = current.lists.DifferenceTo(files.lists);
   Print(MakeDifferenceTable(changes), arguments);
   return changes.empty() ? ExitCode::kSuccess : ExitCode::kDifference;
@@ -208,8 +207,7 @@
   for (const json& pool : status.value("pools", json::array())) {
     text += (text.empty() ? "" : ", ") + pool.value("pool", "") + " " +
             std::to_string(pool.value("in_flight", 0)) + "/" +
-            std::to_string(pool.value("in_flight", 0) +
-                           pool.value("free", 0));
+            std::to_string(pool.value("in_flight", 0) + pool.value("free", 0));
     const auto waiting = pool.value("waiting", 0);
     text += waiting > 0 ? " +" + std::to_string(waiting) + " wait" : "";
   }
@@ -223,9 +221,9 @@
   for (const fleet::Endpoint& instance : client.Instances()) {
     const std::string name =
         instance.host + ":" + std::to_string(instance.port);
-    const std::string text = core::Handle(
-        [&] { return client.GetFrom(instance, "/status"); },
-        [](const core::Error&) { return std::string(); });
+    const std::string text =
+        core::Handle([&] { return client.GetFrom(instance, "/status"); },
+                     [](const core::Error&) { return std::string(); });
     answers[name] = json::parse(text, nullptr, false);
     if (answers[name].is_object()) {
       newest = std::max(newest, answers[name].value("revision", newest));
@@ -258,12 +256,14 @@
   }
   BOOST_LEAF_AUTO(id, core::RequestId::Create(arguments.operands[0]));
   const AdminClient client = ClientFor(arguments);
-  Table table({"instance", "at_ms", "decision", "destination", "reason",
-               "sentence"});
+  Table table(
+      {"instance", "at_ms", "decision", "destination", "reason", "sentence"});
   bool is_found = false;
   for (const fleet::Endpoint& instance : client.Instances()) {
     const std::string text = core::Handle(
-        [&] { return client.GetFrom(instance, "/explain?request=" + id.Text()); },
+        [&] {
+          return client.GetFrom(instance, "/explain?request=" + id.Text());
+        },
         [](const core::Error&) { return std::string("[]"); });
     for (const json& decision : json::parse(text, nullptr, false)) {
       is_found = true;
@@ -271,8 +271,7 @@
                  std::to_string(decision.value("at_ms", 0LL)),
                  decision.value("decision", ""),
                  decision.value("destination", ""),
-                 decision.value("reason", ""),
-                 decision.value("sentence", "")});
+                 decision.value("reason", ""), decision.value("sentence", "")});
     }
   }
   if (!is_found) {
@@ -288,16 +287,16 @@
 core::Result<ExitCode> RunCommand(const Arguments& arguments) {
   using Command = core::Result<ExitCode> (*)(const Arguments&);
   static const std::map<std::string, Command> kCommands{
-      {"check", internal::Check},       {"apply", internal::Apply},
-      {"diff", internal::Diff},         {"show", internal::Show},
-      {"history", internal::History},   {"rollback", internal::Rollback},
-      {"status", internal::Status},     {"explain", internal::Explain},
+      {"check", internal::Check},     {"apply", internal::Apply},
+      {"diff", internal::Diff},       {"show", internal::Show},
+      {"history", internal::History}, {"rollback", internal::Rollback},
+      {"status", internal::Status},   {"explain", internal::Explain},
   };
   const auto command = kCommands.find(arguments.command);
   if (command == kCommands.end()) {
-    return core::Fail(core::Step::kParseSettings, "command line",
-                      "'" + arguments.command +
-                          "' is not a command; see --help");
+    return core::Fail(
+        core::Step::kParseSettings, "command line",
+        "'" + arguments.command + "' is not a command; see --help");
   }
   return command->second(arguments);
 }
--- a/src/crocusmast/configuration/lists.cc
+++ b/src/crocusmast/configuration/lists.cc
@@ -35,8 +35,8 @@
 }
 
 Result<void> CheckPlan(const RowKey& key, const Plan& plan) {
-  BOOST_LEAF_CHECK(CheckField(key, "availability", plan.availability.Count(),
-                              {1, kWhole}));
+  BOOST_LEAF_CHECK(
+      CheckField(key, "availability", plan.availability.Count(), {1, kWhole}));
   BOOST_LEAF_CHECK(
       CheckField(key, "headroom", plan.headroom.Count(), {0, kMaxHeadroom}));
   return CheckField(key, "customer (length)", plan.customer.size(),
--- a/src/crocusmast/configuration/service.cc
+++ b/src/crocusmast/configuration/service.cc
@@ -55,9 +55,9 @@
 void Service::CatchUpFromStore() {
   core::Handle(
       [&]() -> core::Result<void> {
-        BOOST_LEAF_AUTO(changes, m_ports.store.ReadAfter(
-                                     m_configuration.CurrentRevision(),
-                                     core::Duration::zero()));
+        BOOST_LEAF_AUTO(
+            changes, m_ports.store.ReadAfter(m_configuration.CurrentRevision(),
+                                             core::Duration::zero()));
         if (AdoptAll(changes)) {
           Publish("the store");
         }
@@ -104,9 +104,9 @@
   if (AdoptAll(message.changes)) {
     Publish(message.source.IsEmpty() ? "the store" : message.source.Text());
   }
-  const bool has_gap = !message.changes.empty() &&
-                       m_configuration.CurrentRevision() <
-                           message.changes.back().revision;
+  const bool has_gap =
+      !message.changes.empty() &&
+      m_configuration.CurrentRevision() < message.changes.back().revision;
   if (has_gap && !message.source.IsEmpty()) {
     m_ports.peers.Pull(message.source, m_configuration.CurrentRevision());
   }
@@ -155,8 +155,7 @@
 
 void Service::On(HistoryQuery& message) {
   const auto& history = m_configuration.History();
-  message.reply->TryPush(
-      std::vector<Change>(history.begin(), history.end()));
+  message.reply->TryPush(std::vector<Change>(history.begin(), history.end()));
 }
 
 void Service::Publish(const std::string& source) {
@@ -164,11 +163,11 @@
   const std::string number = std::to_string(revision.Count());
   m_ports.publisher.InForce(revision, m_configuration.CurrentLists());
   m_ports.meter.Add(core::Counter::kConfigurationsAdopted, 1);
-  m_ports.logger.Write({core::Part::kConfiguration,
-                        core::Severity::kInfo,
-                        "Revision " + number + " is in force. It came from " +
-                            source + ".",
-                        {{"revision", number}, {"source", source}}});
+  m_ports.logger.Write(
+      {core::Part::kConfiguration,
+       core::Severity::kInfo,
+       "Revision " + number + " is in force. It came from " + source + ".",
+       {{"revision", number}, {"source", source}}});
 }
 
 }  // namespace crocusmast::configuration
--- a/src/crocusmast/core/bounded_ring.h
+++ b/src/crocusmast/core/bounded_ring.h
@@ -62,9 +62,8 @@
   bool PushFor(T&& message, Duration wait) {
     {
       std::unique_lock<std::mutex> lock(m_mutex);
-      m_not_full.wait_for(lock, wait, [this] {
-        return m_closed || m_depth < m_slots.size();
-      });
+      m_not_full.wait_for(
+          lock, wait, [this] { return m_closed || m_depth < m_slots.size(); });
       if (m_closed || m_depth == m_slots.size()) {
         ++m_drops;
         return false;
--- a/src/crocusmast/core/clock.h
+++ b/src/crocusmast/core/clock.h
@@ -26,9 +26,7 @@
 class SystemClock final : public Clock {
  public:
   TimePoint Now() const override { return std::chrono::steady_clock::now(); }
-  WallTime WallNow() const override {
-    return std::chrono::system_clock::now();
-  }
+  WallTime WallNow() const override { return std::chrono::system_clock::now(); }
 };
 
 }  // namespace crocusmast::core
--- a/src/crocusmast/daemon/daemon.cc
+++ b/src/crocusmast/daemon/daemon.cc
@@ -63,8 +63,7 @@
   void ServeForwarded(adapters::ForwardedWork work);
   void AddGauges();
   template <typename Message>
-  void AddRingGauges(const std::string& duty,
-                     core::BoundedRing<Message>& ring);
+  void AddRingGauges(const std::string& duty, core::BoundedRing<Message>& ring);
   void Drain();
   std::size_t RequestsInService();
   void Stop();
@@ -148,11 +147,11 @@
   StartDuties();
   AddGauges();
   BOOST_LEAF_CHECK(StartServers());
-  logger->Write({core::Part::kDaemon,
-                 core::Severity::kInfo,
-                 "Instance " + settings.id.Text() + " is up.",
-                 {{"instance", settings.id.Text()},
-                  {"zone", settings.zone.Text()}}});
+  logger->Write(
+      {core::Part::kDaemon,
+       core::Severity::kInfo,
+       "Instance " + settings.id.Text() + " is up.",
+       {{"instance", settings.id.Text()}, {"zone", settings.zone.Text()}}});
   return {};
 }
 
@@ -170,16 +169,16 @@
 }
 
 core::Result<void> Daemon::Parts::StartServers() {
-  BOOST_LEAF_ASSIGN(admin,
-                    adapters::AdminServer::Create(
-                        settings.admin,
-                        {settings.id, settings.zone, settings.operator_token,
-                         configuration_duty.Ring(), router_duty.Ring(),
-                         [this] { return metrics->Format(); }, *logger}));
   BOOST_LEAF_ASSIGN(
-      callers, adapters::CallerServer::Create(
-                   settings.listen, settings.caller_threads,
-                   {driver, clock, [this] { return wiring.IsReady(); }}));
+      admin,
+      adapters::AdminServer::Create(
+          settings.admin, {settings.id, settings.zone, settings.operator_token,
+                           configuration_duty.Ring(), router_duty.Ring(),
+                           [this] { return metrics->Format(); }, *logger}));
+  BOOST_LEAF_ASSIGN(callers,
+                    adapters::CallerServer::Create(
+                        settings.listen, settings.caller_threads,
+                        {driver, clock, [this] { return wiring.IsReady(); }}));
   return {};
 }
 
@@ -207,8 +206,7 @@
 }
 
 void Daemon::Parts::ServeForwarded(adapters::ForwardedWork work) {
-  routing::Reply reply =
-      driver.Run(work.request.spec, work.request.body, true);
+  routing::Reply reply = driver.Run(work.request.spec, work.request.body, true);
   adapters::ForwardReplyMessage message;
   message.call = work.request.call;
   message.reason = reply.reason;
@@ -237,8 +235,10 @@
 }
 
 void Daemon::Parts::Drain() {
-  logger->Write({core::Part::kDaemon, core::Severity::kInfo,
-                 "Draining. New requests are refused.", {}});
+  logger->Write({core::Part::kDaemon,
+                 core::Severity::kInfo,
+                 "Draining. New requests are refused.",
+                 {}});
   callers->Drain();
   wiring.TargetLeaves(settings.id);
   const core::TimePoint started_at = clock.Now();
@@ -247,14 +247,15 @@
   core::BoundedRing<std::monostate> pause(1);
   while (clock.Now() < latest) {
     pause.PopFor(internal::kDrainCheck);
-    const bool peers_know =
-        started_at + internal::kDrainAtLeast <= clock.Now();
+    const bool peers_know = started_at + internal::kDrainAtLeast <= clock.Now();
     if (peers_know && RequestsInService() == 0) {
       break;
     }
   }
-  logger->Write({core::Part::kDaemon, core::Severity::kInfo,
-                 "Drained. The duties end.", {}});
+  logger->Write({core::Part::kDaemon,
+                 core::Severity::kInfo,
+                 "Drained. The duties end.",
+                 {}});
 }
 
 void Daemon::Parts::Stop() {
@@ -281,10 +282,8 @@
   m_parts->Stop();
 }
 
-core::Result<std::unique_ptr<Daemon>> Daemon::Create(
-    const Settings& settings) {
-  std::unique_ptr<Daemon> daemon(
-      new Daemon(std::make_unique<Parts>(settings)));
+core::Result<std::unique_ptr<Daemon>> Daemon::Create(const Settings& settings) {
+  std::unique_ptr<Daemon> daemon(new Daemon(std::make_unique<Parts>(settings)));
   BOOST_LEAF_CHECK(daemon->m_parts->Start());
   return daemon;
 }
--- a/src/crocusmast/daemon/daemon.h
+++ b/src/crocusmast/daemon/daemon.h
@@ -16,8 +16,7 @@
    * @param settings The settings.
    * @return The daemon, or an error if an address is not free.
    */
-  static core::Result<std::unique_ptr<Daemon>> Create(
-      const Settings& settings);
+  static core::Result<std::unique_ptr<Daemon>> Create(const Settings& settings);
 
   ~Daemon();
 
--- a/src/crocusmast/daemon/main.cc
+++ b/src/crocusmast/daemon/main.cc
@@ -41,10 +41,10 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  return crocusmast::core::Handle([&] { return Run(argc, argv); },
-                                  [](const Error& error) {
-                                    std::cerr << "crocusmastd: "
-                                              << Describe(error) << "\n";
-                                    return kExitBadSettings;
-                                  });
+  return crocusmast::core::Handle(
+      [&] { return Run(argc, argv); },
+      [](const Error& error) {
+        std::cerr << "crocusmastd: " << Describe(error) << "\n";
+        return kExitBadSettings;
+      });
 }
--- a/src/crocusmast/daemon/membership_poller.cc
+++ b/src/crocusmast/daemon/membership_poller.cc
@@ -4,10 +4,9 @@
 
 namespace crocusmast::daemon {
 
-MembershipPoller::MembershipPoller(
-    membership::MembershipList& list,
-    core::BoundedRing<membership::Message>& ring,
-    core::Logger& logger)
+MembershipPoller::MembershipPoller(membership::MembershipList& list,
+                                   core::BoundedRing<membership::Message>& ring,
+                                   core::Logger& logger)
     : m_list(list), m_ring(ring), m_logger(logger) {}
 
 void MembershipPoller::Tick() {
@@ -37,11 +36,11 @@
                    : "The membership list does not answer. The last view "
                      "stays in use. " +
                          core::Describe(error) + ".";
-  m_logger.Write({core::Part::kMembership,
-                  is_reachable ? core::Severity::kInfo
-                               : core::Severity::kWarning,
-                  sentence,
-                  {}});
+  m_logger.Write(
+      {core::Part::kMembership,
+       is_reachable ? core::Severity::kInfo : core::Severity::kWarning,
+       sentence,
+       {}});
 }
 
 }  // namespace crocusmast::daemon
--- a/src/crocusmast/daemon/settings.cc
+++ b/src/crocusmast/daemon/settings.cc
@@ -35,7 +35,7 @@
     {"peer", "127.0.0.1:8082", "address for links of other entry instances"},
     {"store", "127.0.0.1:9001", "address of the configuration store"},
     {"membership", "127.0.0.1:9002", "address of the membership list"},
-    {"caller-threads", "128", "callers' connections served at once, 1 to 4096"},
+    {"caller-threads", "512", "callers' connections served at once, 1 to 4096"},
     {"forward-threads", "64", "peers' requests served at once, 1 to 4096"},
     {"drain-seconds", "30", "longest wait for requests on a stop, 1 to 600"},
     {"log-format", "text", "text or json"},
@@ -135,8 +135,8 @@
 
 Result<core::Severity> ParseLogLevel(const std::string& text) {
   for (const core::Severity severity :
-       {core::Severity::kDebug, core::Severity::kInfo,
-        core::Severity::kWarning, core::Severity::kError}) {
+       {core::Severity::kDebug, core::Severity::kInfo, core::Severity::kWarning,
+        core::Severity::kError}) {
     if (text == core::SeverityName(severity)) {
       return severity;
     }
@@ -160,8 +160,7 @@
   constexpr std::size_t kMostDrainSeconds = 600;
   Settings settings;
   BOOST_LEAF_ASSIGN(settings.id, ParseId<core::InstanceId>(values, "id"));
-  BOOST_LEAF_ASSIGN(settings.region,
-                    ParseId<core::RegionId>(values, "region"));
+  BOOST_LEAF_ASSIGN(settings.region, ParseId<core::RegionId>(values, "region"));
   BOOST_LEAF_ASSIGN(settings.zone, ParseId<core::ZoneId>(values, "zone"));
   BOOST_LEAF_CHECK(ParseAddresses(values, settings));
   BOOST_LEAF_ASSIGN(settings.caller_threads,
@@ -191,8 +190,8 @@
   cxxopts::Options options("crocusmastd", "The daemon of an entry instance.");
   auto add = options.add_options();
   for (const SettingInfo& info : kSettings) {
-    std::string help = std::string(info.help) + " [" +
-                       EnvironmentName(info.name) + "]";
+    std::string help =
+        std::string(info.help) + " [" + EnvironmentName(info.name) + "]";
     if (info.fallback[0] != '\0') {
       help += std::string(" (default ") + info.fallback + ")";
     }
@@ -242,8 +241,7 @@
     }
     return ParsedCommandLine{settings, ""};
   } catch (const cxxopts::exceptions::exception& error) {
-    return core::Fail(core::Step::kParseSettings, "command line",
-                      error.what());
+    return core::Fail(core::Step::kParseSettings, "command line", error.what());
   }
 }
 
--- a/src/crocusmast/membership/roster.cc
+++ b/src/crocusmast/membership/roster.cc
@@ -154,9 +154,8 @@
   }
 }
 
-std::vector<core::InstanceId> Roster::OwnersFor(
-    const InstanceRecord& target,
-    const RosterView& view) const {
+std::vector<core::InstanceId> Roster::OwnersFor(const InstanceRecord& target,
+                                                const RosterView& view) const {
   std::vector<core::InstanceId> candidates;
   for (const core::InstanceId& id : view.entries) {
     if (m_instances.at(id).Record().zone == target.zone) {
--- a/src/crocusmast/membership/service.cc
+++ b/src/crocusmast/membership/service.cc
@@ -62,8 +62,7 @@
 }
 
 void Service::Publish() {
-  m_listener.RosterChanged(
-      std::make_shared<const RosterView>(m_roster.View()));
+  m_listener.RosterChanged(std::make_shared<const RosterView>(m_roster.View()));
   m_listener.PeersChanged(m_roster.LinkedPeers());
 }
 
--- a/src/crocusmast/request/history.cc
+++ b/src/crocusmast/request/history.cc
@@ -26,14 +26,30 @@
   return "unknown";
 }
 
+namespace internal {
+
+std::string Preposition(DecisionKind kind) {
+  switch (kind) {
+    case DecisionKind::kSent:
+    case DecisionKind::kForwarded:
+      return " to ";
+    case DecisionKind::kUnknown:
+    case DecisionKind::kClaimed:
+      return " at ";
+    default:
+      return " by ";
+  }
+}
+
+}  // namespace internal
+
 std::string Describe(const Decision& decision) {
   std::string sentence = "Request " + decision.request.Text() + " of plan " +
                          decision.plan.Text() + " is " +
                          std::string(DecisionName(decision.kind));
   if (!decision.destination.IsEmpty()) {
-    const bool has_answered = decision.kind == DecisionKind::kAnswered;
-    sentence += has_answered ? " by " : " to ";
-    sentence += decision.destination.Text();
+    sentence +=
+        internal::Preposition(decision.kind) + decision.destination.Text();
   }
   if (decision.reason != Reason::kNone) {
     sentence += " (" + std::string(ReasonName(decision.reason)) + ")";
--- a/src/crocusmast/request/id_register.cc
+++ b/src/crocusmast/request/id_register.cc
@@ -29,8 +29,7 @@
 void IdRegister::Forget(core::TimePoint now) {
   while (!m_order.empty() && m_order.front().first + kMemory <= now) {
     const auto found = m_claims.find(m_order.front().second);
-    if (found != m_claims.end() &&
-        found->second.at == m_order.front().first) {
+    if (found != m_claims.end() && found->second.at == m_order.front().first) {
       m_claims.erase(found);
     }
     m_order.pop_front();
--- a/src/crocusmast/request/request.cc
+++ b/src/crocusmast/request/request.cc
@@ -28,8 +28,7 @@
   if (m_state != State::kWaiting) {
     return WrongState("send");
   }
-  if (std::find(m_tried.begin(), m_tried.end(), destination) !=
-      m_tried.end()) {
+  if (std::find(m_tried.begin(), m_tried.end(), destination) != m_tried.end()) {
     return Fail(Step::kChangeState, destination.Text(),
                 "the request was sent there before");
   }
@@ -64,8 +63,7 @@
 }
 
 core::Result<void> Request::Reopen() {
-  if (m_state != State::kAnswered ||
-      m_spec.repeat != Repeat::kRepeatable) {
+  if (m_state != State::kAnswered || m_spec.repeat != Repeat::kRepeatable) {
     return WrongState("reopen");
   }
   m_state = State::kWaiting;
--- a/src/crocusmast/routing/circuit.cc
+++ b/src/crocusmast/routing/circuit.cc
@@ -41,8 +41,8 @@
 }
 
 void Circuit::Throttle(core::TimePoint now, core::Duration pause) {
-  const core::Duration bounded = std::clamp<core::Duration>(
-      pause, core::Duration::zero(), kLongestPause);
+  const core::Duration bounded =
+      std::clamp<core::Duration>(pause, core::Duration::zero(), kLongestPause);
   m_state = CircuitState::kOpen;
   m_pause_end = now + bounded;
 }
--- a/src/crocusmast/routing/driver.cc
+++ b/src/crocusmast/routing/driver.cc
@@ -33,8 +33,8 @@
     return call.reply;
   }
   while (!call.is_done) {
-    std::optional<Instruction> instruction = call.instructions->PopFor(
-        Remaining(call) + internal::kRouterGrace);
+    std::optional<Instruction> instruction =
+        call.instructions->PopFor(Remaining(call) + internal::kRouterGrace);
     if (!instruction) {
       Abandon(call);
       break;
@@ -71,8 +71,7 @@
                     const core::InstanceId& source,
                     SendResult result) const {
   const bool is_answered = result.report.delivery == Delivery::kAnswered;
-  call.was_sent =
-      call.was_sent || result.report.delivery != Delivery::kNotRun;
+  call.was_sent = call.was_sent || result.report.delivery != Delivery::kNotRun;
   call.is_done = is_answered && !result.report.is_failure;
   Post(SendFinished{key, source, result.report, result.reason});
   if (is_answered) {
@@ -83,16 +82,16 @@
 }
 
 void Driver::Follow(Call& call, const ClaimAt& instruction) const {
-  const core::Duration wait = std::min<core::Duration>(
-      Remaining(call), internal::kClaimWait);
+  const core::Duration wait =
+      std::min<core::Duration>(Remaining(call), internal::kClaimWait);
   Post(ClaimFinished{instruction.key, instruction.peer,
                      m_ports.peers.Claim(instruction.peer, call.spec.id,
                                          instruction.token, wait)});
 }
 
 void Driver::Follow(Call& call, const GiveUp& instruction) const {
-  call.reply = Reply{instruction.outcome, instruction.reason,
-                     instruction.retry_after, {}, {}};
+  call.reply = Reply{
+      instruction.outcome, instruction.reason, instruction.retry_after, {}, {}};
   call.is_done = true;
 }
 
@@ -103,7 +102,9 @@
 void Driver::Abandon(Call& call) const {
   Post(Abandoned{call.instructions});
   call.reply = Reply{call.was_sent ? Outcome::kUnknown : Outcome::kRefused,
-                     Reason::kOverloaded, internal::kRetryAfterOverload, {},
+                     Reason::kOverloaded,
+                     internal::kRetryAfterOverload,
+                     {},
                      {}};
 }
 
--- a/src/crocusmast/routing/peer_loads.cc
+++ b/src/crocusmast/routing/peer_loads.cc
@@ -20,8 +20,8 @@
   }
   for (auto& [pool, free] : m_free) {
     for (auto place = free.begin(); place != free.end();) {
-      place = kept.count(place->first) > 0 ? std::next(place)
-                                           : free.erase(place);
+      place =
+          kept.count(place->first) > 0 ? std::next(place) : free.erase(place);
     }
   }
 }
--- a/src/crocusmast/routing/placements.cc
+++ b/src/crocusmast/routing/placements.cc
@@ -39,8 +39,7 @@
   if (pool == m_roster->pools.end()) {
     return placement;
   }
-  const std::string name =
-      allowance.plan.Text() + "/" + allowance.kind.Text();
+  const std::string name = allowance.plan.Text() + "/" + allowance.kind.Text();
   const std::vector<core::InstanceId> chosen = membership::RankByRendezvous(
       name, pool->second, allowance.instances.Count());
   placement->targets.insert(chosen.begin(), chosen.end());
--- a/src/crocusmast/routing/placements.h
+++ b/src/crocusmast/routing/placements.h
@@ -46,7 +46,9 @@
    * @brief Tells whether a plan is sold.
    * @param plan The plan.
    */
-  bool HasPlan(const core::PlanId& plan) const { return m_lists->HasPlan(plan); }
+  bool HasPlan(const core::PlanId& plan) const {
+    return m_lists->HasPlan(plan);
+  }
 
   /**
    * @brief Finds where a plan's kind of work may run.
--- a/src/crocusmast/routing/router.cc
+++ b/src/crocusmast/routing/router.cc
@@ -20,15 +20,20 @@
       m_next_key(m_self.run) {}
 
 void Router::Handle(Message&& message) {
+  HoldAfterPause(m_ports.clock.Now());
   std::visit([this](auto& content) { On(content); }, message);
   AfterMessage();
 }
 
-void Router::Tick() {
-  const core::TimePoint now = m_ports.clock.Now();
+void Router::HoldAfterPause(core::TimePoint now) {
   if (m_last_tick + kPauseLimit <= now) {
     m_table.HoldAll(now + kTakeoverHold);
   }
+}
+
+void Router::Tick() {
+  const core::TimePoint now = m_ports.clock.Now();
+  HoldAfterPause(now);
   m_last_tick = now;
   m_table.Advance(now);
   ExpireDeadlines();
@@ -67,24 +72,22 @@
 void Router::Admit(Arrival& message, const ShareKey& share) {
   m_retries.Earn();
   const core::RequestKey key(m_next_key++);
-  const bool needs_claim =
-      !message.is_forwarded &&
-      message.spec.repeat == request::Repeat::kAtMostOnce;
+  const bool needs_claim = !message.is_forwarded &&
+                           message.spec.repeat == request::Repeat::kAtMostOnce;
   const WaitPlace place{m_placements.Find(share)->pool, message.spec.urgency,
                         share, message.is_forwarded};
   const bool is_admitted = core::Handle(
       [&]() -> core::Result<bool> {
-        BOOST_LEAF_AUTO(request, request::Request::Create(
-                                     message.spec, m_ports.clock.Now()));
-        m_pending.emplace(key.Count(),
-                          Pending{std::move(request),
-                                  key,
-                                  message.reply,
-                                  place,
-                                  {},
-                                  {},
-                                  false,
-                                  false});
+        BOOST_LEAF_AUTO(request, request::Request::Create(message.spec,
+                                                          m_ports.clock.Now()));
+        m_pending.emplace(key.Count(), Pending{std::move(request),
+                                               key,
+                                               message.reply,
+                                               place,
+                                               {},
+                                               {},
+                                               false,
+                                               false});
         return true;
       },
       [](const core::Error&) { return false; });
@@ -151,8 +154,8 @@
   }
   m_ports.meter.Add(core::Counter::kDuplicatesStopped, 1);
   m_recorder.Record(spec, DecisionKind::kUnknown, {}, Reason::kDuplicate);
-  Instruct(pending, GiveUp{Outcome::kUnknown, Reason::kDuplicate,
-                           RetryAfter(spec)});
+  Instruct(pending,
+           GiveUp{Outcome::kUnknown, Reason::kDuplicate, RetryAfter(spec)});
   Erase(pending);
   return false;
 }
@@ -185,8 +188,8 @@
 }
 
 void Router::On(const ClaimSeen& message) {
-  const request::ClaimOutcome outcome = m_claims.Register().Claim(
-      message.id, message.token, m_ports.clock.Now());
+  const request::ClaimOutcome outcome =
+      m_claims.Register().Claim(message.id, message.token, m_ports.clock.Now());
   m_ports.peers.SendClaimReply(message.peer, message.call, outcome);
 }
 
@@ -245,8 +248,7 @@
 bool Router::TryPlaceHere(Pending& pending, const Placement& placement) {
   const Selection selection{placement.pool, pending.place.urgency,
                             &placement.targets, &pending.request.Tried()};
-  std::optional<Choice> choice =
-      m_table.Choose(selection, m_ports.clock.Now());
+  std::optional<Choice> choice = m_table.Choose(selection, m_ports.clock.Now());
   if (!choice) {
     return false;
   }
@@ -314,8 +316,8 @@
   const core::PoolId pool = pending.place.pool;
   const std::optional<bool> waits = core::Handle(
       [&]() -> core::Result<std::optional<bool>> {
-        BOOST_LEAF_AUTO(again, pending.request.Settle(
-                                   message.source, message.report.delivery));
+        BOOST_LEAF_AUTO(again, pending.request.Settle(message.source,
+                                                      message.report.delivery));
         return std::optional<bool>(again);
       },
       [](const core::Error&) { return std::optional<bool>(); });
@@ -324,8 +326,7 @@
     return;
   }
   ReturnResources(pending, message);
-  const bool is_answered =
-      message.report.delivery == Delivery::kAnswered;
+  const bool is_answered = message.report.delivery == Delivery::kAnswered;
   if (is_answered && !message.report.is_failure) {
     m_recorder.Record(pending.request.Spec(), DecisionKind::kAnswered,
                       message.source);
@@ -395,8 +396,7 @@
 
 void Router::OnLostAttempt(Pending& pending, Reason reason) {
   if (!MayRetry(pending)) {
-    Conclude(pending,
-             reason == Reason::kNone ? Reason::kAttempts : reason);
+    Conclude(pending, reason == Reason::kNone ? Reason::kAttempts : reason);
     return;
   }
   m_recorder.Record(pending.request.Spec(), DecisionKind::kRetried);
@@ -406,9 +406,9 @@
 }
 
 void Router::Conclude(Pending& pending, Reason reason) {
-  const Outcome outcome = core::Handle(
-      [&] { return pending.request.GiveUp(); },
-      [](const core::Error&) { return Outcome::kUnknown; });
+  const Outcome outcome =
+      core::Handle([&] { return pending.request.GiveUp(); },
+                   [](const core::Error&) { return Outcome::kUnknown; });
   const bool is_refused = outcome == Outcome::kRefused;
   if (is_refused) {
     ReleaseClaims(pending);
@@ -443,8 +443,8 @@
     Pending& pending = m_pending.at(next->second);
     ++next;
     if (pending.request.CurrentState() == request::State::kWaiting) {
-      Conclude(pending, pending.needs_claim ? Reason::kClaimFailed
-                                            : Reason::kDeadline);
+      Conclude(pending,
+               pending.needs_claim ? Reason::kClaimFailed : Reason::kDeadline);
     }
   }
 }
@@ -455,10 +455,10 @@
       continue;
     }
     if (pending.request.CurrentState() == request::State::kSent) {
-      ReturnResources(pending, SendFinished{pending.key,
-                                            pending.request.Tried().back(),
-                                            {},
-                                            Reason::kNone});
+      ReturnResources(
+          pending,
+          SendFinished{
+              pending.key, pending.request.Tried().back(), {}, Reason::kNone});
     }
     Conclude(pending, Reason::kOverloaded);
     return;
--- a/src/crocusmast/routing/router.h
+++ b/src/crocusmast/routing/router.h
@@ -114,6 +114,7 @@
   void ExpireDeadlines();
   std::chrono::seconds RetryAfter(const request::RequestSpec& spec) const;
 
+  void HoldAfterPause(core::TimePoint now);
   void AfterMessage();
   void SendShareNews();
   void SendLoads(core::TimePoint now);
--- a/src/crocusmast/routing/router_news.cc
+++ b/src/crocusmast/routing/router_news.cc
@@ -70,9 +70,9 @@
     pools.insert(pool);
   }
   for (const core::PoolId& pool : pools) {
-    status.pools.push_back(PoolStatus{pool, core::Slots(m_table.FreeSlots(pool)),
-                                      core::Slots(m_table.InFlight(pool)),
-                                      m_queue.WaitingFor(pool)});
+    status.pools.push_back(PoolStatus{
+        pool, core::Slots(m_table.FreeSlots(pool)),
+        core::Slots(m_table.InFlight(pool)), m_queue.WaitingFor(pool)});
   }
   message.reply->TryPush(std::move(status));
 }
--- a/src/crocusmast/routing/share_book.cc
+++ b/src/crocusmast/routing/share_book.cc
@@ -68,9 +68,9 @@
     const std::optional<configuration::Allowance> allowance =
         m_lists->FindAllowance(key.plan, key.kind);
     const std::uint64_t limit =
-        allowance ? std::min(allowance->slots.Count(),
-                             allowance->connections.Count())
-                  : 0;
+        allowance
+            ? std::min(allowance->slots.Count(), allowance->connections.Count())
+            : 0;
     Collect(place->second.SetLimit(core::Slots(limit)));
   }
   DropGone(now);
--- a/src/crocusmast/routing/share_lender.cc
+++ b/src/crocusmast/routing/share_lender.cc
@@ -98,8 +98,7 @@
     const std::uint64_t free = m_limit - occupied;
     const std::uint64_t part = (free + takers - 1) / takers;
     const std::uint64_t lent = std::min(loan.wanted - loan.occupied, part);
-    grants.push_back(
-        Grant(wanting[index].second, loan, loan.occupied + lent));
+    grants.push_back(Grant(wanting[index].second, loan, loan.occupied + lent));
     occupied += lent;
   }
 }
@@ -136,9 +135,8 @@
 
 AddressedGrant ShareLender::Current(const core::InstanceId& borrower,
                                     const Loan& loan) const {
-  return AddressedGrant{borrower,
-                        ShareGrant{m_key, core::Slots(loan.ceiling),
-                                   loan.number, loan.session}};
+  return AddressedGrant{borrower, ShareGrant{m_key, core::Slots(loan.ceiling),
+                                             loan.number, loan.session}};
 }
 
 }  // namespace crocusmast::routing
--- a/src/crocusmast/routing/table.cc
+++ b/src/crocusmast/routing/table.cc
@@ -43,10 +43,9 @@
 
 void Table::Add(const fleet::InstanceRecord& record, core::TimePoint now) {
   const auto found = m_targets.find(record.id);
-  const bool is_same =
-      found != m_targets.end() &&
-      found->second.record.incarnation == record.incarnation &&
-      found->second.record.pool == record.pool;
+  const bool is_same = found != m_targets.end() &&
+                       found->second.record.incarnation == record.incarnation &&
+                       found->second.record.pool == record.pool;
   if (is_same) {
     Unready(found->second);
     found->second.record = record;
@@ -175,9 +174,9 @@
   Target* best = nullptr;
   for (const core::InstanceId& id : m_pools.at(selection.pool).members) {
     Target& target = m_targets.at(id);
-    const bool is_usable =
-        target.is_owned && target.held_until <= now && m_held_until <= now &&
-        target.record.state == fleet::InstanceState::kLive;
+    const bool is_usable = target.is_owned && target.held_until <= now &&
+                           m_held_until <= now &&
+                           target.record.state == fleet::InstanceState::kLive;
     if (!is_usable) {
       continue;
     }
@@ -185,8 +184,7 @@
       return std::nullopt;
     }
     const bool is_better =
-        best == nullptr ||
-        target.circuit.PauseEnd() < best->circuit.PauseEnd();
+        best == nullptr || target.circuit.PauseEnd() < best->circuit.PauseEnd();
     if (target.in_flight == 0 && is_better &&
         !internal::Contains(selection.tried, id) &&
         (selection.allowed == nullptr || selection.allowed->count(id) > 0)) {
--- a/src/crocusmast/routing/table.h
+++ b/src/crocusmast/routing/table.h
@@ -68,8 +68,7 @@
    * @param now The time.
    * @return The target, or nothing if none has room.
    */
-  std::optional<Choice> Choose(const Selection& selection,
-                               core::TimePoint now);
+  std::optional<Choice> Choose(const Selection& selection, core::TimePoint now);
 
   /**
    * @brief Gives a slot back.
--- a/src/crocusmast/routing/wait_queue.cc
+++ b/src/crocusmast/routing/wait_queue.cc
@@ -34,8 +34,7 @@
   if (row == lane.rows.end()) {
     return;
   }
-  const auto found =
-      std::find(row->second.begin(), row->second.end(), request);
+  const auto found = std::find(row->second.begin(), row->second.end(), request);
   if (found == row->second.end()) {
     return;
   }
--- a/standin/main.cc
+++ b/standin/main.cc
@@ -33,8 +33,7 @@
   add("reboot-ms", "how long a reboot takes",
       cxxopts::value<long>()->default_value("1000"));
   add("count", "number of targets", cxxopts::value<int>()->default_value("1"));
-  add("slots", "slots of a target",
-      cxxopts::value<int>()->default_value("8"));
+  add("slots", "slots of a target", cxxopts::value<int>()->default_value("8"));
   add("service-ms", "mean time that a request takes",
       cxxopts::value<double>()->default_value("5"));
   add("help", "print this and end");
--- a/standin/service.cc
+++ b/standin/service.cc
@@ -10,7 +10,9 @@
 void Prepare(httplib::Server& server, std::size_t threads) {
   constexpr std::size_t kRequestsPerConnection = 100000000;
   constexpr std::chrono::seconds kIdle{120};
-  server.new_task_queue = [threads] { return new httplib::ThreadPool(threads); };
+  server.new_task_queue = [threads] {
+    return new httplib::ThreadPool(threads);
+  };
   server.set_keep_alive_max_count(kRequestsPerConnection);
   server.set_keep_alive_timeout(kIdle.count());
   server.set_tcp_nodelay(true);
--- a/standin/service.h
+++ b/standin/service.h
@@ -39,9 +39,7 @@
  * @param name The parameter.
  * @param fallback The value if it is missing or no number.
  */
-long NumberOf(const httplib::Request& request,
-              const char* name,
-              long fallback);
+long NumberOf(const httplib::Request& request, const char* name, long fallback);
 
 }  // namespace standin
 
--- a/standin/store.cc
+++ b/standin/store.cc
@@ -127,8 +127,7 @@
     const std::lock_guard<std::mutex> lock(m_mutex);
     const std::string lease = request.get_param_value("lease");
     const auto found = m_entries.find(request.matches[1]);
-    const long version =
-        found == m_entries.end() ? 0 : found->second.version;
+    const long version = found == m_entries.end() ? 0 : found->second.version;
     const bool is_expected = NumberOf(request, "expect", version) == version;
     if (!is_expected || (!lease.empty() && m_leases.count(lease) == 0)) {
       response.status = kConflict;
@@ -191,16 +190,14 @@
     return;
   }
   m_leases[lease] =
-      Clock::now() +
-      std::chrono::milliseconds(NumberOf(request, "ttl_ms", 0));
+      Clock::now() + std::chrono::milliseconds(NumberOf(request, "ttl_ms", 0));
 }
 
 void Store::Control(const httplib::Request& request,
                     httplib::Response& response) {
   {
     const std::lock_guard<std::mutex> lock(m_mutex);
-    m_faults.outage =
-        NumberOf(request, "outage", m_faults.outage ? 1 : 0) != 0;
+    m_faults.outage = NumberOf(request, "outage", m_faults.outage ? 1 : 0) != 0;
     m_faults.lose_answers =
         NumberOf(request, "lose_answers", m_faults.lose_answers);
     m_faults.delay_ms = NumberOf(request, "delay_ms", m_faults.delay_ms);
@@ -238,9 +235,8 @@
   server.Put("/control", [this](const Request& request, Response& response) {
     Control(request, response);
   });
-  server.Get("/counters", [this](const Request&, Response& response) {
-    Count(response);
-  });
+  server.Get("/counters",
+             [this](const Request&, Response& response) { Count(response); });
 }
 
 }  // namespace
--- a/standin/target.cc
+++ b/standin/target.cc
@@ -132,10 +132,10 @@
     m_leaving_at = NowSeconds();
   }
   m_is_leaving = leaves;
-  m_slowdown = static_cast<double>(
-                   NumberOf(request, "slow_percent",
-                            static_cast<long>(m_slowdown * 100))) /
-               100;
+  m_slowdown =
+      static_cast<double>(NumberOf(request, "slow_percent",
+                                   static_cast<long>(m_slowdown * 100))) /
+      100;
   if (NumberOf(request, "reboot", 0) != 0) {
     m_cut += m_in_flight;
     ++m_incarnation;
@@ -166,9 +166,8 @@
   m_server.Post("/run", [this](const Request& request, Response& response) {
     Run(request, response);
   });
-  m_server.Put("/control", [this](const Request& request, Response&) {
-    Control(request);
-  });
+  m_server.Put("/control",
+               [this](const Request& request, Response&) { Control(request); });
   m_server.Get("/record", [this](const Request& request, Response& response) {
     Report(request, response);
   });
--- /dev/null
+++ b/test/adapters/target_client_test.cc
@@ -0,0 +1,111 @@
+#include "crocusmast/adapters/target_client.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <atomic>
+
+#include "test/support/make.h"
+#include "test/support/raw_server.h"
+
+namespace {
+
+using namespace crocusmast;
+using request::Delivery;
+using routing::SendResult;
+using test::RawServer;
+
+constexpr char kAnswer[] =
+    "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Type: text/plain\r\n"
+    "\r\nok";
+
+class TargetClientTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(TargetClientTest);
+  CPPUNIT_TEST(RefusedConnectionIsNotRun);
+  CPPUNIT_TEST(ConnectionClosedUnderAChargeIsUnknownAndSentOnce);
+  CPPUNIT_TEST(HalfAnAnswerIsUnknown);
+  CPPUNIT_TEST(AnswerAfterTheDeadlineIsUnknown);
+  CPPUNIT_TEST(AnswersAreClassified);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void RefusedConnectionIsNotRun() {
+    const SendResult result = Send(test::FreePort());
+    CPPUNIT_ASSERT(result.report.delivery == Delivery::kNotRun);
+    CPPUNIT_ASSERT(result.report.is_failure);
+  }
+
+  void ConnectionClosedUnderAChargeIsUnknownAndSentOnce() {
+    std::atomic<int> requests{0};
+    RawServer server([&](int socket) {
+      RawServer::ReadRequest(socket);
+      ++requests;
+      RawServer::Write(socket, kAnswer);
+      if (!RawServer::ReadRequest(socket).empty()) {
+        ++requests;
+      }
+    });
+    CPPUNIT_ASSERT(Send(server.Port()).report.delivery == Delivery::kAnswered);
+    CPPUNIT_ASSERT(Send(server.Port()).report.delivery == Delivery::kUnknown);
+    CPPUNIT_ASSERT_EQUAL(2, requests.load());
+    CPPUNIT_ASSERT_EQUAL(1, server.Accepted());
+  }
+
+  void HalfAnAnswerIsUnknown() {
+    RawServer server([](int socket) {
+      RawServer::ReadRequest(socket);
+      RawServer::Write(socket,
+                       "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nhalf");
+    });
+    CPPUNIT_ASSERT(Send(server.Port()).report.delivery == Delivery::kUnknown);
+  }
+
+  void AnswerAfterTheDeadlineIsUnknown() {
+    RawServer server([](int socket) {
+      RawServer::ReadRequest(socket);
+      RawServer::ReadRequest(socket);
+    });
+    CPPUNIT_ASSERT(
+        Send(server.Port(), std::chrono::milliseconds(50)).report.delivery ==
+        Delivery::kUnknown);
+  }
+
+  void AnswersAreClassified() {
+    SendResult result = SendTo("200 OK", "Target-Leaving: 1\r\n");
+    CPPUNIT_ASSERT(result.report.is_leaving && !result.report.is_failure);
+    result = SendTo("404 Not Found", "");
+    CPPUNIT_ASSERT(result.report.delivery == Delivery::kAnswered &&
+                   !result.report.is_failure);
+    result = SendTo("500 Internal Server Error", "");
+    CPPUNIT_ASSERT(result.report.delivery == Delivery::kAnswered &&
+                   result.report.is_failure);
+    result = SendTo("429 Too Many Requests", "Retry-After: 3\r\n");
+    CPPUNIT_ASSERT(result.report.is_throttle && !result.report.is_failure);
+    CPPUNIT_ASSERT(result.report.pause == std::chrono::seconds(3));
+    result = SendTo("503 Service Unavailable", "Target-Not-Run: 1\r\n");
+    CPPUNIT_ASSERT(result.report.delivery == Delivery::kNotRun);
+  }
+
+ private:
+  SendResult Send(std::uint16_t port,
+                  core::Duration wait = std::chrono::seconds(5)) {
+    return m_client->Send(
+        test::MakeId<core::InstanceId>("t"), {"127.0.0.1", port},
+        test::MakeSpec("r", {}, request::Repeat::kAtMostOnce), "body", wait);
+  }
+
+  SendResult SendTo(const std::string& status, const std::string& headers) {
+    RawServer server([&](int socket) {
+      RawServer::ReadRequest(socket);
+      RawServer::Write(socket, "HTTP/1.1 " + status + "\r\n" + headers +
+                                   "Content-Length: 0\r\n\r\n");
+    });
+    return Send(server.Port());
+  }
+
+  std::unique_ptr<adapters::TargetClient> m_client =
+      adapters::TargetClient::Create();
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(TargetClientTest, "adapters");
+
+}  // namespace
--- /dev/null
+++ b/test/fleet/instance_test.cc
@@ -0,0 +1,58 @@
+#include "crocusmast/fleet/instance.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "test/support/make.h"
+
+namespace {
+
+using namespace crocusmast;
+using fleet::Instance;
+using fleet::InstanceEvent;
+using fleet::InstanceRecord;
+using fleet::InstanceState;
+
+class InstanceTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(InstanceTest);
+  CPPUNIT_TEST(LeavingStaysWhateverTheListSays);
+  CPPUNIT_TEST(ReplacementUnderTheAddressIsLive);
+  CPPUNIT_TEST(OlderIncarnationChangesNothing);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void LeavingStaysWhateverTheListSays() {
+    Instance instance(test::MakeTarget("t", "p"));
+    CPPUNIT_ASSERT(instance.Leave(core::Incarnation(1)) ==
+                   InstanceEvent::kLeft);
+    CPPUNIT_ASSERT(instance.Report(test::MakeTarget("t", "p")) ==
+                   InstanceEvent::kUnchanged);
+    CPPUNIT_ASSERT(!instance.IsLive());
+  }
+
+  void ReplacementUnderTheAddressIsLive() {
+    Instance instance(test::MakeTarget("t", "p"));
+    instance.Leave(core::Incarnation(1));
+    InstanceRecord next = test::MakeTarget("t", "p");
+    next.incarnation = core::Incarnation(2);
+    CPPUNIT_ASSERT(instance.Report(next) == InstanceEvent::kReplaced);
+    CPPUNIT_ASSERT(instance.IsLive());
+    CPPUNIT_ASSERT(instance.Leave(core::Incarnation(1)) ==
+                   InstanceEvent::kUnchanged);
+    CPPUNIT_ASSERT(instance.IsLive());
+  }
+
+  void OlderIncarnationChangesNothing() {
+    InstanceRecord second = test::MakeTarget("t", "p");
+    second.incarnation = core::Incarnation(2);
+    Instance instance(second);
+    InstanceRecord first = test::MakeTarget("t", "other");
+    first.state = InstanceState::kLeaving;
+    CPPUNIT_ASSERT(instance.Report(first) == InstanceEvent::kUnchanged);
+    CPPUNIT_ASSERT(instance.IsLive());
+    CPPUNIT_ASSERT_EQUAL(std::string("p"), instance.Record().pool.Text());
+  }
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(InstanceTest, "fleet");
+
+}  // namespace
--- /dev/null
+++ b/test/main.cc
@@ -0,0 +1,62 @@
+#include <cppunit/BriefTestProgressListener.h>
+#include <cppunit/CompilerOutputter.h>
+#include <cppunit/Exception.h>
+#include <cppunit/Message.h>
+#include <cppunit/SourceLine.h>
+#include <cppunit/TestResult.h>
+#include <cppunit/TestResultCollector.h>
+#include <cppunit/TestRunner.h>
+#include <cppunit/extensions/TestFactoryRegistry.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+#include <trompeloeil.hpp>
+
+namespace {
+
+// The same seed each time; a variable that is set already wins.
+constexpr char kPropertySettings[] = "seed=20261204 max_success=10000";
+
+}  // namespace
+
+namespace trompeloeil {
+
+template <>
+void reporter<specialized>::send(severity level,
+                                 const char* file,
+                                 unsigned long line,
+                                 const char* message) {
+  CppUnit::SourceLine where(file, static_cast<int>(line));
+  if (level == severity::fatal) {
+    throw CppUnit::Exception(CppUnit::Message(message), where);
+  }
+  std::cerr << file << ":" << line << ": " << message << "\n";
+  std::abort();
+}
+
+}  // namespace trompeloeil
+
+int main(int argc, char** argv) {
+  setenv("RC_PARAMS", kPropertySettings, 0);
+  std::signal(SIGPIPE, SIG_IGN);
+  CppUnit::TestResult result;
+  CppUnit::TestResultCollector collector;
+  CppUnit::BriefTestProgressListener progress;
+  result.addListener(&collector);
+  result.addListener(&progress);
+  CppUnit::TestRunner runner;
+  const std::string suite = argc > 1 ? argv[1] : "";
+  if (suite.empty()) {
+    runner.addTest(CppUnit::TestFactoryRegistry::getRegistry().makeTest());
+  } else {
+    runner.addTest(CppUnit::TestFactoryRegistry::getRegistry(suite).makeTest());
+  }
+  runner.run(result);
+  CppUnit::CompilerOutputter(&collector, std::cerr).write();
+  if (collector.runTests() == 0) {
+    std::cerr << "no test ran\n";
+    return EXIT_FAILURE;
+  }
+  return collector.wasSuccessful() ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- /dev/null
+++ b/test/request/request_test.cc
@@ -0,0 +1,169 @@
+#include "crocusmast/request/request.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <set>
+
+#include "crocusmast/request/history.h"
+#include "crocusmast/request/id_register.h"
+#include "test/support/fake_clock.h"
+#include "test/support/make.h"
+
+namespace {
+
+using namespace crocusmast;
+using request::ClaimOutcome;
+using request::Delivery;
+using request::IdRegister;
+using request::Outcome;
+using request::Repeat;
+using request::Request;
+using request::State;
+using test::MakeId;
+
+core::InstanceId Target(int index) {
+  return MakeId<core::InstanceId>("t-" + std::to_string(index));
+}
+
+template <typename Attempt>
+bool Succeeds(Attempt&& attempt) {
+  return core::Handle(
+      [&]() -> core::Result<bool> {
+        BOOST_LEAF_CHECK(attempt());
+        return true;
+      },
+      [](const core::Error&) { return false; });
+}
+
+class RequestTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(RequestTest);
+  CPPUNIT_TEST(PassedDeadlineIsRefused);
+  CPPUNIT_TEST(LateDoubledAndForeignReportsAreErrors);
+  CPPUNIT_TEST(AtMostOnceNeverRunsTwice);
+  CPPUNIT_TEST(RegisterKeepsOneClaimant);
+  CPPUNIT_TEST(RegisterForgetsAfterItsMemory);
+  CPPUNIT_TEST(HistoryExplains);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void PassedDeadlineIsRefused() {
+    CPPUNIT_ASSERT(!Succeeds([&] {
+      return Request::Create(test::MakeSpec("r", m_clock.Now()), m_clock.Now());
+    }));
+  }
+
+  void LateDoubledAndForeignReportsAreErrors() {
+    Request request = Make(Repeat::kRepeatable);
+    CPPUNIT_ASSERT(Succeeds([&] { return request.Send(Target(1)); }));
+    CPPUNIT_ASSERT(!Succeeds([&] { return request.Send(Target(2)); }));
+    CPPUNIT_ASSERT(!Succeeds(
+        [&] { return request.Settle(Target(2), Delivery::kAnswered); }));
+    CPPUNIT_ASSERT(
+        Succeeds([&] { return request.Settle(Target(1), Delivery::kNotRun); }));
+    CPPUNIT_ASSERT(!Succeeds(
+        [&] { return request.Settle(Target(1), Delivery::kAnswered); }));
+    CPPUNIT_ASSERT(!Succeeds([&] { return request.Send(Target(1)); }));
+    CPPUNIT_ASSERT(request.GiveUp().value() == Outcome::kRefused);
+    CPPUNIT_ASSERT(!Succeeds([&] { return request.GiveUp(); }));
+  }
+
+  void AtMostOnceNeverRunsTwice() {
+    CPPUNIT_ASSERT(rc::check("outcomes tell what ran", [this] {
+      const bool is_repeatable = *rc::gen::arbitrary<bool>();
+      Request request =
+          Make(is_repeatable ? Repeat::kRepeatable : Repeat::kAtMostOnce);
+      std::set<int> may_have_run;
+      bool has_answer = false;
+      const int steps = *rc::gen::inRange(1, 10);
+      for (int step = 0; step < steps && !request.HasEnded(); ++step) {
+        const int target = *rc::gen::inRange(0, 4);
+        if (!Succeeds([&] { return request.Send(Target(target)); })) {
+          continue;
+        }
+        const auto delivery = static_cast<Delivery>(*rc::gen::inRange(0, 3));
+        if (delivery != Delivery::kNotRun) {
+          RC_ASSERT(is_repeatable || may_have_run.empty());
+          may_have_run.insert(target);
+        }
+        has_answer = has_answer || delivery == Delivery::kAnswered;
+        RC_ASSERT(
+            Succeeds([&] { return request.Settle(Target(target), delivery); }));
+      }
+      if (!request.HasEnded()) {
+        const Outcome outcome = request.GiveUp().value();
+        RC_ASSERT((outcome == Outcome::kRefused) == may_have_run.empty());
+      }
+      RC_ASSERT((request.CurrentState() == State::kAnswered) == has_answer);
+    }));
+  }
+
+  void RegisterKeepsOneClaimant() {
+    IdRegister ids;
+    const auto id = MakeId<core::RequestId>("r");
+    const request::ClaimToken first{Target(1), core::RequestKey(1)};
+    const request::ClaimToken second{Target(2), core::RequestKey(1)};
+    CPPUNIT_ASSERT(ids.Claim(id, first, m_clock.Now()) == ClaimOutcome::kFresh);
+    CPPUNIT_ASSERT(ids.Claim(id, first, m_clock.Now()) == ClaimOutcome::kFresh);
+    CPPUNIT_ASSERT(ids.Claim(id, second, m_clock.Now()) == ClaimOutcome::kSeen);
+    ids.Release(id, second);
+    CPPUNIT_ASSERT(ids.Claim(id, second, m_clock.Now()) == ClaimOutcome::kSeen);
+    ids.Release(id, first);
+    CPPUNIT_ASSERT(ids.Claim(id, second, m_clock.Now()) ==
+                   ClaimOutcome::kFresh);
+  }
+
+  void RegisterForgetsAfterItsMemory() {
+    IdRegister ids;
+    const request::ClaimToken token{Target(1), core::RequestKey(1)};
+    for (std::size_t index = 0; index < IdRegister::kCapacity; ++index) {
+      ids.Claim(MakeId<core::RequestId>(std::to_string(index)), token,
+                m_clock.Now());
+    }
+    const auto late = MakeId<core::RequestId>("late");
+    CPPUNIT_ASSERT(ids.Claim(late, token, m_clock.Now()) ==
+                   ClaimOutcome::kFull);
+    m_clock.Advance(IdRegister::kMemory);
+    CPPUNIT_ASSERT(ids.Claim(late, token, m_clock.Now()) ==
+                   ClaimOutcome::kFresh);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, ids.Size());
+  }
+
+  void HistoryExplains() {
+    request::History history;
+    const auto id = MakeId<core::RequestId>("r");
+    const auto plan = MakeId<core::PlanId>("p");
+    history.Add({id,
+                 plan,
+                 request::DecisionKind::kSent,
+                 Target(1),
+                 request::Reason::kNone,
+                 {}});
+    history.Add({id,
+                 plan,
+                 request::DecisionKind::kUnknown,
+                 Target(1),
+                 request::Reason::kLostAnswer,
+                 {}});
+    const auto found = history.Find(id);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, found.size());
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("Request r of plan p is unknown at t-1 (lost-answer)."),
+        request::Describe(found[1]));
+  }
+
+ private:
+  Request Make(Repeat repeat) {
+    return Request::Create(
+               test::MakeSpec("r", m_clock.Now() + std::chrono::seconds(1),
+                              repeat),
+               m_clock.Now())
+        .value();
+  }
+
+  test::FakeClock m_clock;
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(RequestTest, "request");
+
+}  // namespace
--- /dev/null
+++ b/test/routing/driver_test.cc
@@ -0,0 +1,152 @@
+#include "crocusmast/routing/driver.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "crocusmast/core/duty.h"
+#include "test/support/fake_clock.h"
+#include "test/support/make.h"
+#include "test/support/mocks.h"
+
+namespace {
+
+using namespace crocusmast;
+using request::Delivery;
+using request::Outcome;
+using request::Reason;
+using routing::Arrival;
+using routing::Instruction;
+using routing::Message;
+using routing::Reply;
+using routing::SendResult;
+using test::MakeId;
+using trompeloeil::_;
+
+/** @brief Plays the routing duty: gives a fixed list of instructions. */
+class ScriptedRouter final : public core::DutyHandler<Message> {
+ public:
+  explicit ScriptedRouter(std::vector<Instruction> script)
+      : m_script(std::move(script)) {}
+
+  void Handle(Message&& message) override {
+    if (Arrival* arrival = std::get_if<Arrival>(&message)) {
+      m_reply = arrival->reply;
+    }
+    m_seen.push_back(message.index());
+    if (m_next < m_script.size()) {
+      m_reply->TryPush(Instruction(m_script[m_next++]));
+    }
+  }
+  void Tick() override {}
+
+  const std::vector<std::size_t>& Seen() const { return m_seen; }
+
+ private:
+  std::vector<Instruction> m_script;
+  std::size_t m_next = 0;
+  std::shared_ptr<routing::InstructionRing> m_reply;
+  std::vector<std::size_t> m_seen;
+};
+
+SendResult Result(Delivery delivery, bool is_failure = false) {
+  SendResult result;
+  result.report.delivery = delivery;
+  result.report.is_failure = is_failure;
+  result.answer = {200, "text/plain", "body"};
+  return result;
+}
+
+class DriverTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(DriverTest);
+  CPPUNIT_TEST(ReturnsTheAnswer);
+  CPPUNIT_TEST(FollowsARetryThenGivesUp);
+  CPPUNIT_TEST(ClaimsThenForwards);
+  CPPUNIT_TEST(FullRingRefusesAsNotRun);
+  CPPUNIT_TEST(ReturnsAFailedAnswerWhenTold);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void ReturnsTheAnswer() {
+    REQUIRE_CALL(m_targets, Send(_, _, _, _, _))
+        .RETURN(Result(Delivery::kAnswered));
+    const Reply reply = Run({SendToTarget("t-1")});
+    CPPUNIT_ASSERT(reply.outcome == Outcome::kAnswered);
+    CPPUNIT_ASSERT_EQUAL(std::string("body"), reply.answer.body);
+    CPPUNIT_ASSERT_EQUAL(std::string("t-1"), reply.source.Text());
+  }
+
+  void FollowsARetryThenGivesUp() {
+    REQUIRE_CALL(m_targets, Send(MakeId<core::InstanceId>("t-1"), _, _, _, _))
+        .RETURN(Result(Delivery::kUnknown, true));
+    REQUIRE_CALL(m_targets, Send(MakeId<core::InstanceId>("t-2"), _, _, _, _))
+        .RETURN(Result(Delivery::kUnknown, true));
+    const Reply reply =
+        Run({SendToTarget("t-1"), SendToTarget("t-2"),
+             routing::GiveUp{Outcome::kUnknown, Reason::kLostAnswer,
+                             std::chrono::seconds(1)}});
+    CPPUNIT_ASSERT(reply.outcome == Outcome::kUnknown);
+    CPPUNIT_ASSERT(reply.reason == Reason::kLostAnswer);
+  }
+
+  void ClaimsThenForwards() {
+    const auto peer = MakeId<core::InstanceId>("entry-2");
+    REQUIRE_CALL(m_peers, Claim(peer, _, _, _))
+        .RETURN(request::ClaimOutcome::kFresh);
+    REQUIRE_CALL(m_peers, Forward(peer, _, _, _))
+        .RETURN(Result(Delivery::kAnswered));
+    const Reply reply = Run({routing::ClaimAt{core::RequestKey(1), peer, {}},
+                             routing::ForwardTo{core::RequestKey(1), peer}});
+    CPPUNIT_ASSERT(reply.outcome == Outcome::kAnswered);
+  }
+
+  void FullRingRefusesAsNotRun() {
+    core::BoundedRing<Message> ring(1);
+    ring.TryPush(Message());
+    const Reply reply = MakeDriver(ring).Run(Spec(), "", false);
+    CPPUNIT_ASSERT(reply.outcome == Outcome::kRefused);
+    CPPUNIT_ASSERT(reply.reason == Reason::kOverloaded);
+    CPPUNIT_ASSERT(reply.retry_after.count() > 0);
+  }
+
+  void ReturnsAFailedAnswerWhenTold() {
+    REQUIRE_CALL(m_targets, Send(_, _, _, _, _))
+        .RETURN(Result(Delivery::kAnswered, true));
+    const Reply reply = Run({SendToTarget("t-1"), routing::ReturnAnswer{}});
+    CPPUNIT_ASSERT(reply.outcome == Outcome::kAnswered);
+    CPPUNIT_ASSERT_EQUAL(200, reply.answer.status);
+  }
+
+ private:
+  static Instruction SendToTarget(const std::string& target) {
+    return routing::SendTo{core::RequestKey(1),
+                           {MakeId<core::InstanceId>(target),
+                            core::Incarnation(1),
+                            {"127.0.0.1", 1}}};
+  }
+
+  request::RequestSpec Spec() const {
+    return test::MakeSpec("r", m_clock.Now() + std::chrono::seconds(5));
+  }
+
+  routing::Driver MakeDriver(core::BoundedRing<Message>& ring) {
+    return routing::Driver({ring, m_targets, m_peers, m_meter, m_clock});
+  }
+
+  Reply Run(std::vector<Instruction> script) {
+    ScriptedRouter router(std::move(script));
+    core::SystemClock clock;
+    core::Duty<Message> duty("router", 16, std::chrono::seconds(1));
+    duty.Start(router, clock);
+    Reply reply = MakeDriver(duty.Ring()).Run(Spec(), "body", false);
+    duty.Stop();
+    return reply;
+  }
+
+  test::MockTargets m_targets;
+  test::MockPeerCalls m_peers;
+  test::CountingMeter m_meter;
+  test::FakeClock m_clock;
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(DriverTest, "routing");
+
+}  // namespace
--- /dev/null
+++ b/test/routing/router_test.cc
@@ -0,0 +1,384 @@
+#include "crocusmast/routing/router.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "crocusmast/membership/rendezvous.h"
+#include "test/support/fake_clock.h"
+#include "test/support/make.h"
+#include "test/support/mocks.h"
+
+namespace {
+
+using namespace crocusmast;
+using request::ClaimOutcome;
+using request::Delivery;
+using request::Outcome;
+using request::Reason;
+using request::Repeat;
+using routing::Arrival;
+using routing::ClaimAt;
+using routing::ForwardTo;
+using routing::GiveUp;
+using routing::Instruction;
+using routing::InstructionRing;
+using routing::ReturnAnswer;
+using routing::SendTo;
+using test::MakeId;
+using trompeloeil::_;
+
+using Ring = std::shared_ptr<InstructionRing>;
+
+core::InstanceId Id(const std::string& text) {
+  return MakeId<core::InstanceId>(text);
+}
+
+class RouterTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(RouterTest);
+  CPPUNIT_TEST(SendsToATarget);
+  CPPUNIT_TEST(UnknownPlanIsRefused);
+  CPPUNIT_TEST(PlanLimitMakesRequestsWait);
+  CPPUNIT_TEST(LostChargeIsUnknownAndNotSentAgain);
+  CPPUNIT_TEST(LostRepeatableRequestGoesToAnotherTarget);
+  CPPUNIT_TEST(NotRunChargeMovesOn);
+  CPPUNIT_TEST(SameIdTwiceRunsOnce);
+  CPPUNIT_TEST(RefusedChargeMayComeAgain);
+  CPPUNIT_TEST(ClaimIsMadeAtBothHolders);
+  CPPUNIT_TEST(UnreachableHolderIsNotTakenForFresh);
+  CPPUNIT_TEST(DeadlineRefusesWhatWaits);
+  CPPUNIT_TEST(ForwardsToAPeerWithRoom);
+  CPPUNIT_TEST(FailedAnswerIsRetriedThenReturned);
+  CPPUNIT_TEST(LateReportIsDropped);
+  CPPUNIT_TEST(LeavingTargetIsAnnounced);
+  CPPUNIT_TEST(PausedInstanceHoldsItsTargets);
+  CPPUNIT_TEST(WavesOfCancelledRequestsFreeTheirPlaces);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    m_fixture = std::make_unique<Fixture>();
+    SetTargets(2);
+    SetLists(4);
+    Settle();
+  }
+
+  void tearDown() override { m_fixture.reset(); }
+
+  void SendsToATarget() {
+    const Ring ring = Arrive("r-1");
+    const SendTo send = std::get<SendTo>(*Next(ring));
+    Finish(send, Delivery::kAnswered);
+    CPPUNIT_ASSERT(!Next(ring));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Status().requests);
+  }
+
+  void UnknownPlanIsRefused() {
+    request::RequestSpec spec = Spec("r-1", Repeat::kRepeatable);
+    spec.plan = MakeId<core::PlanId>("nobody");
+    const GiveUp give_up = std::get<GiveUp>(*Next(ArriveWith(spec)));
+    CPPUNIT_ASSERT(give_up.reason == Reason::kUnknownPlan);
+    CPPUNIT_ASSERT(give_up.outcome == Outcome::kRefused);
+  }
+
+  void PlanLimitMakesRequestsWait() {
+    std::vector<SendTo> sent;
+    for (int index = 0; index < 4; ++index) {
+      sent.push_back(
+          std::get<SendTo>(*Next(Arrive("r-" + std::to_string(index)))));
+    }
+    const Ring waiting = Arrive("r-5");
+    CPPUNIT_ASSERT(!Next(waiting));
+    Finish(sent[0], Delivery::kAnswered);
+    CPPUNIT_ASSERT(std::holds_alternative<SendTo>(*Next(waiting)));
+  }
+
+  void LostChargeIsUnknownAndNotSentAgain() {
+    const Ring ring = Arrive("r-1", Repeat::kAtMostOnce);
+    Finish(std::get<SendTo>(*Next(ring)), Delivery::kUnknown);
+    const GiveUp give_up = std::get<GiveUp>(*Next(ring));
+    CPPUNIT_ASSERT(give_up.outcome == Outcome::kUnknown);
+  }
+
+  void LostRepeatableRequestGoesToAnotherTarget() {
+    const Ring ring = Arrive("r-1");
+    const SendTo first = std::get<SendTo>(*Next(ring));
+    Finish(first, Delivery::kUnknown);
+    const SendTo second = std::get<SendTo>(*Next(ring));
+    CPPUNIT_ASSERT(first.choice.target != second.choice.target);
+    Finish(second, Delivery::kUnknown);
+    CPPUNIT_ASSERT(!Next(ring));
+    m_fixture->clock.Advance(std::chrono::seconds(20));
+    m_fixture->router.Tick();
+    CPPUNIT_ASSERT(std::get<GiveUp>(*Next(ring)).outcome == Outcome::kUnknown);
+  }
+
+  void NotRunChargeMovesOn() {
+    const Ring ring = Arrive("r-1", Repeat::kAtMostOnce);
+    const SendTo first = std::get<SendTo>(*Next(ring));
+    Finish(first, Delivery::kNotRun);
+    const SendTo second = std::get<SendTo>(*Next(ring));
+    CPPUNIT_ASSERT(first.choice.target != second.choice.target);
+  }
+
+  void SameIdTwiceRunsOnce() {
+    const Ring first = Arrive("r-1", Repeat::kAtMostOnce);
+    CPPUNIT_ASSERT(std::holds_alternative<SendTo>(*Next(first)));
+    const Ring second = Arrive("r-1", Repeat::kAtMostOnce);
+    const GiveUp give_up = std::get<GiveUp>(*Next(second));
+    CPPUNIT_ASSERT(give_up.outcome == Outcome::kUnknown);
+    CPPUNIT_ASSERT(give_up.reason == Reason::kDuplicate);
+    CPPUNIT_ASSERT_EQUAL(
+        std::uint64_t{1},
+        m_fixture->meter.Count(core::Counter::kDuplicatesStopped));
+  }
+
+  void RefusedChargeMayComeAgain() {
+    SetTargets(0);
+    const Ring first = Arrive("r-1", Repeat::kAtMostOnce);
+    m_fixture->clock.Advance(std::chrono::seconds(20));
+    m_fixture->router.Tick();
+    CPPUNIT_ASSERT(std::get<GiveUp>(*Next(first)).outcome == Outcome::kRefused);
+    SetTargets(2);
+    Settle();
+    const Ring second = Arrive("r-1", Repeat::kAtMostOnce);
+    CPPUNIT_ASSERT(std::holds_alternative<SendTo>(*Next(second)));
+  }
+
+  void ClaimIsMadeAtBothHolders() {
+    AddPeer();
+    const Ring ring = Arrive("r-1", Repeat::kAtMostOnce);
+    const ClaimAt claim = std::get<ClaimAt>(*Next(ring));
+    m_fixture->router.Handle(
+        routing::ClaimFinished{claim.key, claim.peer, ClaimOutcome::kFresh});
+    CPPUNIT_ASSERT(std::holds_alternative<SendTo>(*Next(ring)));
+    const Ring other = Arrive("r-2", Repeat::kAtMostOnce);
+    const ClaimAt second = std::get<ClaimAt>(*Next(other));
+    m_fixture->router.Handle(
+        routing::ClaimFinished{second.key, second.peer, ClaimOutcome::kSeen});
+    CPPUNIT_ASSERT(std::get<GiveUp>(*Next(other)).reason == Reason::kDuplicate);
+  }
+
+  void UnreachableHolderIsNotTakenForFresh() {
+    AddPeer();
+    const Ring ring = Arrive("r-1", Repeat::kAtMostOnce);
+    const ClaimAt claim = std::get<ClaimAt>(*Next(ring));
+    m_fixture->router.Handle(
+        routing::ClaimFinished{claim.key, claim.peer, std::nullopt});
+    CPPUNIT_ASSERT(!Next(ring));
+    m_fixture->router.Tick();
+    CPPUNIT_ASSERT(std::holds_alternative<ClaimAt>(*Next(ring)));
+    RemovePeer();
+    m_fixture->router.Handle(
+        routing::ClaimFinished{claim.key, claim.peer, std::nullopt});
+    m_fixture->router.Tick();
+    CPPUNIT_ASSERT(std::holds_alternative<SendTo>(*Next(ring)));
+  }
+
+  void DeadlineRefusesWhatWaits() {
+    SetTargets(0);
+    const Ring ring = Arrive("r-1");
+    CPPUNIT_ASSERT(!Next(ring));
+    m_fixture->clock.Advance(std::chrono::seconds(20));
+    m_fixture->router.Tick();
+    const GiveUp give_up = std::get<GiveUp>(*Next(ring));
+    CPPUNIT_ASSERT(give_up.outcome == Outcome::kRefused);
+    CPPUNIT_ASSERT(give_up.reason == Reason::kDeadline);
+  }
+
+  void ForwardsToAPeerWithRoom() {
+    AddPeer();
+    SetTargets(0);
+    const Ring ring = Arrive("r-1");
+    CPPUNIT_ASSERT(!Next(ring));
+    m_fixture->router.Handle(routing::LoadsSeen{
+        PeerId(), {{MakeId<core::PoolId>("pool"), core::Slots(1)}}});
+    CPPUNIT_ASSERT_EQUAL(PeerId().Text(),
+                         std::get<ForwardTo>(*Next(ring)).peer.Text());
+    CPPUNIT_ASSERT(!Next(Arrive("r-2")));
+  }
+
+  void FailedAnswerIsRetriedThenReturned() {
+    const Ring ring = Arrive("r-1");
+    Finish(std::get<SendTo>(*Next(ring)), Delivery::kAnswered, true);
+    Finish(std::get<SendTo>(*Next(ring)), Delivery::kAnswered, true);
+    CPPUNIT_ASSERT(std::holds_alternative<ReturnAnswer>(*Next(ring)));
+    const Ring charge = Arrive("r-2", Repeat::kAtMostOnce);
+    Finish(std::get<SendTo>(*Next(charge)), Delivery::kAnswered, true);
+    CPPUNIT_ASSERT(std::holds_alternative<ReturnAnswer>(*Next(charge)));
+  }
+
+  void LateReportIsDropped() {
+    const Ring ring = Arrive("r-1");
+    const SendTo send = std::get<SendTo>(*Next(ring));
+    Finish(send, Delivery::kAnswered);
+    Finish(send, Delivery::kAnswered);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, m_fixture->meter.Count(
+                                               core::Counter::kRepliesDropped));
+  }
+
+  void LeavingTargetIsAnnounced() {
+    const Ring ring = Arrive("r-1");
+    const SendTo send = std::get<SendTo>(*Next(ring));
+    REQUIRE_CALL(m_fixture->leaving, TargetLeaves(send.choice.target));
+    routing::SendReport report;
+    report.delivery = Delivery::kAnswered;
+    report.is_leaving = true;
+    m_fixture->router.Handle(routing::SendFinished{send.key, send.choice.target,
+                                                   report, Reason::kNone});
+    for (int index = 0; index < 4; ++index) {
+      const Ring next = Arrive("after-" + std::to_string(index));
+      CPPUNIT_ASSERT(std::get<SendTo>(*Next(next)).choice.target !=
+                     send.choice.target);
+    }
+  }
+
+  void PausedInstanceHoldsItsTargets() {
+    m_fixture->clock.Advance(routing::kPauseLimit);
+    const Ring ring = Arrive("r-1");
+    CPPUNIT_ASSERT(!Next(ring));
+    Settle();
+    CPPUNIT_ASSERT(std::holds_alternative<SendTo>(*Next(ring)));
+  }
+
+  void WavesOfCancelledRequestsFreeTheirPlaces() {
+    std::vector<Ring> rings;
+    for (int index = 0; index < 100; ++index) {
+      rings.push_back(Arrive("r-" + std::to_string(index)));
+    }
+    for (const Ring& ring : rings) {
+      m_fixture->router.Handle(routing::Abandoned{ring});
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Status().requests);
+    for (int index = 0; index < 4; ++index) {
+      CPPUNIT_ASSERT(std::holds_alternative<SendTo>(
+          *Next(Arrive("again-" + std::to_string(index)))));
+    }
+  }
+
+ private:
+  struct Fixture {
+    Fixture() {
+      allowed.push_back(NAMED_ALLOW_CALL(peers, SendLoads(_, _)));
+      allowed.push_back(NAMED_ALLOW_CALL(peers, SendWant(_, _)));
+      allowed.push_back(NAMED_ALLOW_CALL(peers, SendGrant(_)));
+      allowed.push_back(NAMED_ALLOW_CALL(peers, SendRelease(_, _, _)));
+    }
+
+    test::MockPeerNews peers;
+    test::MockLeaving leaving;
+    std::vector<std::unique_ptr<trompeloeil::expectation>> allowed;
+    test::SilentLogger logger;
+    test::CountingMeter meter;
+    test::FakeClock clock;
+    membership::RosterView roster;
+    routing::Router router{{Id("entry-1"), MakeId<core::ZoneId>("zone-1"), 1},
+                           {peers, leaving, logger, meter, clock}};
+  };
+
+  void SetTargets(int count) {
+    membership::RosterView& view = m_fixture->roster;
+    view.entries = {Id("entry-1")};
+    view.owned.clear();
+    view.pools.clear();
+    view.owner_of.clear();
+    for (int index = 0; index < count; ++index) {
+      view.owned.push_back(
+          test::MakeTarget("t-" + std::to_string(index), "pool"));
+      AddToPool(view.owned.back().id, Id("entry-1"));
+    }
+    for (const membership::PeerView& peer : view.peers) {
+      view.entries.push_back(peer.id);
+      AddToPool(Id("far"), peer.id);
+    }
+    PublishRoster();
+  }
+
+  void AddToPool(const core::InstanceId& target,
+                 const core::InstanceId& owner) {
+    m_fixture->roster.pools[MakeId<core::PoolId>("pool")].push_back(target);
+    m_fixture->roster.owner_of[target] = owner;
+  }
+
+  // A peer that does not take the lending of the plan's slots over.
+  static core::InstanceId PeerId() {
+    int number = 2;
+    core::InstanceId peer = Id("entry-2");
+    while (membership::RankByRendezvous("plan/kind", {Id("entry-1"), peer}, 1)
+               .front() == peer) {
+      peer = Id("entry-" + std::to_string(++number));
+    }
+    return peer;
+  }
+
+  void AddPeer() {
+    m_fixture->roster.peers = {{PeerId(), MakeId<core::ZoneId>("zone-2")}};
+    SetTargets(2);
+  }
+
+  void RemovePeer() {
+    m_fixture->roster.peers.clear();
+    SetTargets(2);
+  }
+
+  void PublishRoster() {
+    m_fixture->router.Handle(routing::RosterChanged{
+        std::make_shared<const membership::RosterView>(m_fixture->roster)});
+  }
+
+  void SetLists(std::uint64_t slots) {
+    m_fixture->router.Handle(routing::ListsChanged{
+        core::Revision(1),
+        std::make_shared<const configuration::Lists>(
+            configuration::Lists::Create(
+                {test::MakePlan("plan"),
+                 test::MakeAllowance("plan", "kind", "pool", slots)})
+                .value())});
+  }
+
+  void Settle() {
+    constexpr int kTicks = 60;
+    for (int tick = 0; tick < kTicks; ++tick) {
+      m_fixture->clock.Advance(std::chrono::milliseconds(100));
+      m_fixture->router.Tick();
+    }
+  }
+
+  request::RequestSpec Spec(const std::string& id, Repeat repeat) const {
+    return test::MakeSpec(id, m_fixture->clock.Now() + std::chrono::seconds(10),
+                          repeat);
+  }
+
+  Ring ArriveWith(const request::RequestSpec& spec) {
+    const Ring ring = std::make_shared<InstructionRing>(2);
+    m_fixture->router.Handle(Arrival{spec, false, ring});
+    return ring;
+  }
+
+  Ring Arrive(const std::string& id, Repeat repeat = Repeat::kRepeatable) {
+    return ArriveWith(Spec(id, repeat));
+  }
+
+  static std::optional<Instruction> Next(const Ring& ring) {
+    return ring->PopFor(core::Duration::zero());
+  }
+
+  void Finish(const SendTo& send, Delivery delivery, bool is_failure = false) {
+    routing::SendReport report;
+    report.delivery = delivery;
+    report.is_failure = is_failure || delivery == Delivery::kUnknown;
+    m_fixture->router.Handle(routing::SendFinished{send.key, send.choice.target,
+                                                   report, Reason::kNone});
+  }
+
+  routing::RouterStatus Status() {
+    const auto reply =
+        std::make_shared<core::BoundedRing<routing::RouterStatus>>(1);
+    m_fixture->router.Handle(routing::StatusQuery{reply});
+    return *reply->PopFor(core::Duration::zero());
+  }
+
+  std::unique_ptr<Fixture> m_fixture;
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(RouterTest, "routing");
+
+}  // namespace
--- /dev/null
+++ b/test/routing/share_test.cc
@@ -0,0 +1,268 @@
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <deque>
+#include <map>
+
+#include "crocusmast/membership/rendezvous.h"
+#include "crocusmast/routing/share_book.h"
+#include "test/support/fake_clock.h"
+#include "test/support/make.h"
+
+namespace {
+
+using namespace crocusmast;
+using routing::AddressedGrant;
+using routing::ShareBook;
+using routing::ShareBorrower;
+using routing::ShareGrant;
+using routing::ShareKey;
+using routing::ShareLender;
+using routing::ShareSession;
+using routing::ShareWant;
+using test::MakeId;
+
+const ShareKey kKey{MakeId<core::PlanId>("plan"), MakeId<core::KindId>("kind")};
+
+core::InstanceId Entry(std::size_t index) {
+  return MakeId<core::InstanceId>("entry-" + std::to_string(index));
+}
+
+/** @brief Borrowers, a lender, and links that keep order but may be slow. */
+class Network {
+ public:
+  Network(std::size_t borrowers, std::uint64_t limit, core::TimePoint now)
+      : m_lender(kKey, now) {
+    for (std::size_t index = 0; index < borrowers; ++index) {
+      m_borrowers.emplace_back(ShareSession(1 + 1000 * index));
+    }
+    m_wants.resize(borrowers);
+    m_grants.resize(borrowers);
+    Send(m_lender.SetLimit(core::Slots(limit)));
+  }
+
+  ShareBorrower& Borrower(std::size_t index) { return m_borrowers[index]; }
+
+  void Tell(std::size_t index, core::TimePoint now) {
+    for (const ShareWant& want : m_borrowers[index].TakeNews(now)) {
+      m_wants[index].push_back(want);
+    }
+  }
+
+  void DeliverWant(std::size_t index, core::TimePoint now) {
+    if (!m_wants[index].empty()) {
+      const ShareWant want = m_wants[index].front();
+      m_wants[index].pop_front();
+      Send(m_lender.Take(Entry(index), want, now));
+    }
+  }
+
+  void DeliverGrant(std::size_t index) {
+    if (!m_grants[index].empty()) {
+      m_borrowers[index].Take(m_grants[index].front());
+      m_grants[index].pop_front();
+    }
+  }
+
+  void LoseGrant(std::size_t index) {
+    if (!m_grants[index].empty()) {
+      m_grants[index].pop_front();
+    }
+  }
+
+  void LoseWant(std::size_t index) {
+    if (!m_wants[index].empty()) {
+      m_wants[index].pop_front();
+    }
+  }
+
+  void DeliverAll(core::TimePoint now) {
+    for (int round = 0; round < 100; ++round) {
+      for (std::size_t index = 0; index < m_borrowers.size(); ++index) {
+        m_borrowers[index].TouchAll();
+        Tell(index, now);
+        while (!m_wants[index].empty()) {
+          DeliverWant(index, now);
+        }
+      }
+      for (std::size_t index = 0; index < m_borrowers.size(); ++index) {
+        while (!m_grants[index].empty()) {
+          DeliverGrant(index);
+        }
+      }
+    }
+  }
+
+  std::uint64_t InUse() const {
+    std::uint64_t in_use = 0;
+    for (const ShareBorrower& borrower : m_borrowers) {
+      in_use += borrower.InUse(kKey).Count();
+    }
+    return in_use;
+  }
+
+ private:
+  void Send(const std::vector<AddressedGrant>& grants) {
+    for (const AddressedGrant& grant : grants) {
+      for (std::size_t index = 0; index < m_borrowers.size(); ++index) {
+        if (Entry(index) == grant.borrower) {
+          m_grants[index].push_back(grant.grant);
+        }
+      }
+    }
+  }
+
+  ShareLender m_lender;
+  std::vector<ShareBorrower> m_borrowers;
+  std::vector<std::deque<ShareWant>> m_wants;
+  std::vector<std::deque<ShareGrant>> m_grants;
+};
+
+class ShareTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ShareTest);
+  CPPUNIT_TEST(LimitHoldsWhateverTheLinksDo);
+  CPPUNIT_TEST(AllSlotsComeIntoUse);
+  CPPUNIT_TEST(LateBorrowerGetsItsPart);
+  CPPUNIT_TEST(DeadBorrowersSlotsComeBack);
+  CPPUNIT_TEST(NewLenderWaitsForThoseInUse);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void LimitHoldsWhateverTheLinksDo() {
+    CPPUNIT_ASSERT(rc::check("slots in use never pass the limit", [this] {
+      const auto borrowers = *rc::gen::inRange<std::size_t>(1, 5);
+      const auto limit = *rc::gen::inRange<std::uint64_t>(1, 9);
+      Network network(borrowers, limit, m_clock.Now());
+      const int steps = *rc::gen::inRange(1, 60);
+      for (int step = 0; step < steps; ++step) {
+        const auto index = *rc::gen::inRange<std::size_t>(0, borrowers);
+        ShareBorrower& borrower = network.Borrower(index);
+        switch (*rc::gen::inRange(0, 9)) {
+          case 0:
+          case 1:
+            borrower.TryAcquire(kKey, m_clock.Now());
+            break;
+          case 2:
+            borrower.Release(kKey);
+            break;
+          case 3:
+            borrower.SetWaiting(kKey, *rc::gen::inRange<std::uint64_t>(0, 6));
+            break;
+          case 4:
+            m_clock.Advance(std::chrono::milliseconds(400));
+            borrower.TouchAll();
+            break;
+          case 5:
+            network.DeliverGrant(index);
+            break;
+          case 6:
+            network.LoseGrant(index);
+            break;
+          case 7:
+            network.LoseWant(index);
+            break;
+          default:
+            network.Tell(index, m_clock.Now());
+            network.DeliverWant(index, m_clock.Now());
+            break;
+        }
+        RC_ASSERT(network.InUse() <= limit);
+      }
+    }));
+  }
+
+  void AllSlotsComeIntoUse() {
+    CPPUNIT_ASSERT(rc::check("no slot is idle while requests wait", [this] {
+      const auto borrowers = *rc::gen::inRange<std::size_t>(1, 5);
+      const auto limit = *rc::gen::inRange<std::uint64_t>(1, 12);
+      Network network(borrowers, limit, m_clock.Now());
+      const auto busy = *rc::gen::inRange<std::size_t>(0, borrowers);
+      network.Borrower(busy).SetWaiting(kKey, limit);
+      network.DeliverAll(m_clock.Now());
+      while (network.Borrower(busy).TryAcquire(kKey, m_clock.Now())) {
+      }
+      RC_ASSERT(network.InUse() == limit);
+    }));
+  }
+
+  void LateBorrowerGetsItsPart() {
+    Network network(2, 8, m_clock.Now());
+    network.Borrower(0).SetWaiting(kKey, 100);
+    network.DeliverAll(m_clock.Now());
+    while (network.Borrower(0).TryAcquire(kKey, m_clock.Now())) {
+    }
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{8}, network.InUse());
+    network.Borrower(1).SetWaiting(kKey, 100);
+    for (int done = 0; done < 20; ++done) {
+      network.DeliverAll(m_clock.Now());
+      network.Borrower(0).Release(kKey);
+      network.Borrower(0).TryAcquire(kKey, m_clock.Now());
+      network.DeliverAll(m_clock.Now());
+      network.Borrower(1).TryAcquire(kKey, m_clock.Now());
+      CPPUNIT_ASSERT(network.InUse() <= 8);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{4},
+                         network.Borrower(1).InUse(kKey).Count());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{8}, network.InUse());
+  }
+
+  void DeadBorrowersSlotsComeBack() {
+    const std::vector<core::InstanceId> ranked =
+        membership::RankByRendezvous("plan/kind", {Entry(0), Entry(1)}, 2);
+    ShareBook book = MakeBook(ranked, 4);
+    book.Take(ranked[1],
+              {kKey, core::Slots(0), core::Slots(4), {}, ShareSession(7)},
+              m_clock.Now());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, book.TakeGrants().size());
+    CPPUNIT_ASSERT(!Acquire(book));
+    book.SetEntries({ranked[0]}, m_clock.Now());
+    m_clock.Advance(routing::kLenderHold - std::chrono::milliseconds(1));
+    CPPUNIT_ASSERT(!Acquire(book));
+    m_clock.Advance(std::chrono::milliseconds(1));
+    CPPUNIT_ASSERT(Acquire(book));
+  }
+
+  void NewLenderWaitsForThoseInUse() {
+    ShareBook book(Entry(0), ShareSession(1));
+    book.SetEntries({Entry(0)}, m_clock.Now());
+    book.SetLists(ListsOf(2), m_clock.Now());
+    CPPUNIT_ASSERT(!Acquire(book));
+    book.Take(Entry(1),
+              {kKey, core::Slots(2), core::Slots(2), {}, ShareSession(7)},
+              m_clock.Now());
+    m_clock.Advance(routing::kLenderHold);
+    CPPUNIT_ASSERT(!Acquire(book));
+  }
+
+ private:
+  static std::shared_ptr<const configuration::Lists> ListsOf(
+      std::uint64_t slots) {
+    return std::make_shared<const configuration::Lists>(
+        configuration::Lists::Create(
+            {test::MakePlan("plan"),
+             test::MakeAllowance("plan", "kind", "pool", slots)})
+            .value());
+  }
+
+  ShareBook MakeBook(const std::vector<core::InstanceId>& entries,
+                     std::uint64_t slots) {
+    ShareBook book(entries.front(), ShareSession(1));
+    book.SetEntries(entries, m_clock.Now());
+    book.SetLists(ListsOf(slots), m_clock.Now());
+    m_clock.Advance(routing::kLenderHold);
+    return book;
+  }
+
+  bool Acquire(ShareBook& book) {
+    book.Borrower().SetWaiting(kKey, 1);
+    book.Borrower().TouchAll();
+    book.Settle(m_clock.Now());
+    return book.Borrower().TryAcquire(kKey, m_clock.Now());
+  }
+
+  test::FakeClock m_clock;
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(ShareTest, "routing");
+
+}  // namespace
--- /dev/null
+++ b/test/routing/table_test.cc
@@ -0,0 +1,227 @@
+#include "crocusmast/routing/table.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <map>
+
+#include "test/support/fake_clock.h"
+#include "test/support/make.h"
+
+namespace {
+
+using namespace crocusmast;
+using request::Delivery;
+using routing::Choice;
+using routing::Circuit;
+using routing::CircuitState;
+using routing::Selection;
+using routing::SendReport;
+using routing::Table;
+using test::MakeId;
+using test::MakeTarget;
+
+const core::PoolId kPool = MakeId<core::PoolId>("pool");
+
+SendReport Answered() {
+  SendReport report;
+  report.delivery = Delivery::kAnswered;
+  return report;
+}
+
+SendReport Failed() {
+  SendReport report;
+  report.delivery = Delivery::kAnswered;
+  report.is_failure = true;
+  return report;
+}
+
+std::vector<fleet::InstanceRecord> MakeTargets(int count,
+                                               std::uint64_t slots = 8) {
+  std::vector<fleet::InstanceRecord> targets;
+  for (int index = 0; index < count; ++index) {
+    targets.push_back(
+        MakeTarget("t-" + std::to_string(index), "pool", "zone-1", slots));
+  }
+  return targets;
+}
+
+class TableTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(TableTest);
+  CPPUNIT_TEST(NewTargetIsHeldAtFirst);
+  CPPUNIT_TEST(FastFailureIsOutWithinTwentyRequests);
+  CPPUNIT_TEST(AllCircuitsOpenLeavesAFloor);
+  CPPUNIT_TEST(ThrottleIsNoFailure);
+  CPPUNIT_TEST(LongWorkKeepsASlotForUrgentWork);
+  CPPUNIT_TEST(LeavingTargetGetsNothing);
+  CPPUNIT_TEST(ReplacedTargetDoesNotInheritSlots);
+  CPPUNIT_TEST(PauseHoldsAllTargets);
+  CPPUNIT_TEST(ChoiceAgreesWithNaiveScan);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void NewTargetIsHeldAtFirst() {
+    Table table;
+    table.SetTargets(MakeTargets(1), m_clock.Now());
+    CPPUNIT_ASSERT(!Choose(table));
+    m_clock.Advance(routing::kTakeoverHold);
+    CPPUNIT_ASSERT(Choose(table));
+  }
+
+  void FastFailureIsOutWithinTwentyRequests() {
+    Table table = MakeTable(4);
+    int failures = 0;
+    for (int request = 0; request < 200; ++request) {
+      const Choice choice = *Choose(table);
+      const bool is_bad = choice.target.Text() == "t-0";
+      failures += is_bad ? 1 : 0;
+      table.Finish(choice, is_bad ? Failed() : Answered(), m_clock.Now());
+    }
+    CPPUNIT_ASSERT(failures <= 20);
+    m_clock.Advance(Circuit::kFirstPause);
+    bool is_probed = false;
+    for (int request = 0; request < 20; ++request) {
+      const Choice choice = *Choose(table);
+      is_probed = is_probed || choice.target.Text() == "t-0";
+      table.Finish(choice, Answered(), m_clock.Now());
+    }
+    CPPUNIT_ASSERT(is_probed);
+  }
+
+  void AllCircuitsOpenLeavesAFloor() {
+    Table table = MakeTable(3);
+    for (int request = 0; request < 15; ++request) {
+      if (const auto choice = Choose(table)) {
+        table.Finish(*choice, Failed(), m_clock.Now());
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, table.FreeSlots(kPool));
+    std::vector<Choice> probes;
+    while (const auto choice = Choose(table)) {
+      probes.push_back(*choice);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, probes.size());
+  }
+
+  void ThrottleIsNoFailure() {
+    Table table = MakeTable(1);
+    SendReport report = Failed();
+    report.is_failure = false;
+    report.is_throttle = true;
+    report.pause = std::chrono::seconds(1);
+    const Choice choice = *Choose(table);
+    CPPUNIT_ASSERT(!table.Finish(choice, report, m_clock.Now()));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, table.FreeSlots(kPool));
+    m_clock.Advance(std::chrono::seconds(1));
+    table.Advance(m_clock.Now());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{8}, table.FreeSlots(kPool));
+  }
+
+  void LongWorkKeepsASlotForUrgentWork() {
+    Table table = MakeTable(1);
+    SendReport slow = Answered();
+    slow.latency = std::chrono::seconds(60);
+    table.Finish(*Choose(table), slow, m_clock.Now());
+    int taken = 0;
+    while (Choose(table)) {
+      ++taken;
+    }
+    CPPUNIT_ASSERT_EQUAL(7, taken);
+    CPPUNIT_ASSERT(table.Choose({kPool, request::Urgency::kUrgent, {}, {}},
+                                m_clock.Now()));
+  }
+
+  void LeavingTargetGetsNothing() {
+    Table table = MakeTable(2);
+    const Choice choice = *Choose(table);
+    SendReport report = Answered();
+    report.is_leaving = true;
+    table.Finish(choice, report, m_clock.Now());
+    for (int request = 0; request < 8; ++request) {
+      CPPUNIT_ASSERT(Choose(table)->target != choice.target);
+    }
+    CPPUNIT_ASSERT(!Choose(table));
+  }
+
+  void ReplacedTargetDoesNotInheritSlots() {
+    Table table = MakeTable(1);
+    const Choice old = *Choose(table);
+    fleet::InstanceRecord next = MakeTarget("t-0", "pool");
+    next.incarnation = core::Incarnation(2);
+    table.SetTargets({next}, m_clock.Now());
+    m_clock.Advance(routing::kTakeoverHold);
+    table.Advance(m_clock.Now());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{8}, table.FreeSlots(kPool));
+    table.Finish(old, Answered(), m_clock.Now());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{8}, table.FreeSlots(kPool));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, table.InFlight(kPool));
+  }
+
+  void PauseHoldsAllTargets() {
+    Table table = MakeTable(2);
+    table.HoldAll(m_clock.Now() + routing::kTakeoverHold);
+    CPPUNIT_ASSERT(!Choose(table));
+    m_clock.Advance(routing::kTakeoverHold);
+    CPPUNIT_ASSERT(Choose(table));
+  }
+
+  void ChoiceAgreesWithNaiveScan() {
+    CPPUNIT_ASSERT(rc::check("least loaded target, within its slots", [this] {
+      const int count = *rc::gen::inRange(1, 6);
+      const auto slots = *rc::gen::inRange<std::uint64_t>(1, 5);
+      Table table = MakeTable(count, slots);
+      std::map<core::InstanceId, std::uint64_t> naive;
+      for (int index = 0; index < count; ++index) {
+        naive[MakeId<core::InstanceId>("t-" + std::to_string(index))] = 0;
+      }
+      std::vector<Choice> open;
+      const int steps = *rc::gen::inRange(1, 40);
+      for (int step = 0; step < steps; ++step) {
+        if (!open.empty() && *rc::gen::arbitrary<bool>()) {
+          const auto at = *rc::gen::inRange<std::size_t>(0, open.size());
+          table.Finish(open[at], Answered(), m_clock.Now());
+          --naive[open[at].target];
+          open.erase(open.begin() + static_cast<std::ptrdiff_t>(at));
+        } else {
+          std::uint64_t least = slots;
+          for (const auto& [target, in_flight] : naive) {
+            least = std::min(least, in_flight);
+          }
+          const auto choice = Choose(table);
+          RC_ASSERT(choice.has_value() == (least < slots));
+          if (choice) {
+            RC_ASSERT(naive[choice->target] == least);
+            ++naive[choice->target];
+            open.push_back(*choice);
+          }
+        }
+        std::uint64_t free = 0;
+        for (const auto& [target, in_flight] : naive) {
+          free += slots - in_flight;
+        }
+        RC_ASSERT(table.FreeSlots(kPool) == free);
+        RC_ASSERT(table.InFlight(kPool) == open.size());
+      }
+    }));
+  }
+
+ private:
+  std::optional<Choice> Choose(Table& table) {
+    return table.Choose({kPool, request::Urgency::kNormal, {}, {}},
+                        m_clock.Now());
+  }
+
+  Table MakeTable(int count, std::uint64_t slots = 8) {
+    Table table;
+    table.SetTargets(MakeTargets(count, slots), m_clock.Now());
+    m_clock.Advance(routing::kTakeoverHold);
+    table.Advance(m_clock.Now());
+    return table;
+  }
+
+  test::FakeClock m_clock;
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(TableTest, "routing");
+
+}  // namespace
--- /dev/null
+++ b/test/support/fake_clock.h
@@ -0,0 +1,30 @@
+#ifndef TEST_SUPPORT_FAKE_CLOCK_H_
+#define TEST_SUPPORT_FAKE_CLOCK_H_
+
+#include "crocusmast/core/clock.h"
+
+namespace test {
+
+/** @brief A clock that a test moves. */
+class FakeClock final : public crocusmast::core::Clock {
+ public:
+  crocusmast::core::TimePoint Now() const override { return m_now; }
+  crocusmast::core::WallTime WallNow() const override {
+    return crocusmast::core::WallTime(
+        std::chrono::duration_cast<crocusmast::core::WallTime::duration>(
+            m_now.time_since_epoch()));
+  }
+
+  /**
+   * @brief Moves the clock on.
+   * @param step How far.
+   */
+  void Advance(crocusmast::core::Duration step) { m_now += step; }
+
+ private:
+  crocusmast::core::TimePoint m_now{std::chrono::hours(1)};
+};
+
+}  // namespace test
+
+#endif  // TEST_SUPPORT_FAKE_CLOCK_H_
--- /dev/null
+++ b/test/support/make.h
@@ -0,0 +1,98 @@
+#ifndef TEST_SUPPORT_MAKE_H_
+#define TEST_SUPPORT_MAKE_H_
+
+#include <string>
+#include <vector>
+
+#include "crocusmast/configuration/change.h"
+#include "crocusmast/core/ids.h"
+#include "crocusmast/fleet/instance_record.h"
+#include "crocusmast/request/request_spec.h"
+
+namespace test {
+
+/**
+ * @brief Makes an id of any kind.
+ * @tparam Id The kind.
+ * @param text A valid text.
+ */
+template <typename Id>
+Id MakeId(const std::string& text) {
+  return Id::Create(text).value();
+}
+
+inline crocusmast::configuration::Plan MakePlan(const std::string& id,
+                                                std::uint64_t headroom = 20) {
+  using namespace crocusmast;
+  return {MakeId<core::PlanId>(id), "Customer", core::Percent(90),
+          core::Percent(headroom)};
+}
+
+inline crocusmast::configuration::Allowance MakeAllowance(
+    const std::string& plan,
+    const std::string& kind,
+    const std::string& pool,
+    std::uint64_t slots,
+    std::uint64_t instances = 100) {
+  using namespace crocusmast;
+  return {MakeId<core::PlanId>(plan), MakeId<core::KindId>(kind),
+          MakeId<core::PoolId>(pool), core::InstanceCount(instances),
+          core::Slots(slots),         core::Connections(slots)};
+}
+
+inline crocusmast::fleet::InstanceRecord MakeTarget(
+    const std::string& id,
+    const std::string& pool,
+    const std::string& zone = "zone-1",
+    std::uint64_t slots = 8) {
+  using namespace crocusmast;
+  fleet::InstanceRecord record;
+  record.id = MakeId<core::InstanceId>(id);
+  record.incarnation = core::Incarnation(1);
+  record.region = MakeId<core::RegionId>("region-1");
+  record.zone = MakeId<core::ZoneId>(zone);
+  record.rack = MakeId<core::RackId>("rack-1");
+  record.pool = MakeId<core::PoolId>(pool);
+  record.address = {"127.0.0.1", 1};
+  record.slots = core::Slots(slots);
+  record.connections = core::Connections(64);
+  return record;
+}
+
+inline crocusmast::fleet::InstanceRecord MakeEntry(
+    const std::string& id,
+    const std::string& zone = "zone-1") {
+  crocusmast::fleet::InstanceRecord record = MakeTarget(id, "none", zone, 0);
+  record.role = crocusmast::fleet::Role::kEntry;
+  record.pool = {};
+  return record;
+}
+
+inline crocusmast::request::RequestSpec MakeSpec(
+    const std::string& id,
+    crocusmast::core::TimePoint deadline,
+    crocusmast::request::Repeat repeat =
+        crocusmast::request::Repeat::kRepeatable) {
+  using namespace crocusmast;
+  return {MakeId<core::RequestId>(id),
+          MakeId<core::PlanId>("plan"),
+          MakeId<core::KindId>("kind"),
+          request::Urgency::kNormal,
+          repeat,
+          deadline};
+}
+
+inline crocusmast::configuration::Edit MakeEdit(
+    const std::string& change,
+    std::uint64_t base,
+    const crocusmast::configuration::Lists& lists,
+    const std::string& author = "ann") {
+  using namespace crocusmast;
+  return {{MakeId<core::ChangeId>(change), author, "because", {}},
+          core::Revision(base),
+          lists};
+}
+
+}  // namespace test
+
+#endif  // TEST_SUPPORT_MAKE_H_
--- /dev/null
+++ b/test/support/mocks.h
@@ -0,0 +1,141 @@
+#ifndef TEST_SUPPORT_MOCKS_H_
+#define TEST_SUPPORT_MOCKS_H_
+
+#include <trompeloeil.hpp>
+
+#include "crocusmast/configuration/change_store.h"
+#include "crocusmast/configuration/peer_port.h"
+#include "crocusmast/configuration/publisher.h"
+#include "crocusmast/core/logger.h"
+#include "crocusmast/core/meter.h"
+#include "crocusmast/membership/listener.h"
+#include "crocusmast/routing/leaving_listener.h"
+#include "crocusmast/routing/peer_port.h"
+#include "crocusmast/routing/target_port.h"
+
+namespace test {
+
+namespace core = crocusmast::core;
+namespace configuration = crocusmast::configuration;
+namespace membership = crocusmast::membership;
+namespace request = crocusmast::request;
+namespace routing = crocusmast::routing;
+namespace fleet = crocusmast::fleet;
+
+/** @brief Drops all log records. */
+class SilentLogger final : public core::Logger {
+ public:
+  bool IsEnabled(core::Severity severity) const override { return false; }
+  void Write(const core::LogRecord& record) override {}
+};
+
+/** @brief Keeps counts for a test to read. */
+class CountingMeter final : public core::Meter {
+ public:
+  void Add(core::Counter counter, std::uint64_t amount) override {
+    m_counts[static_cast<std::size_t>(counter)] += amount;
+  }
+  void Observe(core::Timing timing, core::Duration value) override {}
+  std::uint64_t Count(core::Counter counter) const {
+    return m_counts[static_cast<std::size_t>(counter)];
+  }
+
+ private:
+  std::uint64_t m_counts[static_cast<std::size_t>(core::Counter::kCount)] = {};
+};
+
+class MockChangeStore : public configuration::ChangeStore {
+ public:
+  MAKE_MOCK1(
+      Append,
+      core::Result<configuration::AppendOutcome>(const configuration::Change&),
+      override);
+  MAKE_MOCK2(ReadAfter,
+             core::Result<std::vector<configuration::Change>>(core::Revision,
+                                                              core::Duration),
+             override);
+  MAKE_MOCK0(ReadSnapshot,
+             core::Result<std::optional<configuration::Snapshot>>(),
+             override);
+  MAKE_MOCK1(WriteSnapshot,
+             core::Result<void>(const configuration::Snapshot&),
+             override);
+};
+
+class MockConfigurationPeers : public configuration::PeerPort {
+ public:
+  MAKE_MOCK1(Announce, void(const configuration::Change&), override);
+  MAKE_MOCK2(Pull, void(const core::InstanceId&, core::Revision), override);
+  MAKE_MOCK2(SendChanges,
+             void(const core::InstanceId&,
+                  const std::vector<configuration::Change>&),
+             override);
+  MAKE_MOCK2(SendSnapshot,
+             void(const core::InstanceId&, const configuration::Snapshot&),
+             override);
+};
+
+class MockPublisher : public configuration::Publisher {
+ public:
+  MAKE_MOCK2(InForce,
+             void(core::Revision, std::shared_ptr<const configuration::Lists>),
+             override);
+};
+
+class MockPeerNews : public routing::PeerNews {
+ public:
+  MAKE_MOCK2(SendLoads,
+             void(const std::vector<core::InstanceId>&,
+                  const std::vector<routing::PoolLoad>&),
+             override);
+  MAKE_MOCK2(SendWant,
+             void(const core::InstanceId&, const routing::ShareWant&),
+             override);
+  MAKE_MOCK1(SendGrant, void(const routing::AddressedGrant&), override);
+  MAKE_MOCK3(SendClaimReply,
+             void(const core::InstanceId&,
+                  routing::CallNumber,
+                  request::ClaimOutcome),
+             override);
+  MAKE_MOCK3(SendRelease,
+             void(const core::InstanceId&,
+                  const core::RequestId&,
+                  const request::ClaimToken&),
+             override);
+};
+
+class MockPeerCalls : public routing::PeerCalls {
+ public:
+  MAKE_MOCK4(Forward,
+             routing::SendResult(const core::InstanceId&,
+                                 const request::RequestSpec&,
+                                 const std::string&,
+                                 core::Duration),
+             override);
+  MAKE_MOCK4(Claim,
+             std::optional<request::ClaimOutcome>(const core::InstanceId&,
+                                                  const core::RequestId&,
+                                                  const request::ClaimToken&,
+                                                  core::Duration),
+             override);
+};
+
+class MockTargets : public routing::TargetPort {
+ public:
+  MAKE_MOCK5(Send,
+             routing::SendResult(const core::InstanceId&,
+                                 const fleet::Endpoint&,
+                                 const request::RequestSpec&,
+                                 const std::string&,
+                                 core::Duration),
+             override);
+};
+
+class MockLeaving : public routing::LeavingListener {
+ public:
+  MAKE_MOCK1(TargetLeaves, void(const core::InstanceId&), override);
+};
+
+}  // namespace test
+
+#endif  // TEST_SUPPORT_MOCKS_H_
--- /dev/null
+++ b/test/support/raw_server.h
@@ -0,0 +1,94 @@
+#ifndef TEST_SUPPORT_RAW_SERVER_H_
+#define TEST_SUPPORT_RAW_SERVER_H_
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <thread>
+
+namespace test {
+
+/** @brief A TCP server whose behaviour a test scripts, byte by byte. */
+class RawServer {
+ public:
+  /** @brief Serves one accepted connection; closes it on return. */
+  using Serve = std::function<void(int socket)>;
+
+  explicit RawServer(Serve serve) : m_serve(std::move(serve)) {
+    m_socket = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof address;
+    bind(m_socket, reinterpret_cast<sockaddr*>(&address), size);
+    getsockname(m_socket, reinterpret_cast<sockaddr*>(&address), &size);
+    m_port = ntohs(address.sin_port);
+    listen(m_socket, 16);
+    m_thread = std::thread([this] { Run(); });
+  }
+
+  ~RawServer() {
+    shutdown(m_socket, SHUT_RDWR);
+    close(m_socket);
+    m_thread.join();
+  }
+
+  RawServer(const RawServer&) = delete;
+  RawServer& operator=(const RawServer&) = delete;
+
+  std::uint16_t Port() const { return m_port; }
+  int Accepted() const { return m_accepted; }
+
+  /** @brief Reads until a request's headers and body have come. */
+  static std::string ReadRequest(int socket) {
+    std::string bytes;
+    char buffer[4096];
+    while (bytes.find("\r\n\r\n") == std::string::npos) {
+      const ssize_t count = recv(socket, buffer, sizeof buffer, 0);
+      if (count <= 0) {
+        return bytes;
+      }
+      bytes.append(buffer, static_cast<std::size_t>(count));
+    }
+    return bytes;
+  }
+
+  static void Write(int socket, const std::string& bytes) {
+    send(socket, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+  }
+
+ private:
+  void Run() {
+    while (true) {
+      const int accepted = accept(m_socket, nullptr, nullptr);
+      if (accepted < 0) {
+        return;
+      }
+      ++m_accepted;
+      m_serve(accepted);
+      close(accepted);
+    }
+  }
+
+  Serve m_serve;
+  int m_socket = -1;
+  std::uint16_t m_port = 0;
+  std::atomic<int> m_accepted{0};
+  std::thread m_thread;
+};
+
+/** @brief Finds a port that nothing listens on. */
+inline std::uint16_t FreePort() {
+  RawServer server([](int) {});
+  return server.Port();
+}
+
+}  // namespace test
+
+#endif  // TEST_SUPPORT_RAW_SERVER_H_
--- a/tools/cluster.py
+++ b/tools/cluster.py
@@ -41,7 +41,7 @@
     """Processes of one deployment."""
 
     def __init__(self, deployment, build, folder, lag_ms=1000, log_level="info",
-                 caller_threads=64, forward_threads=64, target_threads=40):
+                 caller_threads=256, forward_threads=64, target_threads=40):
         self.deployment = deployment
         self.build = pathlib.Path(build)
         self.folder = pathlib.Path(folder)
