--- a/bench/forwarder_main.cc
+++ b/bench/forwarder_main.cc
@@ -15,7 +15,7 @@
 using crocusmast::fleet::Endpoint;
 
 constexpr std::size_t kThreads = 128;
-constexpr std::size_t kBodyBytes = 1024 * 1024;
+constexpr std::size_t kBodyBytes = std::size_t{1024} * 1024;
 constexpr std::chrono::seconds kWait{10};
 constexpr int kUnavailable = 503;
 
--- a/bench/runner.cc
+++ b/bench/runner.cc
@@ -36,6 +36,7 @@
   Schedule(const RunSettings& settings, const std::vector<MixEntry>& mix)
       : m_settings(settings), m_mix(mix), m_random(settings.seed) {
     std::vector<double> weights;
+    weights.reserve(mix.size());
     for (const MixEntry& entry : mix) {
       weights.push_back(entry.weight);
     }
--- a/src/crocusmast/adapters/admin_server.cc
+++ b/src/crocusmast/adapters/admin_server.cc
@@ -38,8 +38,8 @@
   response.set_content(FormatError(error), "application/json");
 }
 
-void WriteJson(std::string json, httplib::Response& response) {
-  response.set_content(std::move(json), "application/json");
+void WriteJson(const std::string& json, httplib::Response& response) {
+  response.set_content(json, "application/json");
 }
 
 core::Error Overloaded() {
--- a/src/crocusmast/adapters/caller_server.h
+++ b/src/crocusmast/adapters/caller_server.h
@@ -13,7 +13,7 @@
 namespace crocusmast::adapters {
 
 /** @brief The longest body of a caller's request, in bytes. */
-inline constexpr std::size_t kMaxCallerBodyBytes = 1024 * 1024;
+inline constexpr std::size_t kMaxCallerBodyBytes = std::size_t{1024} * 1024;
 
 /** @brief What a caller server works with; all outlive it. */
 struct CallerServerPorts {
--- a/src/crocusmast/adapters/http_server.cc
+++ b/src/crocusmast/adapters/http_server.cc
@@ -49,7 +49,9 @@
   }
 
   void enqueue(Job job) override {
-    if (m_busy.fetch_add(1) < m_limit && m_jobs.TryPush(std::move(job))) {
+    // There are as many places as threads, so one that is free takes the job.
+    if (m_busy.fetch_add(1) < m_limit) {
+      m_jobs.PushFor(std::move(job), kSlowClient);
       return;
     }
     m_busy.fetch_sub(1);
--- a/src/crocusmast/adapters/lists_codec.h
+++ b/src/crocusmast/adapters/lists_codec.h
@@ -10,7 +10,7 @@
 namespace crocusmast::adapters {
 
 /** @brief The longest text of lists that is read. */
-inline constexpr std::size_t kMaxListsBytes = 8 * 1024 * 1024;
+inline constexpr std::size_t kMaxListsBytes = std::size_t{8} * 1024 * 1024;
 
 /** @brief The text of both lists as files. */
 struct ListFiles {
--- a/src/crocusmast/adapters/peer_codec.cc
+++ b/src/crocusmast/adapters/peer_codec.cc
@@ -285,7 +285,7 @@
 }
 
 Result<ForwardMessage> ReadForward(FieldReader& in) {
-  constexpr std::uint64_t kMaxRemainingMs = 3600 * 1000;
+  constexpr std::uint64_t kMaxRemainingMs = std::uint64_t{3600} * 1000;
   ForwardMessage message;
   BOOST_LEAF_ASSIGN(message.call, in.ReadCount<routing::CallNumber>());
   BOOST_LEAF_ASSIGN(message.spec.id, in.ReadId<core::RequestId>());
--- a/src/crocusmast/adapters/peer_codec.h
+++ b/src/crocusmast/adapters/peer_codec.h
@@ -9,7 +9,8 @@
 namespace crocusmast::adapters {
 
 /** @brief The longest message on a peer link, in bytes. */
-inline constexpr std::size_t kMaxPeerMessageBytes = 4 * 1024 * 1024;
+inline constexpr std::size_t kMaxPeerMessageBytes =
+    std::size_t{4} * 1024 * 1024;
 
 /**
  * @brief Encodes a message as CBOR: an array of the type's number and fields.
--- a/src/crocusmast/adapters/peer_transport.cc
+++ b/src/crocusmast/adapters/peer_transport.cc
@@ -25,7 +25,7 @@
 
 constexpr std::chrono::milliseconds kSilenceLimit{2500};
 constexpr std::chrono::milliseconds kRedialPause{500};
-constexpr std::size_t kMaxBufferedBytes = 8 * 1024 * 1024;
+constexpr std::size_t kMaxBufferedBytes = std::size_t{8} * 1024 * 1024;
 constexpr long kHandshakeWaitMs = 1000;
 
 /** @brief One websocket, opened by either side. */
@@ -84,7 +84,7 @@
   endpoint.set_max_message_size(kMaxPeerMessageBytes);
   endpoint.set_open_handshake_timeout(internal::kHandshakeWaitMs);
   endpoint.set_close_handshake_timeout(internal::kHandshakeWaitMs);
-  endpoint.set_open_handler([this, is_dialed, &endpoint](Handle handle) {
+  endpoint.set_open_handler([this, is_dialed, &endpoint](const Handle& handle) {
     websocketpp::lib::error_code ignored;
     const auto connection = endpoint.get_con_from_hdl(handle, ignored);
     boost::system::error_code unset;
@@ -92,10 +92,11 @@
         boost::asio::ip::tcp::no_delay(true), unset);
     Opened(handle, is_dialed);
   });
-  endpoint.set_close_handler([this](Handle handle) { Closed(handle); });
-  endpoint.set_message_handler([this](Handle handle, Message message) {
-    Received(handle, message->get_payload());
-  });
+  endpoint.set_close_handler([this](const Handle& handle) { Closed(handle); });
+  endpoint.set_message_handler(
+      [this](const Handle& handle, const Message& message) {
+        Received(handle, message->get_payload());
+      });
 }
 
 core::Result<void> PeerTransport::State::Listen() {
@@ -103,7 +104,7 @@
   SetHandlers(client, true);
   server.set_reuse_addr(true);
   server.set_validate_handler(
-      [this](Handle handle) { return IsAuthorized(handle); });
+      [this](const Handle& handle) { return IsAuthorized(handle); });
   websocketpp::lib::error_code failed;
   server.listen(settings.listen.host, std::to_string(settings.listen.port),
                 failed);
--- a/src/crocusmast/daemon/daemon.cc
+++ b/src/crocusmast/daemon/daemon.cc
@@ -60,7 +60,7 @@
   core::Result<void> Start();
   core::Result<void> StartServers();
   void StartDuties();
-  void ServeForwarded(adapters::ForwardedWork work);
+  void ServeForwarded(const adapters::ForwardedWork& work);
   void AddGauges();
   template <typename Message>
   void AddRingGauges(const std::string& duty, core::BoundedRing<Message>& ring);
@@ -162,10 +162,9 @@
   outgoing_duty.Start(peers, clock);
   poll_duty.Start(poller, clock);
   watch_duty.Start(watcher, clock);
-  forward_workers.Start(settings.forward_threads,
-                        [this](adapters::ForwardedWork&& work) {
-                          ServeForwarded(std::move(work));
-                        });
+  forward_workers.Start(
+      settings.forward_threads,
+      [this](adapters::ForwardedWork&& work) { ServeForwarded(work); });
 }
 
 core::Result<void> Daemon::Parts::StartServers() {
@@ -205,7 +204,7 @@
                     [this] { return wiring.WatchesStore() ? 1.0 : 0.0; });
 }
 
-void Daemon::Parts::ServeForwarded(adapters::ForwardedWork work) {
+void Daemon::Parts::ServeForwarded(const adapters::ForwardedWork& work) {
   routing::Reply reply = driver.Run(work.request.spec, work.request.body, true);
   adapters::ForwardReplyMessage message;
   message.call = work.request.call;
--- a/standin/store.cc
+++ b/standin/store.cc
@@ -20,7 +20,7 @@
 constexpr int kTooLarge = 413;
 constexpr int kUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
-constexpr std::size_t kMaxValueBytes = 1024 * 1024;
+constexpr std::size_t kMaxValueBytes = std::size_t{1024} * 1024;
 
 /** @brief A value with its version and its lease. */
 struct Entry {
--- /dev/null
+++ b/tools/demo.py
@@ -0,0 +1,178 @@
+"""Runs one deployment with faults and says which promises held."""
+
+import json
+import shutil
+import signal
+import sys
+import tempfile
+import threading
+import time
+
+import fleet
+import promises as checks
+from cluster import ROOT, PLATFORM_PORT, Cluster, http
+
+LOAD_SECONDS = 24
+LOAD_RATE = 250
+NEW_WORK_LIMIT = 3.0  # seconds after which a leaving target gets nothing new
+IN_FORCE_LIMIT = 3.0  # seconds until a change is in force everywhere
+
+
+class RevisionWatch:
+    """Notes each instance's revision and whether one ever falls."""
+
+    def __init__(self, cluster):
+        self.cluster = cluster
+        self.seen = {}
+        self.falls = 0
+        self.is_running = True
+        self.thread = threading.Thread(target=self.run, daemon=True)
+        self.thread.start()
+
+    def run(self):
+        while self.is_running:
+            for index, revision in self.cluster.revisions().items():
+                if revision < 0:
+                    continue
+                self.falls += revision < self.seen.get(index, 0)
+                self.seen[index] = revision
+            time.sleep(0.1)
+
+    def stop(self):
+        self.is_running = False
+        self.thread.join()
+
+
+def say(text):
+    print(f"[{time.strftime('%H:%M:%S')}] {text}", flush=True)
+
+
+def apply_first(cluster):
+    lists = cluster.write_lists(cluster.folder / "lists")
+    code, output = cluster.apply(lists, "--base", 0, "--reason", "first lists")
+    if code != 0:
+        raise RuntimeError(output)
+    cluster.wait_ready()
+
+
+def change_list(cluster):
+    """Changes a row; returns the time until it is in force everywhere."""
+    cluster.tool("show", "--directory", cluster.folder / "lists")
+    path = cluster.folder / "lists" / "allowances.json"
+    lists = json.loads(path.read_text())
+    lists["allowances"][0]["slots"] += 2
+    path.write_text(json.dumps(lists))
+    started = time.time()
+    code, output = cluster.apply(cluster.folder / "lists",
+                                 "--reason", "two more slots")
+    if code != 0:
+        raise RuntimeError(output)
+    cluster.wait_for("the change is in force everywhere",
+                     lambda: set(cluster.revisions().values()) == {2})
+    return time.time() - started
+
+
+def drain_target(cluster):
+    """Drains the first target through the platform; returns its number."""
+    number = 0
+    target = cluster.targets[number]["id"]
+    http("PUT", f"http://127.0.0.1:{PLATFORM_PORT}/drain/{target}", "")
+    return number
+
+
+def reboot_when_idle(cluster, number):
+    """Reboots a drained target once nothing is in flight there."""
+    cluster.wait_for("the drained target is idle", lambda:
+                     cluster.target_record(number)["in_flight"] == 0)
+    target = cluster.targets[number]["id"]
+    http("PUT", f"http://127.0.0.1:{PLATFORM_PORT}/reboot/{target}", "")
+
+
+def run(cluster):
+    """Runs the demonstration; returns whether every promise held."""
+    say(f"starting 3 availability zones, {cluster.deployment.entries} entry "
+        f"instances, {len(cluster.targets)} targets")
+    cluster.start()
+    cluster.wait_up()
+    say("applying the lists")
+    apply_first(cluster)
+    watch = RevisionWatch(cluster)
+    say(f"sending {LOAD_RATE} requests a second for {LOAD_SECONDS} s")
+    load = cluster.start_load("demo", LOAD_RATE, LOAD_SECONDS)
+    time.sleep(3)
+    in_force = change_list(cluster)
+    say(f"changed a list; in force everywhere after {in_force:.2f} s")
+    drained = drain_target(cluster)
+    say(f"draining {cluster.targets[drained]['id']}")
+    time.sleep(5)
+    record = cluster.target_record(drained)
+    last_new = max(0.0, record["last_new_at"] - record["leaving_at"])
+    say(f"its last new request came {last_new:.2f} s after it began to leave")
+    reboot_when_idle(cluster, drained)
+    time.sleep(2)
+    say("stopping entry-2 with SIGTERM")
+    cluster.kill("entry-2", signal.SIGTERM)
+    time.sleep(5)
+    say("killing entry-3 with SIGKILL")
+    killed_at = time.time()
+    cluster.kill("entry-3")
+    load.wait(timeout=120)
+    stop_code = cluster.processes["entry-2"].wait(timeout=40)
+    watch.stop()
+    records = checks.read_records(cluster)
+    codes = cluster.stop()
+    codes.pop("entry-3")
+    say("stopped everything")
+    return judge(cluster, records, killed_at, in_force, last_new, watch.falls,
+                 set(codes.values()) | {stop_code})
+
+
+def judge(cluster, records, killed_at, in_force, last_new, falls, codes):
+    """Prints the table; returns whether every promise held."""
+    outcomes = checks.read_outcomes(cluster.folder / "demo.outcomes")
+    report = checks.read_report(cluster.folder / "demo.json")
+    result = checks.Promises()
+    checks.check_requests(result, cluster, outcomes, records, killed_at)
+    rebooted = sum(record["cut"] for record in records.values())
+    result.add("a reboot cuts no request", rebooted == 0, f"{rebooted} cut")
+    result.add("a leaving target gets no new work", last_new <= NEW_WORK_LIMIT,
+               f"the last came after {last_new:.2f} s; allowed are "
+               f"{NEW_WORK_LIMIT:.0f} s")
+    result.add("a change is in force everywhere", in_force <= IN_FORCE_LIMIT,
+               f"after {in_force:.2f} s; allowed are {IN_FORCE_LIMIT:.0f} s")
+    result.add("no revision reverts", falls == 0, f"{falls} falls seen")
+    out = 1 / cluster.deployment.pools[cluster.targets[0]["pool"]]
+    least = max(row["availability"] for row in cluster.deployment.plans) / 100
+    result.add("availability budgets hold", 1 - out >= least - 1e-9,
+               f"{100 * (1 - out):.0f}% of the pool stayed; promised {100 * least:.0f}%")
+    result.add("daemons end cleanly on SIGTERM", codes == {0}, f"exit codes {codes}")
+    print("\nRequests by plan")
+    checks.print_plans(report)
+    print("\nPromises")
+    result.print()
+    return result.all_held()
+
+
+def main():
+    name = sys.argv[1] if len(sys.argv) > 1 else "tala"
+    if name not in fleet.DEPLOYMENTS:
+        sys.exit(f"no deployment '{name}'; there are {', '.join(fleet.DEPLOYMENTS)}")
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(130))
+    folder = tempfile.mkdtemp(prefix="crocusmast-demo-")
+    cluster = Cluster(fleet.DEPLOYMENTS[name], ROOT / "build", folder)
+    is_held = False
+    try:
+        is_held = run(cluster)
+    except KeyboardInterrupt:
+        sys.exit("interrupted; everything that was started has been ended")
+    finally:
+        cluster.stop()
+        if is_held:
+            shutil.rmtree(folder)
+        else:
+            print(f"logs are in {folder}")
+    sys.exit(0 if is_held else 1)
+
+
+if __name__ == "__main__":
+    main()
