Run waves of maintenance on the instance that holds a lease

Change: the wave aggregate, the drain budget, the holder's lease, the maintenance duty with its ports to store, platform and peers, the tool's maintenance command, a wave in the demonstration. Each step is written to the store before the act; acts name the incarnation; a reboot needs every entry instance that is up to say that it has nothing in flight on the target. Left: moves between pools, the planner, an instance that stays out blocks the wave until it is replaced (by the budget; the status says so).

--- a/src/crocusmast/adapters/admin_server.cc
+++ b/src/crocusmast/adapters/admin_server.cc
@@ -1,12 +1,14 @@
 #include "crocusmast/adapters/admin_server.h"
 
 #include <optional>
+#include <sstream>
 #include <utility>
 #include <vector>
 
 #include "crocusmast/adapters/admin_codec.h"
 #include "crocusmast/adapters/http_server.h"
 #include "crocusmast/adapters/lists_codec.h"
+#include "crocusmast/adapters/wave_codec.h"
 
 namespace crocusmast::adapters {
 namespace internal {
@@ -60,6 +62,38 @@
   return reply->PopFor(wait);
 }
 
+core::Result<std::vector<core::PoolId>> ReadPools(const std::string& text) {
+  std::vector<core::PoolId> pools;
+  std::istringstream stream(text);
+  std::string name;
+  while (std::getline(stream, name, ',')) {
+    BOOST_LEAF_AUTO(pool, core::PoolId::Create(name));
+    pools.push_back(std::move(pool));
+  }
+  if (pools.empty()) {
+    return core::Fail(core::Step::kAdministration, "pools",
+                      "name at least one pool");
+  }
+  return pools;
+}
+
+core::Result<maintenance::CommandGiven> ReadCommand(
+    const httplib::Request& request) {
+  using maintenance::Command;
+  maintenance::CommandGiven given;
+  const std::string name =
+      request.matches.size() > 1 ? request.matches[1].str() : "status";
+  if (name == "start") {
+    given.command = Command::kStart;
+    BOOST_LEAF_ASSIGN(given.pools, ReadPools(request.get_param_value("pools")));
+  } else if (name == "pause") {
+    given.command = Command::kPause;
+  } else if (name == "resume") {
+    given.command = Command::kResume;
+  }
+  return given;
+}
+
 }  // namespace internal
 
 /** @brief The server and its ports. */
@@ -76,6 +110,7 @@
   void History(httplib::Response& response);
   void Explain(const httplib::Request& request, httplib::Response& response);
   void Status(httplib::Response& response);
+  void Maintain(const httplib::Request& request, httplib::Response& response);
 
   AdminServerPorts ports;
   internal::HttpServer server;
@@ -190,6 +225,27 @@
       FormatStatus(InstanceStatus{ports.self, ports.zone, *status}), response);
 }
 
+void AdminServer::State::Maintain(const httplib::Request& request,
+                                  httplib::Response& response) {
+  core::Handle(
+      [&]() -> core::Result<void> {
+        BOOST_LEAF_AUTO(given, internal::ReadCommand(request));
+        const auto reply = internal::Ask<maintenance::CommandReply>(
+            ports.maintenance, std::move(given), internal::kApplyWait);
+        if (!reply) {
+          internal::WriteError(internal::Overloaded(), response);
+        } else if (const auto* error = std::get_if<core::Error>(&*reply)) {
+          internal::WriteError(*error, response);
+        } else {
+          const auto& wave = std::get<maintenance::StoredWave>(*reply).wave;
+          response.status = wave ? response.status : internal::kNotFound;
+          internal::WriteJson(wave ? FormatWave(*wave) : "{}", response);
+        }
+        return {};
+      },
+      [&](const core::Error& error) { internal::WriteError(error, response); });
+}
+
 void AdminServer::State::AddRoutes() {
   using httplib::Request;
   using httplib::Response;
@@ -217,6 +273,11 @@
   routes.Get("/explain", [this](const Request& request, Response& response) {
     Explain(request, response);
   });
+  const auto maintain = [this](const Request& request, Response& response) {
+    Maintain(request, response);
+  };
+  routes.Get("/maintenance", maintain);
+  routes.Put("/maintenance/(start|pause|resume)", maintain);
   routes.Get("/status",
              [this](const Request&, Response& response) { Status(response); });
 }
--- a/src/crocusmast/adapters/admin_server.h
+++ b/src/crocusmast/adapters/admin_server.h
@@ -9,6 +9,7 @@
 #include "crocusmast/core/error.h"
 #include "crocusmast/core/logger.h"
 #include "crocusmast/fleet/instance_record.h"
+#include "crocusmast/maintenance/messages.h"
 #include "crocusmast/routing/messages.h"
 
 namespace crocusmast::adapters {
@@ -25,6 +26,8 @@
   core::BoundedRing<configuration::Message>& configuration;
   /** @brief Feeds the routing duty. */
   core::BoundedRing<routing::Message>& router;
+  /** @brief Feeds the maintenance duty. */
+  core::BoundedRing<maintenance::Message>& maintenance;
   /** @brief Writes the metrics. */
   std::function<std::string()> format_metrics;
   /** @brief The log. */
--- a/src/crocusmast/adapters/http_client.cc
+++ b/src/crocusmast/adapters/http_client.cc
@@ -29,7 +29,8 @@
       return core::Fail(core::Step::kConnect, name,
                         path + ": " + httplib::to_string(result.error()));
     }
-    return HttpAnswer{result->status, result->body};
+    return HttpAnswer{result->status, result->body,
+                      result->get_header_value<std::uint64_t>("Version")};
   }
 
   httplib::Client client;
--- a/src/crocusmast/adapters/http_client.h
+++ b/src/crocusmast/adapters/http_client.h
@@ -1,6 +1,7 @@
 #ifndef CROCUSMAST_ADAPTERS_HTTP_CLIENT_H_
 #define CROCUSMAST_ADAPTERS_HTTP_CLIENT_H_
 
+#include <cstdint>
 #include <memory>
 #include <string>
 
@@ -16,6 +17,8 @@
   int status = 0;
   /** @brief The body. */
   std::string body;
+  /** @brief The Version header; zero if there is none. */
+  std::uint64_t version = 0;
 };
 
 /** @brief Calls one HTTP service of the platform, one call at a time. */
--- a/src/crocusmast/adapters/peer_codec.cc
+++ b/src/crocusmast/adapters/peer_codec.cc
@@ -215,6 +215,15 @@
   out.Add(message.target);
 }
 
+void Write(FieldWriter& out, const IdleAskMessage& message) {
+  out.Add(message.target);
+}
+
+void Write(FieldWriter& out, const IdleMessage& message) {
+  out.Add(message.target);
+  out.Add(std::uint64_t{message.is_idle ? 1U : 0U});
+}
+
 Result<HelloMessage> ReadHello(FieldReader& in) {
   BOOST_LEAF_AUTO(instance, in.ReadId<core::InstanceId>());
   BOOST_LEAF_AUTO(revision, in.ReadCount<core::Revision>());
@@ -341,6 +350,17 @@
   return LeavingMessage{std::move(target)};
 }
 
+Result<IdleAskMessage> ReadIdleAsk(FieldReader& in) {
+  BOOST_LEAF_AUTO(target, in.ReadId<core::InstanceId>());
+  return IdleAskMessage{std::move(target)};
+}
+
+Result<IdleMessage> ReadIdle(FieldReader& in) {
+  BOOST_LEAF_AUTO(target, in.ReadId<core::InstanceId>());
+  BOOST_LEAF_AUTO(is_idle, in.Number());
+  return IdleMessage{std::move(target), is_idle == 1};
+}
+
 template <typename Message>
 Result<PeerMessage> ReadAll(FieldReader& in,
                             Result<Message> (*read)(FieldReader&)) {
@@ -382,6 +402,10 @@
       return ReadAll(in, ReadSnapshot);
     case 14:
       return ReadAll(in, ReadLeaving);
+    case 15:
+      return ReadAll(in, ReadIdleAsk);
+    case 16:
+      return ReadAll(in, ReadIdle);
     default:
       return core::Fail(core::Step::kDecodeMessage, peer,
                         "type " + std::to_string(type) + " is not known");
--- a/src/crocusmast/adapters/peer_link.cc
+++ b/src/crocusmast/adapters/peer_link.cc
@@ -106,10 +106,30 @@
   Handle(OutgoingMessage{{}, HeartbeatMessage{core::Revision(m_revision)}});
 }
 
-void PeerLink::AnnounceLeaving(const core::InstanceId& target) {
+void PeerLink::TellLeaving(const core::InstanceId& target) {
+  m_ports.membership.TryPush(membership::LeavingSeen{target});
   Post({}, LeavingMessage{target});
 }
 
+void PeerLink::AskIdle(const core::InstanceId& entry,
+                       const core::InstanceId& target) {
+  if (entry == m_self) {
+    m_ports.router.TryPush(routing::IdleAsked{m_self, target});
+  } else {
+    Post({entry}, IdleAskMessage{target});
+  }
+}
+
+void PeerLink::SendIdle(const core::InstanceId& peer,
+                        const core::InstanceId& target,
+                        bool is_idle) {
+  if (peer == m_self) {
+    m_ports.maintenance.TryPush(maintenance::IdleSeen{m_self, target, is_idle});
+  } else {
+    Post({peer}, IdleMessage{target, is_idle});
+  }
+}
+
 void PeerLink::SendForwardReply(const core::InstanceId& peer,
                                 ForwardReplyMessage reply) {
   SendNow(peer, std::move(reply));
@@ -322,6 +342,15 @@
       configuration::SnapshotSeen{std::move(message.snapshot)});
 }
 
+void PeerLink::Take(const core::InstanceId& peer, IdleAskMessage& message) {
+  m_ports.router.TryPush(routing::IdleAsked{peer, std::move(message.target)});
+}
+
+void PeerLink::Take(const core::InstanceId& peer, IdleMessage& message) {
+  m_ports.maintenance.TryPush(
+      maintenance::IdleSeen{peer, std::move(message.target), message.is_idle});
+}
+
 void PeerLink::Take(const core::InstanceId& peer, LeavingMessage& message) {
   m_ports.membership.TryPush(
       membership::LeavingSeen{std::move(message.target)});
--- a/src/crocusmast/adapters/peer_link.h
+++ b/src/crocusmast/adapters/peer_link.h
@@ -14,6 +14,8 @@
 #include "crocusmast/core/duty.h"
 #include "crocusmast/core/logger.h"
 #include "crocusmast/core/meter.h"
+#include "crocusmast/maintenance/messages.h"
+#include "crocusmast/maintenance/peer_port.h"
 #include "crocusmast/membership/messages.h"
 #include "crocusmast/routing/messages.h"
 
@@ -43,6 +45,8 @@
   core::BoundedRing<configuration::Message>& configuration;
   /** @brief Feeds the membership duty. */
   core::BoundedRing<membership::Message>& membership;
+  /** @brief Feeds the maintenance duty. */
+  core::BoundedRing<maintenance::Message>& maintenance;
   /** @brief Feeds the threads that serve requests of peers. */
   core::BoundedRing<ForwardedWork>& forwarded;
   /** @brief Feeds the duty that sends. */
@@ -65,7 +69,8 @@
                        public TransportListener,
                        public routing::PeerCalls,
                        public routing::PeerNews,
-                       public configuration::PeerPort {
+                       public configuration::PeerPort,
+                       public maintenance::PeerPort {
  public:
   /**
    * @brief Makes a link that is not started.
@@ -95,12 +100,6 @@
    */
   void SetRevision(core::Revision revision);
 
-  /**
-   * @brief Tells all peers that a target leaves.
-   * @param target The target.
-   */
-  void AnnounceLeaving(const core::InstanceId& target);
-
   /**
    * @brief Answers a request that a peer handed on.
    * @param peer The peer.
@@ -143,6 +142,15 @@
                    const core::RequestId& id,
                    const request::ClaimToken& token) override;
 
+  void SendIdle(const core::InstanceId& peer,
+                const core::InstanceId& target,
+                bool is_idle) override;
+
+  // maintenance::PeerPort
+  void TellLeaving(const core::InstanceId& target) override;
+  void AskIdle(const core::InstanceId& entry,
+               const core::InstanceId& target) override;
+
   // configuration::PeerPort
   void Announce(const configuration::Change& change) override;
   void Pull(const core::InstanceId& peer, core::Revision after) override;
@@ -174,6 +182,8 @@
   void Take(const core::InstanceId& peer, PullMessage& message);
   void Take(const core::InstanceId& peer, SnapshotMessage& message);
   void Take(const core::InstanceId& peer, LeavingMessage& message);
+  void Take(const core::InstanceId& peer, IdleAskMessage& message);
+  void Take(const core::InstanceId& peer, IdleMessage& message);
 
   const core::InstanceId m_self;
   PeerLinkPorts m_ports;
--- a/src/crocusmast/adapters/peer_message.h
+++ b/src/crocusmast/adapters/peer_message.h
@@ -116,6 +116,20 @@
   core::InstanceId target;
 };
 
+/** @brief Asks whether the receiver has done with a target. */
+struct IdleAskMessage {
+  /** @brief The target. */
+  core::InstanceId target;
+};
+
+/** @brief Says whether the sender has done with a target. */
+struct IdleMessage {
+  /** @brief The target. */
+  core::InstanceId target;
+  /** @brief True if nothing is in flight there and nothing will be sent. */
+  bool is_idle = false;
+};
+
 /** @brief What entry instances send each other. */
 using PeerMessage = std::variant<std::monostate,
                                  HelloMessage,
@@ -131,7 +145,9 @@
                                  ChangesMessage,
                                  PullMessage,
                                  SnapshotMessage,
-                                 LeavingMessage>;
+                                 LeavingMessage,
+                                 IdleAskMessage,
+                                 IdleMessage>;
 
 }  // namespace crocusmast::adapters
 
--- /dev/null
+++ b/src/crocusmast/adapters/platform_client.h
@@ -0,0 +1,39 @@
+#ifndef CROCUSMAST_ADAPTERS_PLATFORM_CLIENT_H_
+#define CROCUSMAST_ADAPTERS_PLATFORM_CLIENT_H_
+
+#include <memory>
+#include <string>
+
+#include "crocusmast/adapters/http_client.h"
+#include "crocusmast/maintenance/platform.h"
+
+namespace crocusmast::adapters {
+
+/** @brief Acts on instances through the platform over HTTP. */
+class PlatformClient final : public maintenance::Platform {
+ public:
+  /**
+   * @brief Makes a client.
+   * @param address The platform.
+   */
+  static std::unique_ptr<PlatformClient> Create(
+      const fleet::Endpoint& address);
+
+  core::Result<void> Drain(const core::InstanceId& instance,
+                           core::Incarnation incarnation) override;
+  core::Result<void> Reboot(const core::InstanceId& instance,
+                            core::Incarnation incarnation) override;
+
+ private:
+  explicit PlatformClient(std::unique_ptr<HttpClient> http);
+
+  core::Result<void> Act(const std::string& act,
+                         const core::InstanceId& instance,
+                         core::Incarnation incarnation);
+
+  std::unique_ptr<HttpClient> m_http;
+};
+
+}  // namespace crocusmast::adapters
+
+#endif  // CROCUSMAST_ADAPTERS_PLATFORM_CLIENT_H_
--- /dev/null
+++ b/src/crocusmast/adapters/wave_client.cc
@@ -0,0 +1,116 @@
+#include "crocusmast/adapters/wave_client.h"
+
+#include <utility>
+
+#include "crocusmast/adapters/wave_codec.h"
+
+namespace crocusmast::adapters {
+namespace internal {
+
+constexpr std::chrono::seconds kWaveCallWait{1};
+constexpr int kStatusOk = 200;
+constexpr int kStatusNotFound = 404;
+constexpr int kStatusConflict = 409;
+
+std::string LengthQuery(core::Duration length) {
+  return "ttl_ms=" +
+         std::to_string(
+             std::chrono::duration_cast<std::chrono::milliseconds>(length)
+                 .count());
+}
+
+core::Result<bool> ToBool(const HttpAnswer& answer, int refusal) {
+  if (answer.status == kStatusOk) {
+    return true;
+  }
+  if (answer.status == refusal) {
+    return false;
+  }
+  return core::Fail(core::Step::kWriteStore, "store",
+                    "answered with status " + std::to_string(answer.status));
+}
+
+}  // namespace internal
+
+using core::Step;
+using maintenance::StoredWave;
+using maintenance::WaveVersion;
+
+WaveClient::WaveClient(std::unique_ptr<HttpClient> http,
+                       const core::RegionId& region,
+                       core::Meter& meter)
+    : m_http(std::move(http)),
+      m_folder("/keys/maintenance/" + region.Text() + "/"),
+      m_meter(meter) {}
+
+std::unique_ptr<WaveClient> WaveClient::Create(const fleet::Endpoint& address,
+                                               const core::RegionId& region,
+                                               core::Meter& meter) {
+  return std::unique_ptr<WaveClient>(
+      new WaveClient(HttpClient::Create(address, ""), region, meter));
+}
+
+core::Result<HttpAnswer> WaveClient::Count(core::Result<HttpAnswer> answer) {
+  m_meter.Add(core::Counter::kStoreCalls, 1);
+  if (answer) {
+    m_meter.Add(core::Counter::kStoreBytes, answer->body.size());
+  } else {
+    m_meter.Add(core::Counter::kStoreFailures, 1);
+  }
+  return answer;
+}
+
+core::Result<HttpAnswer> WaveClient::Get(const std::string& path) {
+  return Count(m_http->Get(path, internal::kWaveCallWait));
+}
+
+core::Result<HttpAnswer> WaveClient::Put(const std::string& path,
+                                         const std::string& body) {
+  m_meter.Add(core::Counter::kStoreBytes, body.size());
+  return Count(m_http->Put(path, body, internal::kWaveCallWait));
+}
+
+core::Result<StoredWave> WaveClient::Read() {
+  BOOST_LEAF_AUTO(answer, Get(m_folder + "wave"));
+  if (answer.status == internal::kStatusNotFound) {
+    return StoredWave{};
+  }
+  if (answer.status != internal::kStatusOk) {
+    return core::Fail(Step::kReadStore, "store",
+                      "answered with status " + std::to_string(answer.status));
+  }
+  BOOST_LEAF_AUTO(wave, ParseWave(answer.body));
+  return StoredWave{std::move(wave), WaveVersion(answer.version)};
+}
+
+core::Result<bool> WaveClient::Write(const maintenance::Wave& wave,
+                                     WaveVersion expected) {
+  const std::string path = m_folder + "wave?expect=" + std::to_string(expected.Count());
+  BOOST_LEAF_AUTO(answer, Put(path, FormatWave(wave)));
+  return internal::ToBool(answer, internal::kStatusConflict);
+}
+
+core::Result<bool> WaveClient::Acquire(const std::string& holder,
+                                       core::Duration length) {
+  BOOST_LEAF_AUTO(lease, Put("/leases/" + holder + "?" +
+                                 internal::LengthQuery(length),
+                             ""));
+  if (lease.status != internal::kStatusOk) {
+    return core::Fail(Step::kWriteStore, "store",
+                      "answered with status " + std::to_string(lease.status));
+  }
+  const std::string path =
+      m_folder + "holder?expect=0&lease=" + holder;
+  BOOST_LEAF_AUTO(answer, Put(path, holder));
+  return internal::ToBool(answer, internal::kStatusConflict);
+}
+
+core::Result<bool> WaveClient::Renew(const std::string& holder,
+                                     core::Duration length) {
+  BOOST_LEAF_AUTO(answer, Put("/leases/" + holder + "?renew=1&" +
+                                  internal::LengthQuery(length),
+                              ""));
+  return internal::ToBool(answer, internal::kStatusNotFound);
+}
+
+}  // namespace crocusmast::adapters
--- a/src/crocusmast/cli/arguments.cc
+++ b/src/crocusmast/cli/arguments.cc
@@ -24,6 +24,8 @@
   history             list the changes
   rollback REVISION   put the lists of a revision into force again
   status              show every instance: revision, peers, pools
+  maintenance start --pools P,Q | pause | resume | status
+                      run a wave of maintenance
   explain REQUEST-ID  show why a request went where it went
 
 Examples:
@@ -111,6 +113,8 @@
                                                                 : user));
   add("reason", "why",
       cxxopts::value<std::string>()->default_value("not said"));
+  add("pools", "pools with commas between, for maintenance start",
+      cxxopts::value<std::string>()->default_value(""));
   add("revision", "a revision, for show and diff",
       cxxopts::value<std::string>());
   add("base", "the revision that the files were read at, for apply and diff",
@@ -130,6 +134,7 @@
   arguments.directory = parsed["directory"].as<std::string>();
   arguments.author = parsed["author"].as<std::string>();
   arguments.reason = parsed["reason"].as<std::string>();
+  arguments.pools = parsed["pools"].as<std::string>();
   const std::string output = parsed["output"].as<std::string>();
   if (output != "table" && output != "json") {
     return Fail(Step::kParseSettings, "output",
--- a/src/crocusmast/cli/arguments.h
+++ b/src/crocusmast/cli/arguments.h
@@ -31,6 +31,8 @@
   std::string author;
   /** @brief Why. */
   std::string reason;
+  /** @brief Pools with commas between. */
+  std::string pools;
   /** @brief A revision, where a command takes one. */
   std::optional<core::Revision> revision;
   /** @brief Whether output is JSON. */
--- a/src/crocusmast/cli/commands.cc
+++ b/src/crocusmast/cli/commands.cc
@@ -13,6 +13,7 @@
 #include "crocusmast/adapters/admin_codec.h"
 #include "crocusmast/adapters/lists_codec.h"
 #include "crocusmast/cli/admin_client.h"
+#include "crocusmast/cli/maintenance_command.h"
 #include "crocusmast/cli/table.h"
 
 namespace crocusmast::cli {
@@ -287,10 +288,11 @@
 core::Result<ExitCode> RunCommand(const Arguments& arguments) {
   using Command = core::Result<ExitCode> (*)(const Arguments&);
   static const std::map<std::string, Command> kCommands{
-      {"check", internal::Check},     {"apply", internal::Apply},
-      {"diff", internal::Diff},       {"show", internal::Show},
-      {"history", internal::History}, {"rollback", internal::Rollback},
-      {"status", internal::Status},   {"explain", internal::Explain},
+      {"check", internal::Check},      {"apply", internal::Apply},
+      {"diff", internal::Diff},        {"show", internal::Show},
+      {"history", internal::History},  {"rollback", internal::Rollback},
+      {"status", internal::Status},    {"explain", internal::Explain},
+      {"maintenance", RunMaintenance},
   };
   const auto command = kCommands.find(arguments.command);
   if (command == kCommands.end()) {
--- /dev/null
+++ b/src/crocusmast/cli/maintenance_command.cc
@@ -0,0 +1,86 @@
+#include "crocusmast/cli/maintenance_command.h"
+
+#include <chrono>
+#include <iostream>
+#include <string>
+
+#include "crocusmast/adapters/wave_codec.h"
+#include "crocusmast/cli/admin_client.h"
+#include "crocusmast/cli/table.h"
+
+namespace crocusmast::cli {
+namespace internal {
+
+using core::Fail;
+using core::Result;
+using core::Step;
+using maintenance::ItemState;
+using maintenance::Wave;
+using maintenance::WaveItem;
+
+// As long as the instances that are done took on average.
+std::string EstimateEnd(const Wave& wave, std::size_t done) {
+  const std::size_t left = wave.Items().size() - done -
+                           wave.Count(ItemState::kPassedOver);
+  if (done == 0 || left == 0) {
+    return left == 0 ? "none left" : "not known yet";
+  }
+  const auto passed = std::chrono::duration_cast<std::chrono::seconds>(
+      std::chrono::system_clock::now() - wave.StartedAt());
+  const auto seconds = static_cast<std::size_t>(passed.count()) * left / done;
+  return "in about " + std::to_string(seconds) + " s";
+}
+
+void PrintWave(const Wave& wave) {
+  const std::size_t done = wave.Count(ItemState::kDone);
+  std::cout << "The wave is " << maintenance::WaveStateName(wave.State())
+            << ": " << done << " of " << wave.Items().size()
+            << " instances are done, " << wave.Count(ItemState::kPassedOver)
+            << " were passed over. End: " << EstimateEnd(wave, done) << ".\n";
+  if (!wave.Note().empty()) {
+    std::cout << "Held up: " << wave.Note() << "\n";
+  }
+  Table table({"instance", "pool", "state", "reason"});
+  for (const WaveItem& item : wave.Items()) {
+    table.Add({item.instance.Text(), item.pool.Text(),
+               std::string(maintenance::ItemStateName(item.state)),
+               item.reason});
+  }
+  std::cout << table.Format();
+}
+
+Result<ExitCode> Finish(const std::string& text, bool is_json) {
+  if (text == "{}") {
+    std::cerr << "There is no wave.\n";
+    return ExitCode::kDifference;
+  }
+  BOOST_LEAF_AUTO(wave, adapters::ParseWave(text));
+  if (is_json) {
+    std::cout << text << "\n";
+  } else {
+    PrintWave(wave);
+  }
+  return ExitCode::kSuccess;
+}
+
+}  // namespace internal
+
+core::Result<ExitCode> RunMaintenance(const Arguments& arguments) {
+  const std::string action =
+      arguments.operands.size() == 1 ? arguments.operands[0] : "";
+  const AdminClient client(arguments.instances, arguments.token);
+  if (action == "status") {
+    BOOST_LEAF_AUTO(text, client.Get("/maintenance"));
+    return internal::Finish(text, arguments.is_json);
+  }
+  if (action != "start" && action != "pause" && action != "resume") {
+    return internal::Fail(internal::Step::kParseSettings, "maintenance",
+                          "name one of start, pause, resume, status");
+  }
+  BOOST_LEAF_AUTO(text, client.Put("/maintenance/" + action +
+                                       "?pools=" + arguments.pools,
+                                   ""));
+  return internal::Finish(text, arguments.is_json);
+}
+
+}  // namespace crocusmast::cli
--- /dev/null
+++ b/src/crocusmast/cli/maintenance_command.h
@@ -0,0 +1,19 @@
+#ifndef CROCUSMAST_CLI_MAINTENANCE_COMMAND_H_
+#define CROCUSMAST_CLI_MAINTENANCE_COMMAND_H_
+
+#include "crocusmast/cli/arguments.h"
+#include "crocusmast/cli/exit_code.h"
+#include "crocusmast/core/error.h"
+
+namespace crocusmast::cli {
+
+/**
+ * @brief Starts, pauses, resumes or shows a wave of maintenance.
+ * @param arguments What the tool was called with.
+ * @return The exit code, or an error.
+ */
+core::Result<ExitCode> RunMaintenance(const Arguments& arguments);
+
+}  // namespace crocusmast::cli
+
+#endif  // CROCUSMAST_CLI_MAINTENANCE_COMMAND_H_
--- a/src/crocusmast/core/logger.cc
+++ b/src/crocusmast/core/logger.cc
@@ -10,6 +10,8 @@
       return "config";
     case Part::kMembership:
       return "member";
+    case Part::kMaintenance:
+      return "maintain";
     case Part::kPeer:
       return "peer";
     case Part::kHttp:
--- a/src/crocusmast/core/logger.h
+++ b/src/crocusmast/core/logger.h
@@ -12,6 +12,7 @@
   kRouting,
   kConfiguration,
   kMembership,
+  kMaintenance,
   kPeer,
   kHttp,
   kDaemon,
--- a/src/crocusmast/daemon/daemon.cc
+++ b/src/crocusmast/daemon/daemon.cc
@@ -8,13 +8,16 @@
 #include "crocusmast/adapters/membership_client.h"
 #include "crocusmast/adapters/metrics_registry.h"
 #include "crocusmast/adapters/peer_link.h"
+#include "crocusmast/adapters/platform_client.h"
 #include "crocusmast/adapters/store_client.h"
 #include "crocusmast/adapters/target_client.h"
+#include "crocusmast/adapters/wave_client.h"
 #include "crocusmast/configuration/service.h"
 #include "crocusmast/core/worker_pool.h"
 #include "crocusmast/daemon/duty_wiring.h"
 #include "crocusmast/daemon/membership_poller.h"
 #include "crocusmast/daemon/store_watcher.h"
+#include "crocusmast/maintenance/service.h"
 #include "crocusmast/membership/service.h"
 #include "crocusmast/routing/driver.h"
 #include "crocusmast/routing/router.h"
@@ -28,6 +31,7 @@
 constexpr std::size_t kMessagesPerThread = 4;
 constexpr std::chrono::milliseconds kRouterTick{50};
 constexpr std::chrono::milliseconds kMembershipTick{100};
+constexpr std::chrono::milliseconds kMaintenanceTick{250};
 constexpr std::chrono::milliseconds kConfigurationTick{1000};
 constexpr std::chrono::milliseconds kOutgoingTick{250};
 constexpr std::chrono::milliseconds kPollInterval{1000};
@@ -75,6 +79,7 @@
   core::Duty<routing::Message> router_duty;
   core::Duty<configuration::Message> configuration_duty;
   core::Duty<membership::Message> membership_duty;
+  core::Duty<maintenance::Message> maintenance_duty;
   core::Duty<adapters::OutgoingMessage> outgoing_duty;
   core::Duty<std::monostate> poll_duty;
   core::Duty<std::monostate> watch_duty;
@@ -83,10 +88,13 @@
   adapters::PeerLink peers;
   std::unique_ptr<adapters::StoreClient> store;
   std::unique_ptr<adapters::StoreClient> watched_store;
+  std::unique_ptr<adapters::WaveClient> waves;
+  std::unique_ptr<adapters::PlatformClient> platform;
   std::unique_ptr<adapters::MembershipClient> list;
   std::unique_ptr<adapters::TargetClient> targets;
   configuration::Service configuration;
   membership::Service membership;
+  maintenance::Service maintenance;
   routing::Router router;
   routing::Driver driver;
   MembershipPoller poller;
@@ -109,19 +117,27 @@
       membership_duty("membership",
                       internal::kRingCapacity,
                       internal::kMembershipTick),
+      maintenance_duty("maintenance",
+                       internal::kRingCapacity,
+                       internal::kMaintenanceTick),
       outgoing_duty("peer-out",
                     internal::kRingCapacity,
                     internal::kOutgoingTick),
       poll_duty("member-poll", 1, internal::kPollInterval),
       watch_duty("store-watch", 1, internal::kWatchInterval),
       forward_workers("forwarded", settings.forward_threads),
-      wiring(router_duty.Ring(), membership_duty.Ring()),
+      wiring(router_duty.Ring(), maintenance_duty.Ring()),
       peers(settings.id,
             {router_duty.Ring(), configuration_duty.Ring(),
-             membership_duty.Ring(), forward_workers.Ring(),
-             outgoing_duty.Ring(), *logger, *metrics, clock}),
+             membership_duty.Ring(), maintenance_duty.Ring(),
+             forward_workers.Ring(), outgoing_duty.Ring(), *logger, *metrics,
+             clock}),
       store(adapters::StoreClient::Create(settings.store, *metrics)),
       watched_store(adapters::StoreClient::Create(settings.store, *metrics)),
+      waves(adapters::WaveClient::Create(settings.store,
+                                         settings.region,
+                                         *metrics)),
+      platform(adapters::PlatformClient::Create(settings.platform)),
       list(adapters::MembershipClient::Create(settings.membership, *metrics)),
       targets(adapters::TargetClient::Create()),
       configuration({*store, peers, wiring, *logger, *metrics, clock}),
@@ -129,6 +145,9 @@
                  wiring,
                  *logger,
                  clock),
+      maintenance(settings.id,
+                  internal::FirstNumber(clock),
+                  {*waves, *platform, peers, *logger, clock}),
       router({settings.id, settings.zone, internal::FirstNumber(clock)},
              {peers, wiring, *logger, *metrics, clock}),
       driver({router_duty.Ring(), *targets, peers, *metrics, clock}),
@@ -159,6 +178,7 @@
   router_duty.Start(router, clock);
   configuration_duty.Start(configuration, clock);
   membership_duty.Start(membership, clock);
+  maintenance_duty.Start(maintenance, clock);
   outgoing_duty.Start(peers, clock);
   poll_duty.Start(poller, clock);
   watch_duty.Start(watcher, clock);
@@ -173,6 +193,7 @@
       adapters::AdminServer::Create(
           settings.admin, {settings.id, settings.zone, settings.operator_token,
                            configuration_duty.Ring(), router_duty.Ring(),
+                           maintenance_duty.Ring(),
                            [this] { return metrics->Format(); }, *logger}));
   BOOST_LEAF_ASSIGN(callers,
                     adapters::CallerServer::Create(
@@ -195,6 +216,7 @@
   AddRingGauges("router", router_duty.Ring());
   AddRingGauges("configuration", configuration_duty.Ring());
   AddRingGauges("membership", membership_duty.Ring());
+  AddRingGauges("maintenance", maintenance_duty.Ring());
   AddRingGauges("peer-out", outgoing_duty.Ring());
   AddRingGauges("forwarded", forward_workers.Ring());
   metrics->AddGauge("configuration_revision", [this] {
@@ -269,6 +291,7 @@
   watch_duty.Stop();
   poll_duty.Stop();
   membership_duty.Stop();
+  maintenance_duty.Stop();
   configuration_duty.Stop();
   router_duty.Stop();
   outgoing_duty.Stop();
--- a/src/crocusmast/daemon/duty_wiring.cc
+++ b/src/crocusmast/daemon/duty_wiring.cc
@@ -11,13 +11,15 @@
 }  // namespace internal
 
 DutyWiring::DutyWiring(core::BoundedRing<routing::Message>& router,
-                       core::BoundedRing<membership::Message>& membership)
-    : m_router(router), m_membership(membership) {}
+                       core::BoundedRing<maintenance::Message>& maintenance)
+    : m_router(router), m_maintenance(maintenance) {}
 
 void DutyWiring::InForce(core::Revision revision,
                          std::shared_ptr<const configuration::Lists> lists) {
-  m_router.PushFor(routing::ListsChanged{revision, std::move(lists)},
+  m_router.PushFor(routing::ListsChanged{revision, lists},
                    internal::kPublishWait);
+  m_maintenance.PushFor(maintenance::ListsChanged{std::move(lists)},
+                        internal::kPublishWait);
   m_revision = revision.Count();
   m_peers->SetRevision(revision);
 }
@@ -26,8 +28,9 @@
     std::shared_ptr<const membership::RosterView> view) {
   m_watches_store = view->watches_store;
   m_has_roster = true;
-  m_router.PushFor(routing::RosterChanged{std::move(view)},
-                   internal::kPublishWait);
+  m_router.PushFor(routing::RosterChanged{view}, internal::kPublishWait);
+  m_maintenance.PushFor(maintenance::RosterChanged{std::move(view)},
+                        internal::kPublishWait);
 }
 
 void DutyWiring::PeersChanged(std::vector<membership::PeerAddress> peers) {
@@ -35,8 +38,7 @@
 }
 
 void DutyWiring::TargetLeaves(const core::InstanceId& target) {
-  m_membership.TryPush(membership::LeavingSeen{target});
-  m_peers->AnnounceLeaving(target);
+  m_peers->TellLeaving(target);
 }
 
 }  // namespace crocusmast::daemon
--- a/src/crocusmast/daemon/duty_wiring.h
+++ b/src/crocusmast/daemon/duty_wiring.h
@@ -8,8 +8,8 @@
 #include "crocusmast/adapters/peer_link.h"
 #include "crocusmast/configuration/publisher.h"
 #include "crocusmast/core/bounded_ring.h"
+#include "crocusmast/maintenance/messages.h"
 #include "crocusmast/membership/listener.h"
-#include "crocusmast/membership/messages.h"
 #include "crocusmast/routing/leaving_listener.h"
 #include "crocusmast/routing/messages.h"
 
@@ -23,10 +23,10 @@
   /**
    * @brief Makes the wiring.
    * @param router Feeds the routing duty; outlives the wiring.
-   * @param membership Feeds the membership duty; outlives the wiring.
+   * @param maintenance Feeds the maintenance duty; outlives the wiring.
    */
   DutyWiring(core::BoundedRing<routing::Message>& router,
-             core::BoundedRing<membership::Message>& membership);
+             core::BoundedRing<maintenance::Message>& maintenance);
 
   /**
    * @brief Sets the link to the peers.
@@ -57,7 +57,7 @@
 
  private:
   core::BoundedRing<routing::Message>& m_router;
-  core::BoundedRing<membership::Message>& m_membership;
+  core::BoundedRing<maintenance::Message>& m_maintenance;
   adapters::PeerLink* m_peers = nullptr;
   std::atomic<std::uint64_t> m_revision{0};
   std::atomic<bool> m_watches_store{false};
--- a/src/crocusmast/daemon/settings.cc
+++ b/src/crocusmast/daemon/settings.cc
@@ -26,7 +26,7 @@
   const char* help;
 };
 
-constexpr std::array<SettingInfo, 13> kSettings{{
+constexpr std::array<SettingInfo, 14> kSettings{{
     {"id", "", "this instance's id"},
     {"region", "region-1", "this instance's region"},
     {"zone", "", "this instance's availability zone"},
@@ -35,6 +35,7 @@
     {"peer", "127.0.0.1:8082", "address for links of other entry instances"},
     {"store", "127.0.0.1:9001", "address of the configuration store"},
     {"membership", "127.0.0.1:9002", "address of the membership list"},
+    {"platform", "127.0.0.1:9003", "address of the platform"},
     {"caller-threads", "512", "callers' connections served at once, 1 to 4096"},
     {"forward-threads", "64", "peers' requests served at once, 1 to 4096"},
     {"drain-seconds", "30", "longest wait for requests on a stop, 1 to 600"},
@@ -152,6 +153,8 @@
   BOOST_LEAF_ASSIGN(settings.store, ParseEndpoint("store", values.at("store")));
   BOOST_LEAF_ASSIGN(settings.membership,
                     ParseEndpoint("membership", values.at("membership")));
+  BOOST_LEAF_ASSIGN(settings.platform,
+                    ParseEndpoint("platform", values.at("platform")));
   return {};
 }
 
--- a/src/crocusmast/daemon/settings.h
+++ b/src/crocusmast/daemon/settings.h
@@ -30,6 +30,8 @@
   fleet::Endpoint store;
   /** @brief The membership list. */
   fleet::Endpoint membership;
+  /** @brief The platform. */
+  fleet::Endpoint platform;
   /** @brief Connections of callers served at the same time. */
   std::size_t caller_threads = 0;
   /** @brief Requests of peers served at the same time. */
--- /dev/null
+++ b/src/crocusmast/maintenance/budget.cc
@@ -0,0 +1,155 @@
+#include "crocusmast/maintenance/budget.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <tuple>
+#include <utility>
+
+namespace crocusmast::maintenance {
+namespace internal {
+
+constexpr std::uint64_t kWhole = 100;
+
+bool IsLive(const fleet::InstanceRecord& target) {
+  return target.state == fleet::InstanceState::kLive;
+}
+
+/** @brief How many targets are out in each rack and zone. */
+struct Outs {
+  std::map<core::RackId, int> racks;
+  std::map<core::ZoneId, int> zones;
+
+  void Add(const fleet::InstanceRecord& target) {
+    ++racks[target.rack];
+    ++zones[target.zone];
+  }
+
+  std::tuple<int, int, core::InstanceId> Rank(
+      const fleet::InstanceRecord& target) {
+    return {racks[target.rack], zones[target.zone], target.id};
+  }
+};
+
+/** @brief The live targets of a pool that the wave has not begun. */
+std::vector<fleet::InstanceRecord> CandidatesOf(const Wave& wave,
+                                                const PlanInput& input,
+                                                const core::PoolId& pool) {
+  std::set<std::pair<core::InstanceId, std::uint64_t>> pending;
+  for (const WaveItem& item : wave.Items()) {
+    if (item.state == ItemState::kPending && item.pool == pool) {
+      pending.emplace(item.instance, item.incarnation.Count());
+    }
+  }
+  std::vector<fleet::InstanceRecord> candidates;
+  for (const fleet::InstanceRecord& target : input.targets) {
+    if (IsLive(target) && pending.count({target.id,
+                                         target.incarnation.Count()}) > 0) {
+      candidates.push_back(target);
+    }
+  }
+  return candidates;
+}
+
+/** @brief Targets that the wave drains but that a lagging list calls live. */
+core::Slots SlotsBegun(const Wave& wave,
+                       const PlanInput& input,
+                       const core::PoolId& pool) {
+  std::uint64_t slots = 0;
+  for (const WaveItem& item : wave.Items()) {
+    const bool is_begun = item.state == ItemState::kDraining ||
+                          item.state == ItemState::kRebooting;
+    if (!is_begun || item.pool != pool) {
+      continue;
+    }
+    for (const fleet::InstanceRecord& target : input.targets) {
+      if (target.id == item.instance && IsLive(target) &&
+          target.incarnation == item.incarnation) {
+        slots += target.slots.Count();
+      }
+    }
+  }
+  return core::Slots(slots);
+}
+
+std::string HoldUp(const core::PoolId& pool, const PoolBudget& budget) {
+  return "Pool " + pool.Text() + " waits: " +
+         std::to_string(budget.live.Count()) +
+         " slots are live, its plans are promised " +
+         std::to_string(budget.promised.Count()) + ". ";
+}
+
+void PlanPool(const Wave& wave,
+              const PlanInput& input,
+              const core::PoolId& pool,
+              Outs& outs,
+              DrainPlan& plan) {
+  std::vector<fleet::InstanceRecord> candidates =
+      CandidatesOf(wave, input, pool);
+  PoolBudget budget = BudgetOf(input, pool);
+  budget.live = budget.live - SlotsBegun(wave, input, pool);
+  while (!candidates.empty()) {
+    const auto best = std::min_element(
+        candidates.begin(), candidates.end(),
+        [&](const auto& left, const auto& right) {
+          return outs.Rank(left) < outs.Rank(right);
+        });
+    const core::Slots after = budget.live - best->slots;
+    if (after < budget.promised) {
+      plan.note += HoldUp(pool, budget);
+      return;
+    }
+    budget.live = after;
+    outs.Add(*best);
+    plan.instances.push_back(best->id);
+    candidates.erase(best);
+  }
+}
+
+}  // namespace internal
+
+PoolBudget BudgetOf(const PlanInput& input, const core::PoolId& pool) {
+  std::uint64_t live = 0;
+  for (const fleet::InstanceRecord& target : input.targets) {
+    if (target.pool == pool && internal::IsLive(target)) {
+      live += target.slots.Count();
+    }
+  }
+  std::uint64_t promised = 0;
+  const auto& rows = input.lists.Rows();
+  for (const auto& [key, row] : rows) {
+    const auto* allowance = std::get_if<configuration::Allowance>(&row);
+    if (allowance == nullptr || allowance->pool != pool) {
+      continue;
+    }
+    const auto& plan =
+        std::get<configuration::Plan>(rows.at({allowance->plan, {}}));
+    promised += (allowance->slots.Count() * plan.availability.Count() +
+                 internal::kWhole - 1) /
+                internal::kWhole;
+  }
+  return PoolBudget{core::Slots(live), core::Slots(promised)};
+}
+
+DrainPlan PlanDrains(const Wave& wave, const PlanInput& input) {
+  DrainPlan plan;
+  if (wave.State() != WaveState::kRunning) {
+    return plan;
+  }
+  internal::Outs outs;
+  for (const fleet::InstanceRecord& target : input.targets) {
+    if (!internal::IsLive(target)) {
+      outs.Add(target);
+    }
+  }
+  std::set<core::PoolId> pools;
+  for (const WaveItem& item : wave.Items()) {
+    pools.insert(item.pool);
+  }
+  for (const core::PoolId& pool : pools) {
+    internal::PlanPool(wave, input, pool, outs, plan);
+  }
+  return plan;
+}
+
+}  // namespace crocusmast::maintenance
--- /dev/null
+++ b/src/crocusmast/maintenance/fwd.h
@@ -0,0 +1,17 @@
+#ifndef CROCUSMAST_MAINTENANCE_FWD_H_
+#define CROCUSMAST_MAINTENANCE_FWD_H_
+
+namespace crocusmast::maintenance {
+
+class HolderLease;
+class LeaseStore;
+class PeerPort;
+class Platform;
+class Service;
+class Wave;
+class WaveStore;
+struct WaveItem;
+
+}  // namespace crocusmast::maintenance
+
+#endif  // CROCUSMAST_MAINTENANCE_FWD_H_
--- a/src/crocusmast/membership/roster.cc
+++ b/src/crocusmast/membership/roster.cc
@@ -139,6 +139,7 @@
 
 void Roster::AddTarget(const InstanceRecord& target, RosterView& view) const {
   const bool is_live = target.state == fleet::InstanceState::kLive;
+  view.targets.push_back(target);
   if (is_live) {
     view.pools[target.pool].push_back(target.id);
   }
--- a/src/crocusmast/membership/roster_view.h
+++ b/src/crocusmast/membership/roster_view.h
@@ -21,6 +21,8 @@
 struct RosterView {
   /** @brief The targets that this instance alone sends requests to. */
   std::vector<fleet::InstanceRecord> owned;
+  /** @brief All targets of the region, live and leaving. */
+  std::vector<fleet::InstanceRecord> targets;
   /** @brief The entry instances of the region that are up, self included. */
   std::vector<core::InstanceId> entries;
   /** @brief The peers of the region that are up. */
--- a/src/crocusmast/routing/messages.h
+++ b/src/crocusmast/routing/messages.h
@@ -156,6 +156,14 @@
   request::ClaimToken token;
 };
 
+/** @brief An instance asks whether this one has done with a target. */
+struct IdleAsked {
+  /** @brief Who asks. */
+  core::InstanceId peer;
+  /** @brief The target. */
+  core::InstanceId target;
+};
+
 /** @brief Asks for the decisions about a request. */
 struct ExplainQuery {
   /** @brief The request. */
@@ -207,6 +215,7 @@
                              GrantSeen,
                              ClaimSeen,
                              ReleaseSeen,
+                             IdleAsked,
                              ExplainQuery,
                              StatusQuery>;
 
--- a/src/crocusmast/routing/peer_port.h
+++ b/src/crocusmast/routing/peer_port.h
@@ -87,6 +87,16 @@
                               CallNumber call,
                               request::ClaimOutcome outcome) = 0;
 
+  /**
+   * @brief Answers whether this instance has done with a target.
+   * @param peer Who asked; may be this instance.
+   * @param target The target.
+   * @param is_idle True if nothing is in flight there and nothing will be sent.
+   */
+  virtual void SendIdle(const core::InstanceId& peer,
+                        const core::InstanceId& target,
+                        bool is_idle) = 0;
+
   /**
    * @brief Gives a claimed id back.
    * @param holder The peer that holds the claim.
--- a/src/crocusmast/routing/router.h
+++ b/src/crocusmast/routing/router.h
@@ -84,6 +84,7 @@
   void On(const GrantSeen& message);
   void On(const ClaimSeen& message);
   void On(const ReleaseSeen& message);
+  void On(const IdleAsked& message);
   void On(const ExplainQuery& message);
   void On(const StatusQuery& message);
 
--- a/src/crocusmast/routing/router_news.cc
+++ b/src/crocusmast/routing/router_news.cc
@@ -51,6 +51,13 @@
   }
 }
 
+void Router::On(const IdleAsked& message) {
+  const bool is_known_live = m_roster->owner_of.count(message.target) > 0;
+  const bool is_idle =
+      !is_known_live && m_table.InFlightOn(message.target) == 0;
+  m_ports.peers.SendIdle(message.peer, message.target, is_idle);
+}
+
 void Router::On(const ExplainQuery& message) {
   message.reply->TryPush(m_recorder.Find(message.request));
 }
--- a/src/crocusmast/routing/table.cc
+++ b/src/crocusmast/routing/table.cc
@@ -263,6 +263,11 @@
   return found == m_pools.end() ? 0 : found->second.in_flight;
 }
 
+std::uint64_t Table::InFlightOn(const core::InstanceId& target) const {
+  const auto found = m_targets.find(target);
+  return found == m_targets.end() ? 0 : found->second.in_flight;
+}
+
 std::vector<core::PoolId> Table::Pools() const {
   std::vector<core::PoolId> pools;
   pools.reserve(m_pools.size());
--- a/src/crocusmast/routing/table.h
+++ b/src/crocusmast/routing/table.h
@@ -111,6 +111,12 @@
    */
   std::uint64_t InFlight(const core::PoolId& pool) const;
 
+  /**
+   * @brief Counts the requests on a target.
+   * @param target The target.
+   */
+  std::uint64_t InFlightOn(const core::InstanceId& target) const;
+
   /** @brief Lists the pools in which targets are owned. */
   std::vector<core::PoolId> Pools() const;
 
--- a/standin/platform.cc
+++ b/standin/platform.cc
@@ -64,6 +64,11 @@
     response.status = kNotFound;
     return;
   }
+  const long present = found->second["incarnation"].get<long>();
+  if (NumberOf(request, "incarnation", present) != present) {
+    response.status = kConflict;
+    return;
+  }
   const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
       std::chrono::system_clock::now().time_since_epoch());
   m_actions.push_back(json{{"at_ms", now.count()},
--- a/test/adapters/caller_server_test.cc
+++ b/test/adapters/caller_server_test.cc
@@ -97,6 +97,7 @@
   void WrongOperatorTokenIsRefused() {
     const std::uint16_t port = test::FreePort();
     core::BoundedRing<configuration::Message> ring(1);
+    core::BoundedRing<maintenance::Message> maintenance_ring(1);
     const auto admin =
         adapters::AdminServer::Create({"127.0.0.1", port},
                                       {{},
@@ -104,6 +105,7 @@
                                        "right-token",
                                        ring,
                                        m_ring,
+                                       maintenance_ring,
                                        [] { return std::string("metrics\n"); },
                                        m_logger})
             .value();
--- a/test/session/session_test.cc
+++ b/test/session/session_test.cc
@@ -193,6 +193,11 @@
                       request::ClaimOutcome outcome) override {
     Line("out claim reply to " + peer.Text());
   }
+  void SendIdle(const core::InstanceId& peer,
+                const core::InstanceId& target,
+                bool is_idle) override {
+    Line("out idle " + std::to_string(is_idle ? 1 : 0));
+  }
   void SendRelease(const core::InstanceId& holder,
                    const core::RequestId& id,
                    const request::ClaimToken& token) override {
--- a/test/support/mocks.h
+++ b/test/support/mocks.h
@@ -97,6 +97,9 @@
                   routing::CallNumber,
                   request::ClaimOutcome),
              override);
+  MAKE_MOCK3(SendIdle,
+             void(const core::InstanceId&, const core::InstanceId&, bool),
+             override);
   MAKE_MOCK3(SendRelease,
              void(const core::InstanceId&,
                   const core::RequestId&,
--- a/tools/cluster.py
+++ b/tools/cluster.py
@@ -99,6 +99,7 @@
                     "--peer", f"127.0.0.1:{PEER_PORT + index}",
                     "--store", f"127.0.0.1:{STORE_PORT}",
                     "--membership", f"127.0.0.1:{MEMBERSHIP_PORT}",
+                    "--platform", f"127.0.0.1:{PLATFORM_PORT}",
                     "--caller-threads", self.caller_threads,
                     "--forward-threads", self.forward_threads,
                     "--log-level", self.log_level])
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -88,6 +88,13 @@
     http("PUT", f"http://127.0.0.1:{PLATFORM_PORT}/reboot/{target}", "")
 
 
+def wait_for_wave(cluster):
+    """Waits for the end of the wave and prints its status."""
+    cluster.wait_for("the wave is done", lambda: "wave is done" in
+                     cluster.tool("maintenance", "status")[1], 60)
+    print(cluster.tool("maintenance", "status")[1])
+
+
 def run(cluster):
     """Runs the demonstration; returns whether every promise held."""
     say(f"starting 3 availability zones, {cluster.deployment.entries} entry "
@@ -102,6 +109,11 @@
     time.sleep(3)
     in_force = change_list(cluster)
     say(f"changed a list; in force everywhere after {in_force:.2f} s")
+    pool = cluster.deployment.maintained
+    say(f"starting maintenance of pool {pool}")
+    code, output = cluster.tool("maintenance", "start", "--pools", pool)
+    if code != 0:
+        raise RuntimeError(output)
     drained = drain_target(cluster)
     say(f"draining {cluster.targets[drained]['id']}")
     time.sleep(5)
@@ -119,6 +131,7 @@
     load.wait(timeout=120)
     stop_code = cluster.processes["entry-2"].wait(timeout=40)
     watch.stop()
+    wait_for_wave(cluster)
     records = checks.read_records(cluster)
     codes = cluster.stop()
     codes.pop("entry-3")
@@ -146,6 +159,10 @@
     checks.check_requests(result, cluster, outcomes, records, killed_at)
     rebooted = sum(record["cut"] for record in records.values())
     result.add("a reboot cuts no request", rebooted == 0, f"{rebooted} cut")
+    maintained = [record["incarnation"] for number, record in records.items()
+                  if cluster.targets[number]["pool"] == cluster.deployment.maintained]
+    result.add("a wave maintains its whole pool", set(maintained) == {2},
+               f"{maintained.count(2)} of {len(maintained)} rebooted once")
     result.add("a leaving target gets no new work", last_new <= NEW_WORK_LIMIT,
                f"the last came after {last_new:.2f} s; allowed are "
                f"{NEW_WORK_LIMIT:.0f} s")
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -19,6 +19,7 @@
     allowances: list
     mix: list
     service_ms: dict  # pool -> mean time of a request
+    maintained: str = ""  # the pool that the demonstration maintains
 
 
 def plan_row(plan, customer, availability, headroom):
@@ -69,6 +70,7 @@
     ],
     service_ms={"checkout": 40, "badge": 60, "photo": 80, "reconcile": 100,
                 "admin": 20},
+    maintained="reconcile",
 )
 
 ABYSSINIA = Deployment(
@@ -100,6 +102,7 @@
     ],
     service_ms={"stitch": 80, "zones": 40, "rebuild": 120, "archive": 100,
                 "billing": 20},
+    maintained="archive",
 )
 
 DEPLOYMENTS = {"tala": TALA, "abyssinia": ABYSSINIA}
--- a/tools/slopes.py
+++ b/tools/slopes.py
@@ -33,7 +33,7 @@
 QUICK_SECONDS = 5
 # Bounds that the page states; they do not depend on the machine.
 MAX_MESSAGES_PER_LINK_S = 2.0
-MAX_STORE_CALLS_S = 0.2
+MAX_STORE_CALLS_S = {"member": 0.0, "watcher": 0.2, "holder": 1.2}
 MAX_CONTROL_BYTES_PER_LINK_S = 60
 
 
@@ -109,6 +109,13 @@
     return {"at": time.time(), **json.loads(text)}
 
 
+def role_of(index, counters):
+    """The first instance holds the maintenance duty, and watches for its zone."""
+    if index == 0:
+        return "holder"
+    return "watcher" if counters["watches"] else "member"
+
+
 def rows_of(factor, size, before, after, store, in_force):
     """Makes a row for each entry instance."""
     rows = []
@@ -119,7 +126,7 @@
         rows.append({
             "factor": factor, "size": size[factor] if factor in size else 0,
             "instance": f"entry-{index + 1}",
-            "role": "watcher" if last["watches"] else "member", **size,
+            "role": role_of(index, last), **size,
             "seconds": round(seconds, 2), "cpu_percent": 100 * rate("cpu"),
             "rss_bytes": last["rss"], "control_bytes_s": rate("control"),
             "peer_messages_s": rate("messages"),
@@ -191,7 +198,7 @@
         writer.writerow(["name", "factor", "role", "cost", "intercept", "slope",
                          "largest_residual"])
         for factor in SIZES:
-            for role in ("member", "watcher"):
+            for role in ("member", "watcher", "holder"):
                 chosen = [row for row in rows
                           if row["factor"] == factor and row["role"] == role]
                 for cost in COSTS:
@@ -213,7 +220,7 @@
     for cost in COSTS:
         figure, axes = pyplot.subplots(2, 3, figsize=(11, 6))
         for axis, factor in zip(axes.flat, SIZES):
-            for role, mark in (("member", "o"), ("watcher", "x")):
+            for role, mark in (("member", "o"), ("watcher", "x"), ("holder", "+")):
                 points = [(row["size"], row[cost]) for row in rows
                           if row["factor"] == factor and row["role"] == role]
                 axis.plot([float(x) for x, _ in points],
@@ -240,7 +247,7 @@
                  MAX_MESSAGES_PER_LINK_S),
                 ("control bytes a link", row["control_bytes_s"] / links,
                  MAX_CONTROL_BYTES_PER_LINK_S),
-                ("store calls", row["store_calls_s"], MAX_STORE_CALLS_S)):
+                ("store calls", row["store_calls_s"], MAX_STORE_CALLS_S[row["role"]])):
             if value > bound:
                 faults.append(f"{row['factor']} {row['size']} {row['instance']}: "
                               f"{name} {value:.2f} a second; bound {bound}")
