Give unused slots of plans back after 100 ms

Ruled out: the pools (half idle), the queue's order (the same with only urgent work). Change: a borrower gives back what it did not use for 100 ms instead of 1 s; only limits with idle slots or waiting requests are looked at, so that an instance at rest does not pay for it.

--- a/bench/flood/crocusmast.cc
+++ b/bench/flood/crocusmast.cc
@@ -5,6 +5,7 @@
 #include <variant>
 
 #include "bench/flood/fleet.h"
+#include "bench/flood/members.h"
 #include "crocusmast/membership/roster.h"
 #include "crocusmast/routing/router.h"
 
@@ -19,8 +20,6 @@
 
 constexpr std::chrono::microseconds kLink{1500};
 constexpr std::chrono::milliseconds kTick{50};
-constexpr std::size_t kZones = 3;
-constexpr std::size_t kRackSize = 4;
 
 /** @brief Keeps nothing. */
 class NullSinks final : public core::Logger, public core::Meter {
@@ -31,48 +30,6 @@
   void Observe(core::Timing timing, core::Duration value) override {}
 };
 
-template <typename Id>
-Id MakeId(const std::string& text) {
-  return Id::Create(text).value();
-}
-
-std::string EntryName(std::size_t index) {
-  return "entry-" + std::to_string(index + 1);
-}
-
-std::string ZoneName(std::size_t index) {
-  return "zone-" + std::to_string(index % kZones + 1);
-}
-
-membership::ListUpdate MakeList(const Workload& workload,
-                                std::size_t entries) {
-  membership::ListUpdate update{membership::ListVersion(1), true, {}, {}};
-  const auto add = [&](const std::string& id, std::size_t index) {
-    fleet::InstanceRecord record;
-    record.id = MakeId<core::InstanceId>(id);
-    record.incarnation = core::Incarnation(1);
-    record.region = MakeId<core::RegionId>("region-1");
-    record.zone = MakeId<core::ZoneId>(ZoneName(index));
-    update.changed.push_back(record);
-    return &update.changed.back();
-  };
-  for (std::size_t index = 0; index < entries; ++index) {
-    add(EntryName(index), index)->role = fleet::Role::kEntry;
-  }
-  std::size_t number = 0;
-  for (const Pool& pool : workload.pools) {
-    for (std::size_t index = 0; index < pool.targets; ++index) {
-      fleet::InstanceRecord* record =
-          add(pool.name + "-" + std::to_string(index + 1), index);
-      record->pool = MakeId<core::PoolId>(pool.name);
-      record->slots = core::Slots(Targets::kSlots);
-      record->rack = MakeId<core::RackId>(
-          "rack-" + std::to_string(number++ / kRackSize));
-    }
-  }
-  return update;
-}
-
 class Crocusmast;
 
 /** @brief One entry instance: a router and the requests that it serves. */
@@ -157,9 +114,8 @@
    */
   void Deliver(const core::InstanceId& peer, routing::Message message) {
     auto shared = std::make_shared<routing::Message>(std::move(message));
-    m_events.After(kLink, [this, peer, shared] {
-      At(peer).Handle(std::move(*shared));
-    });
+    m_events.After(
+        kLink, [this, peer, shared] { At(peer).Handle(std::move(*shared)); });
   }
 
  private:
@@ -262,8 +218,7 @@
       });
   if (!is_taken) {
     m_events.After({}, [this, send, sent_at] {
-      Report(send.key, send.choice.target, request::Delivery::kNotRun,
-             sent_at);
+      Report(send.key, send.choice.target, request::Delivery::kNotRun, sent_at);
     });
   }
 }
@@ -287,10 +242,9 @@
 
 void Node::Claim(const Call& call, const routing::ClaimAt& claim) {
   // The call's number is the request's key, which the answer has to name.
-  m_fleet.Deliver(claim.peer,
-                  routing::ClaimSeen{m_id,
-                                     routing::CallNumber(claim.key.Count()),
-                                     call.request.spec.id, claim.token});
+  m_fleet.Deliver(claim.peer, routing::ClaimSeen{
+                                  m_id, routing::CallNumber(claim.key.Count()),
+                                  call.request.spec.id, claim.token});
 }
 
 void Node::SendClaimReply(const core::InstanceId& peer,
--- a/bench/flood/main.cc
+++ b/bench/flood/main.cc
@@ -67,8 +67,8 @@
     if (at < m_start || End() <= at) {
       return std::nullopt;
     }
-    const auto turn = static_cast<std::size_t>((at - m_start) /
-                                               (kFlood + kLull));
+    const auto turn =
+        static_cast<std::size_t>((at - m_start) / (kFlood + kLull));
     const bool is_flood = at - m_start < (kFlood + kLull) * turn + kFlood;
     return is_flood ? std::optional<std::size_t>(turn) : std::nullopt;
   }
@@ -96,8 +96,7 @@
                                           std::size_t index,
                                           TimePoint now) {
   const bench::MixEntry& entry = stream.entry;
-  const std::string id =
-      std::to_string(index) + "-" + std::to_string(number);
+  const std::string id = std::to_string(index) + "-" + std::to_string(number);
   return crocusmast::adapters::ParseCallerHeaders(
              {id, entry.plan, entry.kind, entry.urgency, entry.repeatable,
               std::to_string(entry.deadline.count())},
@@ -285,9 +284,9 @@
 }
 
 Result<int> Main(const cxxopts::ParseResult& parsed) {
-  BOOST_LEAF_AUTO(workload, bench::flood::ReadWorkload(
-                                parsed["folder"].as<std::string>(),
-                                parsed["utilization"].as<double>()));
+  BOOST_LEAF_AUTO(
+      workload, bench::flood::ReadWorkload(parsed["folder"].as<std::string>(),
+                                           parsed["utilization"].as<double>()));
   const auto entries = parsed["entries"].as<std::size_t>();
   const auto seed = parsed["seed"].as<std::uint64_t>();
   const std::pair<const char*, MakePolicy> policies[] = {
--- a/bench/flood/naive.cc
+++ b/bench/flood/naive.cc
@@ -27,9 +27,8 @@
     const std::size_t entry = m_next++ % m_connections.size();
     auto call = std::make_shared<Call>();
     call->request = std::move(request);
-    m_events.After(call->request.spec.deadline - m_events.Now(), [call] {
-      End(*call, Outcome::kUnknown);
-    });
+    m_events.After(call->request.spec.deadline - m_events.Now(),
+                   [call] { End(*call, Outcome::kUnknown); });
     Try(entry, call, 0);
   }
 
--- a/bench/flood/targets.cc
+++ b/bench/flood/targets.cc
@@ -42,11 +42,10 @@
   ++m_runs;
   ++m_running[internal::PoolOf(name)];
   job.request.started();
-  std::exponential_distribution<double> pick(1 /
-                                             m_service_ms[internal::PoolOf(name)]);
-  const auto length =
-      std::chrono::duration_cast<crocusmast::core::Duration>(
-          std::chrono::duration<double, std::milli>(pick(m_random)));
+  std::exponential_distribution<double> pick(
+      1 / m_service_ms[internal::PoolOf(name)]);
+  const auto length = std::chrono::duration_cast<crocusmast::core::Duration>(
+      std::chrono::duration<double, std::milli>(pick(m_random)));
   m_events.After(length, [this, name, &target, finished = job.finished] {
     --target.running;
     --m_running[internal::PoolOf(name)];
--- a/bench/flood/workload.cc
+++ b/bench/flood/workload.cc
@@ -25,8 +25,8 @@
 }
 
 core::Result<std::vector<Pool>> ReadPools(const std::string& name) {
-  BOOST_LEAF_AUTO(json, ParseStrict(ReadFile(name), name,
-                                    core::Step::kReadFile));
+  BOOST_LEAF_AUTO(json,
+                  ParseStrict(ReadFile(name), name, core::Step::kReadFile));
   std::vector<Pool> pools;
   for (const Json& item : json) {
     const ObjectReader reader(item, name, core::Step::kReadFile);
@@ -61,10 +61,10 @@
                                                 double utilization) {
   namespace core = crocusmast::core;
   Workload workload;
-  BOOST_LEAF_AUTO(files, crocusmast::adapters::ParseFiles(
-                             {internal::ReadFile(folder + "/plans.json"),
-                              internal::ReadFile(folder +
-                                                 "/allowances.json")}));
+  BOOST_LEAF_AUTO(files,
+                  crocusmast::adapters::ParseFiles(
+                      {internal::ReadFile(folder + "/plans.json"),
+                       internal::ReadFile(folder + "/allowances.json")}));
   workload.lists = std::move(files.lists);
   BOOST_LEAF_ASSIGN(workload.pools,
                     internal::ReadPools(folder + "/pools.json"));
--- a/src/crocusmast/cli/maintenance_command.cc
+++ b/src/crocusmast/cli/maintenance_command.cc
@@ -19,24 +19,27 @@
 using maintenance::WaveItem;
 
 // As long as the instances that are done took on average.
-std::string EstimateEnd(const Wave& wave, std::size_t done) {
+std::string EstimateEnd(const Wave& wave,
+                        std::size_t done,
+                        const core::Clock& clock) {
   const std::size_t left =
       wave.Items().size() - done - wave.Count(ItemState::kPassedOver);
   if (done == 0 || left == 0) {
     return left == 0 ? "none left" : "not known yet";
   }
   const auto passed = std::chrono::duration_cast<std::chrono::seconds>(
-      std::chrono::system_clock::now() - wave.StartedAt());
+      clock.WallNow() - wave.StartedAt());
   const auto seconds = static_cast<std::size_t>(passed.count()) * left / done;
   return "in about " + std::to_string(seconds) + " s";
 }
 
-void PrintWave(const Wave& wave) {
+void PrintWave(const Wave& wave, const core::Clock& clock) {
   const std::size_t done = wave.Count(ItemState::kDone);
   std::cout << "The wave is " << maintenance::WaveStateName(wave.State())
             << ": " << done << " of " << wave.Items().size()
             << " instances are done, " << wave.Count(ItemState::kPassedOver)
-            << " were passed over. End: " << EstimateEnd(wave, done) << ".\n";
+            << " were passed over. End: " << EstimateEnd(wave, done, clock)
+            << ".\n";
   if (!wave.Note().empty()) {
     std::cout << "Held up: " << wave.Note() << "\n";
   }
@@ -58,7 +61,7 @@
   if (is_json) {
     std::cout << text << "\n";
   } else {
-    PrintWave(wave);
+    PrintWave(wave, core::SystemClock());
   }
   return ExitCode::kSuccess;
 }
--- a/src/crocusmast/routing/router.h
+++ b/src/crocusmast/routing/router.h
@@ -32,7 +32,7 @@
 /** @brief The time between reports of changes that open or close no pool. */
 inline constexpr std::chrono::milliseconds kSmallLoadInterval{250};
 /** @brief How often every limit is looked at for slots to give back. */
-inline constexpr std::chrono::milliseconds kShareCheck{500};
+inline constexpr std::chrono::milliseconds kShareCheck{100};
 /** @brief Free slots are reported again after this long, changed or not. */
 inline constexpr std::chrono::seconds kLoadRepeat{5};
 
--- a/src/crocusmast/routing/share_borrower.cc
+++ b/src/crocusmast/routing/share_borrower.cc
@@ -104,7 +104,10 @@
 
 void ShareBorrower::TouchAll() {
   for (const auto& [key, account] : m_accounts) {
-    m_touched.insert(key);
+    const bool has_idle = account.in_use < account.ceiling;
+    if (has_idle || account.waiting > 0) {
+      m_touched.insert(key);
+    }
   }
 }
 
--- a/src/crocusmast/routing/share_borrower.h
+++ b/src/crocusmast/routing/share_borrower.h
@@ -12,7 +12,7 @@
 namespace crocusmast::routing {
 
 /** @brief Slots that stay unused for this long are given back. */
-inline constexpr std::chrono::milliseconds kShareIdle{1000};
+inline constexpr std::chrono::milliseconds kShareIdle{100};
 /** @brief While requests wait, the lender is told again after this long. */
 inline constexpr std::chrono::milliseconds kShareRetell{500};
 
@@ -79,7 +79,8 @@
    */
   std::vector<ShareWant> TakeNews(core::TimePoint now);
 
-  /** @brief Makes the next call of TakeNews look at every limit. */
+  /** @brief Makes the next call of TakeNews look at limits with time to pass.
+   */
   void TouchAll();
 
   /**
--- /dev/null
+++ b/test/routing/router_fixture.h
@@ -0,0 +1,184 @@
+#ifndef TEST_ROUTING_ROUTER_FIXTURE_H_
+#define TEST_ROUTING_ROUTER_FIXTURE_H_
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "crocusmast/membership/rendezvous.h"
+#include "crocusmast/routing/router.h"
+#include "test/support/fake_clock.h"
+#include "test/support/make.h"
+#include "test/support/mocks.h"
+
+namespace test {
+
+using namespace crocusmast;
+using request::Delivery;
+using request::Reason;
+using request::Repeat;
+using routing::Arrival;
+using routing::Instruction;
+using routing::InstructionRing;
+using routing::SendTo;
+using trompeloeil::_;
+
+using Ring = std::shared_ptr<InstructionRing>;
+
+inline core::InstanceId Id(const std::string& text) {
+  return MakeId<core::InstanceId>(text);
+}
+
+/** @brief A router of instance entry-1 with two targets and mocks. */
+class RouterFixture : public CppUnit::TestFixture {
+ public:
+  void setUp() override {
+    m_fixture = std::make_unique<Fixture>();
+    SetTargets(2);
+    SetLists(4);
+    Settle();
+  }
+
+  void tearDown() override { m_fixture.reset(); }
+
+ protected:
+  struct Fixture {
+    Fixture() {
+      allowed.push_back(NAMED_ALLOW_CALL(peers, SendLoads(_, _)));
+      allowed.push_back(NAMED_ALLOW_CALL(peers, SendWant(_, _)));
+      allowed.push_back(NAMED_ALLOW_CALL(peers, SendGrant(_)));
+      allowed.push_back(NAMED_ALLOW_CALL(peers, SendRelease(_, _, _)));
+      allowed.push_back(NAMED_ALLOW_CALL(peers, SendReleased(_, _)));
+    }
+
+    test::MockPeerNews peers;
+    test::MockLeaving leaving;
+    std::vector<std::unique_ptr<trompeloeil::expectation>> allowed;
+    test::SilentLogger logger;
+    test::CountingMeter meter;
+    test::FakeClock clock;
+    membership::RosterView roster;
+    routing::Router router{{Id("entry-1"), MakeId<core::ZoneId>("zone-1"), 1},
+                           {peers, leaving, logger, meter, clock}};
+  };
+
+  void SetTargets(int count) {
+    membership::RosterView& view = m_fixture->roster;
+    view.entries = {Id("entry-1")};
+    view.owned.clear();
+    view.pools.clear();
+    view.owner_of.clear();
+    for (int index = 0; index < count; ++index) {
+      view.owned.push_back(
+          test::MakeTarget("t-" + std::to_string(index), "pool"));
+      AddToPool(view.owned.back().id, Id("entry-1"));
+    }
+    for (const membership::PeerView& peer : view.peers) {
+      view.entries.push_back(peer.id);
+      AddToPool(Id("far"), peer.id);
+    }
+    PublishRoster();
+  }
+
+  void AddToPool(const core::InstanceId& target,
+                 const core::InstanceId& owner) {
+    m_fixture->roster.pools[MakeId<core::PoolId>("pool")].push_back(target);
+    m_fixture->roster.owner_of[target] = owner;
+  }
+
+  // A peer that does not take the lending of the plan's slots over.
+  static core::InstanceId PeerId() {
+    int number = 2;
+    core::InstanceId peer = Id("entry-2");
+    while (membership::RankByRendezvous("plan/kind", {Id("entry-1"), peer}, 1)
+               .front() == peer) {
+      peer = Id("entry-" + std::to_string(++number));
+    }
+    return peer;
+  }
+
+  void AddPeer() {
+    m_fixture->roster.peers = {{PeerId(), MakeId<core::ZoneId>("zone-2")}};
+    SetTargets(2);
+  }
+
+  // The peer's target "far" becomes the only one, and this instance's.
+  void TakeTargetOver() {
+    AddPeer();
+    m_fixture->roster.owned = {test::MakeTarget("far", "pool")};
+    m_fixture->roster.owner_of = {{Id("far"), Id("entry-1")}};
+    m_fixture->roster.pools[MakeId<core::PoolId>("pool")] = {Id("far")};
+    PublishRoster();
+  }
+
+  void RemovePeer() {
+    m_fixture->roster.peers.clear();
+    SetTargets(2);
+  }
+
+  void PublishRoster() {
+    m_fixture->router.Handle(routing::RosterChanged{
+        std::make_shared<const membership::RosterView>(m_fixture->roster)});
+  }
+
+  void SetLists(std::uint64_t slots) {
+    m_fixture->router.Handle(routing::ListsChanged{
+        core::Revision(1),
+        std::make_shared<const configuration::Lists>(
+            configuration::Lists::Create(
+                {test::MakePlan("plan"),
+                 test::MakeAllowance("plan", "kind", "pool", slots)})
+                .value())});
+  }
+
+  void Settle() {
+    constexpr int kTicks = 60;
+    for (int tick = 0; tick < kTicks; ++tick) {
+      m_fixture->clock.Advance(std::chrono::milliseconds(100));
+      m_fixture->router.Tick();
+    }
+  }
+
+  request::RequestSpec Spec(const std::string& id, Repeat repeat) const {
+    return test::MakeSpec(id, m_fixture->clock.Now() + std::chrono::seconds(10),
+                          repeat);
+  }
+
+  Ring ArriveWith(const request::RequestSpec& spec) {
+    const Ring ring = std::make_shared<InstructionRing>(2);
+    m_fixture->router.Handle(Arrival{spec, false, ring});
+    return ring;
+  }
+
+  Ring Arrive(const std::string& id, Repeat repeat = Repeat::kRepeatable) {
+    return ArriveWith(Spec(id, repeat));
+  }
+
+  static std::optional<Instruction> Next(const Ring& ring) {
+    return ring->PopFor(core::Duration::zero());
+  }
+
+  void Finish(const SendTo& send, Delivery delivery, bool is_failure = false) {
+    routing::SendReport report;
+    report.delivery = delivery;
+    report.is_failure = is_failure || delivery == Delivery::kUnknown;
+    m_fixture->router.Handle(routing::SendFinished{send.key, send.choice.target,
+                                                   report, Reason::kNone});
+  }
+
+  routing::RouterStatus Status() {
+    const auto reply =
+        std::make_shared<core::BoundedRing<routing::RouterStatus>>(1);
+    m_fixture->router.Handle(routing::StatusQuery{reply});
+    return *reply->PopFor(core::Duration::zero());
+  }
+
+  std::unique_ptr<Fixture> m_fixture;
+};
+
+}  // namespace test
+
+#endif  // TEST_ROUTING_ROUTER_FIXTURE_H_
