--- a/src/crocusmast/routing/share_book.cc
+++ b/src/crocusmast/routing/share_book.cc
@@ -30,6 +30,12 @@
   for (const core::InstanceId& entry : entries) {
     m_gone_at.erase(entry);
   }
+  // With the first view it is not known who lent and borrowed before.
+  const bool is_first = m_entries.empty();
+  m_awaited = std::set<core::InstanceId>(m_entries.begin(), m_entries.end());
+  if (!is_first) {
+    m_awaited.insert(entries.begin(), entries.end());
+  }
   m_entries = entries;
   ChangeLenders(now);
 }
@@ -55,7 +61,7 @@
     known = lender;
     m_lenders.erase(key);
     if (lender == m_self) {
-      m_lenders.emplace(key, ShareLender(key, now + kLenderHold));
+      m_lenders.emplace(key, ShareLender(key, now + kLenderHold, m_awaited));
       m_opens_at = now + kLenderHold;
     }
     m_borrower.ChangeLender(key);
--- a/src/crocusmast/routing/share_book.h
+++ b/src/crocusmast/routing/share_book.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "crocusmast/configuration/lists.h"
@@ -95,6 +96,7 @@
   ShareBorrower m_borrower;
   std::shared_ptr<const configuration::Lists> m_lists;
   std::vector<core::InstanceId> m_entries;
+  std::set<core::InstanceId> m_awaited;
   std::map<ShareKey, core::InstanceId> m_lender_of;
   std::map<ShareKey, ShareLender> m_lenders;
   std::map<core::InstanceId, core::TimePoint> m_gone_at;
--- a/src/crocusmast/routing/share_lender.cc
+++ b/src/crocusmast/routing/share_lender.cc
@@ -5,8 +5,12 @@
 
 namespace crocusmast::routing {
 
-ShareLender::ShareLender(ShareKey key, core::TimePoint open_at)
-    : m_key(std::move(key)), m_open_at(open_at) {}
+ShareLender::ShareLender(ShareKey key,
+                         core::TimePoint open_at,
+                         std::set<core::InstanceId> awaited)
+    : m_key(std::move(key)),
+      m_open_at(open_at),
+      m_awaited(std::move(awaited)) {}
 
 std::vector<AddressedGrant> ShareLender::SetLimit(core::Slots limit) {
   m_limit = limit.Count();
@@ -16,7 +20,8 @@
 std::vector<AddressedGrant> ShareLender::Take(const core::InstanceId& borrower,
                                               const ShareWant& want,
                                               core::TimePoint now) {
-  m_is_open = m_is_open || m_open_at <= now;
+  const bool was_last = m_awaited.erase(borrower) > 0 && m_awaited.empty();
+  m_is_open = m_is_open || was_last || m_open_at <= now;
   Loan& loan = m_loans[borrower];
   if (want.session < loan.session) {
     return {};
--- a/src/crocusmast/routing/share_lender.h
+++ b/src/crocusmast/routing/share_lender.h
@@ -2,6 +2,7 @@
 #define CROCUSMAST_ROUTING_SHARE_LENDER_H_
 
 #include <map>
+#include <set>
 #include <vector>
 
 #include "crocusmast/core/clock.h"
@@ -31,8 +32,11 @@
    * @param key The limit's name.
    * @param open_at Before this nothing new is lent, so that slots lent by the
    * lender before are known or out of use.
+   * @param awaited Once all these have told what they keep, it lends at once.
    */
-  ShareLender(ShareKey key, core::TimePoint open_at);
+  ShareLender(ShareKey key,
+              core::TimePoint open_at,
+              std::set<core::InstanceId> awaited);
 
   /**
    * @brief Sets the limit.
@@ -95,6 +99,7 @@
 
   const ShareKey m_key;
   const core::TimePoint m_open_at;
+  std::set<core::InstanceId> m_awaited;
   bool m_is_open = false;
   std::uint64_t m_limit = 0;
   std::map<core::InstanceId, Loan> m_loans;
--- a/test/routing/share_test.cc
+++ b/test/routing/share_test.cc
@@ -3,6 +3,7 @@
 
 #include <deque>
 #include <map>
+#include <set>
 
 #include "crocusmast/membership/rendezvous.h"
 #include "crocusmast/routing/share_book.h"
@@ -33,7 +34,7 @@
  public:
   Network(std::size_t borrowers, std::uint64_t limit, core::TimePoint now)
       : m_limit(limit) {
-    m_lender.emplace(kKey, now);
+    m_lender.emplace(kKey, now, std::set<core::InstanceId>());
     for (std::size_t index = 0; index < borrowers; ++index) {
       m_borrowers.emplace_back(ShareSession(1 + 1000 * index));
     }
@@ -96,7 +97,11 @@
 
   // Everybody sees the change, and the new lender hears of what is kept.
   void ChangeLender(core::TimePoint now) {
-    m_lender.emplace(kKey, now + routing::kLenderHold);
+    std::set<core::InstanceId> awaited;
+    for (std::size_t index = 0; index < m_borrowers.size(); ++index) {
+      awaited.insert(Entry(index));
+    }
+    m_lender.emplace(kKey, now + routing::kLenderHold, awaited);
     Send(m_lender->SetLimit(core::Slots(m_limit)));
     for (std::size_t index = 0; index < m_borrowers.size(); ++index) {
       m_wants[index].clear();
@@ -140,6 +145,7 @@
   CPPUNIT_TEST(LateBorrowerGetsItsPart);
   CPPUNIT_TEST(DeadBorrowersSlotsComeBack);
   CPPUNIT_TEST(NewLenderWaitsForThoseInUse);
+  CPPUNIT_TEST(NewLenderOpensWhenAllHaveTold);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -252,6 +258,18 @@
     CPPUNIT_ASSERT(!Acquire(book));
   }
 
+  void NewLenderOpensWhenAllHaveTold() {
+    ShareLender lender(kKey, m_clock.Now() + routing::kLenderHold,
+                       {Entry(0), Entry(1)});
+    lender.SetLimit(core::Slots(4));
+    const ShareWant want{
+        kKey, core::Slots(1), core::Slots(4), {}, ShareSession(1)};
+    CPPUNIT_ASSERT(lender.Take(Entry(0), want, m_clock.Now()).empty());
+    CPPUNIT_ASSERT(lender.Take(Entry(0), want, m_clock.Now()).empty());
+    CPPUNIT_ASSERT(!lender.Take(Entry(1), want, m_clock.Now()).empty());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, lender.Occupied().Count());
+  }
+
  private:
   static std::shared_ptr<const configuration::Lists> ListsOf(
       std::uint64_t slots) {
