Keep logic that stood twice in one place

Cause: reading the tree for repeats: both clients of the store counted their calls alike, three programs parsed addresses, two formatted times.

--- a/bench/flood/crocusmast.cc
+++ b/bench/flood/crocusmast.cc
@@ -44,7 +44,7 @@
     std::function<void(request::Delivery)> reply;
   };
 
-  void Serve(Request request,
+  void Serve(const Request& request,
              bool is_forwarded,
              std::function<void(request::Delivery)> reply);
   void Handle(routing::Message message);
@@ -136,7 +136,7 @@
                 (index + 1) * 1000000000ULL},
                {*this, *this, m_sinks, m_sinks, events}) {}
 
-void Node::Serve(Request request,
+void Node::Serve(const Request& request,
                  bool is_forwarded,
                  std::function<void(request::Delivery)> reply) {
   auto ring = std::make_shared<routing::InstructionRing>(2);
@@ -324,7 +324,7 @@
 void Crocusmast::Arrive(Request request) {
   Node& node = *m_nodes[m_next++ % m_nodes.size()];
   const auto done = request.done;
-  node.Serve(std::move(request), false, [done](request::Delivery delivery) {
+  node.Serve(request, false, [done](request::Delivery delivery) {
     switch (delivery) {
       case request::Delivery::kAnswered:
         done(request::Outcome::kAnswered);
--- a/bench/flood/fleet.h
+++ b/bench/flood/fleet.h
@@ -81,7 +81,7 @@
     std::vector<Job> queue;
   };
 
-  void Start(const std::string& name, Target& target, Job job);
+  void Start(const std::string& name, Target& target, const Job& job);
 
   Events& m_events;
   std::mt19937_64 m_random;
--- a/bench/flood/targets.cc
+++ b/bench/flood/targets.cc
@@ -30,14 +30,14 @@
   }
   Job job{request, std::move(finished)};
   if (state.running < kSlots) {
-    Start(target, state, std::move(job));
+    Start(target, state, job);
   } else {
     state.queue.push_back(std::move(job));
   }
   return true;
 }
 
-void Targets::Start(const std::string& name, Target& target, Job job) {
+void Targets::Start(const std::string& name, Target& target, const Job& job) {
   ++target.running;
   ++m_runs;
   ++m_running[internal::PoolOf(name)];
@@ -51,9 +51,9 @@
     --m_running[internal::PoolOf(name)];
     finished();
     if (!target.queue.empty() && target.running < kSlots) {
-      Job next = std::move(target.queue.front());
+      const Job next = std::move(target.queue.front());
       target.queue.erase(target.queue.begin());
-      Start(name, target, std::move(next));
+      Start(name, target, next);
     }
   });
 }
--- a/bench/load_main.cc
+++ b/bench/load_main.cc
@@ -1,10 +1,9 @@
 #include <csignal>
 #include <cxxopts.hpp>
-#include <fstream>
 #include <iostream>
-#include <sstream>
 
 #include "bench/runner.h"
+#include "crocusmast/adapters/endpoint.h"
 #include "crocusmast/core/error.h"
 
 namespace {
@@ -40,23 +39,11 @@
   return options;
 }
 
-core::Result<crocusmast::fleet::Endpoint> ReadAddress(const std::string& text) {
-  const std::size_t colon = text.rfind(':');
-  std::istringstream port_text(
-      colon == std::string::npos ? "" : text.substr(colon + 1));
-  std::uint16_t port = 0;
-  if (!(port_text >> port) || port == 0) {
-    return core::Fail(core::Step::kParseSettings, "to",
-                      "'" + text + "' is not HOST:PORT");
-  }
-  return crocusmast::fleet::Endpoint{text.substr(0, colon), port};
-}
-
 core::Result<bench::RunSettings> ReadSettings(
     const cxxopts::ParseResult& parsed) {
   bench::RunSettings settings;
   for (const std::string& text : parsed["to"].as<std::vector<std::string>>()) {
-    BOOST_LEAF_AUTO(address, ReadAddress(text));
+    BOOST_LEAF_AUTO(address, crocusmast::adapters::ParseEndpoint("to", text));
     settings.sender.addresses.push_back(address);
   }
   settings.sender.path = parsed["path"].as<std::string>();
--- a/src/crocusmast/adapters/fwd.h
+++ b/src/crocusmast/adapters/fwd.h
@@ -10,8 +10,11 @@
 class MetricsRegistry;
 class PeerLink;
 class PeerTransport;
+class PlatformClient;
 class StoreClient;
+class StoreHttp;
 class TargetClient;
+class WaveClient;
 
 }  // namespace crocusmast::adapters
 
--- a/src/crocusmast/adapters/store_client.cc
+++ b/src/crocusmast/adapters/store_client.cc
@@ -50,40 +50,19 @@
 using configuration::Snapshot;
 using core::Step;
 
-StoreClient::StoreClient(std::unique_ptr<HttpClient> http, core::Meter& meter)
-    : m_http(std::move(http)), m_meter(meter) {}
+StoreClient::StoreClient(const fleet::Endpoint& address, core::Meter& meter)
+    : m_http(address, meter) {}
 
 std::unique_ptr<StoreClient> StoreClient::Create(const fleet::Endpoint& address,
                                                  core::Meter& meter) {
-  return std::unique_ptr<StoreClient>(
-      new StoreClient(HttpClient::Create(address, ""), meter));
-}
-
-core::Result<HttpAnswer> StoreClient::Count(core::Result<HttpAnswer> answer) {
-  m_meter.Add(core::Counter::kStoreCalls, 1);
-  if (answer) {
-    m_meter.Add(core::Counter::kStoreBytes, answer->body.size());
-  } else {
-    m_meter.Add(core::Counter::kStoreFailures, 1);
-  }
-  return answer;
-}
-
-core::Result<HttpAnswer> StoreClient::Get(const std::string& path,
-                                          core::Duration wait) {
-  return Count(m_http->Get(path, wait + internal::kCallWait));
-}
-
-core::Result<HttpAnswer> StoreClient::Put(const std::string& path,
-                                          const std::string& body) {
-  m_meter.Add(core::Counter::kStoreBytes, body.size());
-  return Count(m_http->Put(path, body, internal::kCallWait));
+  return std::unique_ptr<StoreClient>(new StoreClient(address, meter));
 }
 
 core::Result<AppendOutcome> StoreClient::Append(const Change& change) {
   const std::string path =
       "/keys/" + internal::ChangeKey(change.revision) + "?expect=0";
-  core::Result<HttpAnswer> answer = Put(path, FormatChange(change));
+  core::Result<HttpAnswer> answer =
+      m_http.Put(path, FormatChange(change), internal::kCallWait);
   if (answer && answer->status == internal::kOk) {
     return AppendOutcome::kAppended;
   }
@@ -91,8 +70,9 @@
 }
 
 core::Result<AppendOutcome> StoreClient::ReadBack(const Change& change) {
-  BOOST_LEAF_AUTO(answer, Get("/keys/" + internal::ChangeKey(change.revision),
-                              core::Duration::zero()));
+  BOOST_LEAF_AUTO(answer,
+                  m_http.Get("/keys/" + internal::ChangeKey(change.revision),
+                             internal::kCallWait));
   if (answer.status == internal::kNotFound) {
     return core::Fail(Step::kWriteStore, "store",
                       "the change is not there; nothing changed, try again");
@@ -112,7 +92,7 @@
   const std::string path = "/range?prefix=configuration/change/&after=" +
                            internal::ChangeKey(after) +
                            "&wait_ms=" + std::to_string(wait_ms);
-  BOOST_LEAF_AUTO(answer, Get(path, wait));
+  BOOST_LEAF_AUTO(answer, m_http.Get(path, wait + internal::kCallWait));
   if (answer.status != internal::kOk) {
     return internal::Unexpected(Step::kReadStore, answer);
   }
@@ -120,8 +100,8 @@
 }
 
 core::Result<std::optional<Snapshot>> StoreClient::ReadSnapshot() {
-  BOOST_LEAF_AUTO(answer,
-                  Get("/keys/configuration/snapshot", core::Duration::zero()));
+  BOOST_LEAF_AUTO(
+      answer, m_http.Get("/keys/configuration/snapshot", internal::kCallWait));
   if (answer.status == internal::kNotFound) {
     return std::optional<Snapshot>();
   }
@@ -133,8 +113,9 @@
 }
 
 core::Result<void> StoreClient::WriteSnapshot(const Snapshot& snapshot) {
-  BOOST_LEAF_AUTO(
-      answer, Put("/keys/configuration/snapshot", FormatSnapshot(snapshot)));
+  BOOST_LEAF_AUTO(answer,
+                  m_http.Put("/keys/configuration/snapshot",
+                             FormatSnapshot(snapshot), internal::kCallWait));
   if (answer.status != internal::kOk) {
     return internal::Unexpected(Step::kWriteStore, answer);
   }
--- a/src/crocusmast/adapters/store_client.h
+++ b/src/crocusmast/adapters/store_client.h
@@ -5,9 +5,8 @@
 #include <string>
 #include <vector>
 
-#include "crocusmast/adapters/http_client.h"
+#include "crocusmast/adapters/store_http.h"
 #include "crocusmast/configuration/change_store.h"
-#include "crocusmast/core/meter.h"
 
 namespace crocusmast::adapters {
 
@@ -37,20 +36,15 @@
       const configuration::Snapshot& snapshot) override;
 
   /** @brief Ends a call under way; may be called by another thread. */
-  void Stop() { m_http->Stop(); }
+  void Stop() { m_http.Stop(); }
 
  private:
-  StoreClient(std::unique_ptr<HttpClient> http, core::Meter& meter);
+  StoreClient(const fleet::Endpoint& address, core::Meter& meter);
 
-  core::Result<HttpAnswer> Get(const std::string& path, core::Duration wait);
-  core::Result<HttpAnswer> Put(const std::string& path,
-                               const std::string& body);
-  core::Result<HttpAnswer> Count(core::Result<HttpAnswer> answer);
   core::Result<configuration::AppendOutcome> ReadBack(
       const configuration::Change& change);
 
-  std::unique_ptr<HttpClient> m_http;
-  core::Meter& m_meter;
+  StoreHttp m_http;
 };
 
 }  // namespace crocusmast::adapters
--- a/src/crocusmast/adapters/wave_client.cc
+++ b/src/crocusmast/adapters/wave_client.cc
@@ -36,42 +36,21 @@
 using maintenance::StoredWave;
 using maintenance::WaveVersion;
 
-WaveClient::WaveClient(std::unique_ptr<HttpClient> http,
+WaveClient::WaveClient(const fleet::Endpoint& address,
                        const core::RegionId& region,
                        core::Meter& meter)
-    : m_http(std::move(http)),
-      m_folder("/keys/maintenance/" + region.Text() + "/"),
-      m_meter(meter) {}
+    : m_http(address, meter),
+      m_folder("/keys/maintenance/" + region.Text() + "/") {}
 
 std::unique_ptr<WaveClient> WaveClient::Create(const fleet::Endpoint& address,
                                                const core::RegionId& region,
                                                core::Meter& meter) {
-  return std::unique_ptr<WaveClient>(
-      new WaveClient(HttpClient::Create(address, ""), region, meter));
-}
-
-core::Result<HttpAnswer> WaveClient::Count(core::Result<HttpAnswer> answer) {
-  m_meter.Add(core::Counter::kStoreCalls, 1);
-  if (answer) {
-    m_meter.Add(core::Counter::kStoreBytes, answer->body.size());
-  } else {
-    m_meter.Add(core::Counter::kStoreFailures, 1);
-  }
-  return answer;
-}
-
-core::Result<HttpAnswer> WaveClient::Get(const std::string& path) {
-  return Count(m_http->Get(path, internal::kWaveCallWait));
-}
-
-core::Result<HttpAnswer> WaveClient::Put(const std::string& path,
-                                         const std::string& body) {
-  m_meter.Add(core::Counter::kStoreBytes, body.size());
-  return Count(m_http->Put(path, body, internal::kWaveCallWait));
+  return std::unique_ptr<WaveClient>(new WaveClient(address, region, meter));
 }
 
 core::Result<StoredWave> WaveClient::Read() {
-  BOOST_LEAF_AUTO(answer, Get(m_folder + "wave"));
+  BOOST_LEAF_AUTO(answer,
+                  m_http.Get(m_folder + "wave", internal::kWaveCallWait));
   if (answer.status == internal::kStatusNotFound) {
     return StoredWave{};
   }
@@ -87,29 +66,30 @@
                                      WaveVersion expected) {
   const std::string path =
       m_folder + "wave?expect=" + std::to_string(expected.Count());
-  BOOST_LEAF_AUTO(answer, Put(path, FormatWave(wave)));
+  BOOST_LEAF_AUTO(answer,
+                  m_http.Put(path, FormatWave(wave), internal::kWaveCallWait));
   return internal::ToBool(answer, internal::kStatusConflict);
 }
 
 core::Result<bool> WaveClient::Acquire(const std::string& holder,
                                        core::Duration length) {
-  BOOST_LEAF_AUTO(
-      lease,
-      Put("/leases/" + holder + "?" + internal::LengthQuery(length), ""));
+  BOOST_LEAF_AUTO(lease, m_http.Put("/leases/" + holder + "?" +
+                                        internal::LengthQuery(length),
+                                    "", internal::kWaveCallWait));
   if (lease.status != internal::kStatusOk) {
     return core::Fail(Step::kWriteStore, "store",
                       "answered with status " + std::to_string(lease.status));
   }
   const std::string path = m_folder + "holder?expect=0&lease=" + holder;
-  BOOST_LEAF_AUTO(answer, Put(path, holder));
+  BOOST_LEAF_AUTO(answer, m_http.Put(path, holder, internal::kWaveCallWait));
   return internal::ToBool(answer, internal::kStatusConflict);
 }
 
 core::Result<bool> WaveClient::Renew(const std::string& holder,
                                      core::Duration length) {
-  BOOST_LEAF_AUTO(answer, Put("/leases/" + holder + "?renew=1&" +
-                                  internal::LengthQuery(length),
-                              ""));
+  BOOST_LEAF_AUTO(answer, m_http.Put("/leases/" + holder + "?renew=1&" +
+                                         internal::LengthQuery(length),
+                                     "", internal::kWaveCallWait));
   return internal::ToBool(answer, internal::kStatusNotFound);
 }
 
--- a/src/crocusmast/adapters/wave_client.h
+++ b/src/crocusmast/adapters/wave_client.h
@@ -4,8 +4,7 @@
 #include <memory>
 #include <string>
 
-#include "crocusmast/adapters/http_client.h"
-#include "crocusmast/core/meter.h"
+#include "crocusmast/adapters/store_http.h"
 #include "crocusmast/maintenance/wave_store.h"
 
 namespace crocusmast::adapters {
@@ -32,18 +31,12 @@
                            core::Duration length) override;
 
  private:
-  WaveClient(std::unique_ptr<HttpClient> http,
+  WaveClient(const fleet::Endpoint& address,
              const core::RegionId& region,
              core::Meter& meter);
 
-  core::Result<HttpAnswer> Get(const std::string& path);
-  core::Result<HttpAnswer> Put(const std::string& path,
-                               const std::string& body);
-  core::Result<HttpAnswer> Count(core::Result<HttpAnswer> answer);
-
-  std::unique_ptr<HttpClient> m_http;
+  StoreHttp m_http;
   const std::string m_folder;
-  core::Meter& m_meter;
 };
 
 }  // namespace crocusmast::adapters
--- a/src/crocusmast/cli/arguments.cc
+++ b/src/crocusmast/cli/arguments.cc
@@ -1,13 +1,13 @@
 #include "crocusmast/cli/arguments.h"
 
-#include <cstdint>
 #include <cstdlib>
 #include <cxxopts.hpp>
 #include <fstream>
-#include <limits>
 #include <sstream>
 #include <utility>
 
+#include "crocusmast/adapters/endpoint.h"
+
 namespace crocusmast::cli {
 namespace internal {
 
@@ -57,26 +57,12 @@
   return token;
 }
 
-Result<fleet::Endpoint> ReadAddress(const std::string& text) {
-  const std::size_t colon = text.rfind(':');
-  std::istringstream port_text(
-      colon == std::string::npos ? "" : text.substr(colon + 1));
-  unsigned port = 0;
-  if (colon == 0 || !(port_text >> port) || port == 0 ||
-      port > std::numeric_limits<std::uint16_t>::max()) {
-    return Fail(Step::kParseSettings, "instances",
-                "'" + text + "' is not HOST:PORT with a port of 1 to 65535");
-  }
-  return fleet::Endpoint{text.substr(0, colon),
-                         static_cast<std::uint16_t>(port)};
-}
-
 Result<std::vector<fleet::Endpoint>> ReadAddresses(const std::string& text) {
   std::vector<fleet::Endpoint> addresses;
   std::istringstream stream(text);
   std::string item;
   while (std::getline(stream, item, ',')) {
-    BOOST_LEAF_AUTO(address, ReadAddress(item));
+    BOOST_LEAF_AUTO(address, adapters::ParseEndpoint("instances", item));
     addresses.push_back(address);
   }
   return addresses;
--- a/src/crocusmast/cli/commands.cc
+++ b/src/crocusmast/cli/commands.cc
@@ -1,6 +1,5 @@
 #include "crocusmast/cli/commands.h"
 
-#include <ctime>
 #include <fstream>
 #include <functional>
 #include <iostream>
@@ -15,6 +14,7 @@
 #include "crocusmast/cli/admin_client.h"
 #include "crocusmast/cli/maintenance_command.h"
 #include "crocusmast/cli/table.h"
+#include "crocusmast/core/wall_time.h"
 
 namespace crocusmast::cli {
 namespace internal {
@@ -67,15 +67,6 @@
   return core::ChangeId::Create(text.substr(0, core::kMaxIdLength)).value();
 }
 
-std::string FormatTime(core::WallTime at) {
-  const std::time_t seconds = std::chrono::system_clock::to_time_t(at);
-  std::tm parts{};
-  gmtime_r(&seconds, &parts);
-  char text[sizeof "2000-01-01T00:00:00Z"];
-  std::strftime(text, sizeof text, "%Y-%m-%dT%H:%M:%SZ", &parts);
-  return text;
-}
-
 Table MakeDifferenceTable(
     const std::vector<configuration::RowChange>& changes) {
   Table table({"row", "in force", "wanted"});
@@ -196,7 +187,7 @@
   Table table({"revision", "at", "author", "rows", "reason"});
   for (const Change& change : changes) {
     table.Add({std::to_string(change.revision.Count()),
-               FormatTime(change.origin.at), change.origin.author,
+               core::FormatTime(change.origin.at), change.origin.author,
                std::to_string(change.rows.size()), change.origin.reason});
   }
   Print(table, arguments);
--- a/src/crocusmast/configuration/configuration.cc
+++ b/src/crocusmast/configuration/configuration.cc
@@ -1,20 +1,12 @@
 #include "crocusmast/configuration/configuration.h"
 
-#include <ctime>
 #include <string>
 
+#include "crocusmast/core/wall_time.h"
+
 namespace crocusmast::configuration {
 namespace internal {
 
-std::string FormatTime(core::WallTime time) {
-  const std::time_t seconds = std::chrono::system_clock::to_time_t(time);
-  std::tm parts{};
-  gmtime_r(&seconds, &parts);
-  char text[sizeof "2000-01-01T00:00:00Z"];
-  std::strftime(text, sizeof text, "%Y-%m-%dT%H:%M:%SZ", &parts);
-  return text;
-}
-
 boost::leaf::error_id Conflict(const RowChange& wanted, const Change& other) {
   std::optional<Row> theirs;
   for (const RowChange& row : other.rows) {
@@ -26,7 +18,7 @@
       core::Step::kMergeEdit, Describe(wanted.key),
       "conflict: you want {" + Describe(wanted.after) + "}, but revision " +
           std::to_string(other.revision.Count()) + " by " +
-          other.origin.author + " at " + FormatTime(other.origin.at) +
+          other.origin.author + " at " + core::FormatTime(other.origin.at) +
           " set {" + Describe(theirs) + "}");
 }
 
--- /dev/null
+++ b/src/crocusmast/core/wall_time.h
@@ -0,0 +1,19 @@
+#ifndef CROCUSMAST_CORE_WALL_TIME_H_
+#define CROCUSMAST_CORE_WALL_TIME_H_
+
+#include <string>
+
+#include "crocusmast/core/clock.h"
+
+namespace crocusmast::core {
+
+/**
+ * @brief Writes a calendar time in UTC, to the second.
+ * @param time The time.
+ * @return As 2000-01-01T00:00:00Z.
+ */
+std::string FormatTime(WallTime time);
+
+}  // namespace crocusmast::core
+
+#endif  // CROCUSMAST_CORE_WALL_TIME_H_
--- a/src/crocusmast/daemon/settings.cc
+++ b/src/crocusmast/daemon/settings.cc
@@ -7,14 +7,16 @@
 #include <cstdlib>
 #include <cxxopts.hpp>
 #include <fstream>
-#include <limits>
 #include <map>
 #include <sstream>
 #include <utility>
 
+#include "crocusmast/adapters/endpoint.h"
+
 namespace crocusmast::daemon {
 namespace internal {
 
+using adapters::ParseEndpoint;
 using core::Fail;
 using core::Result;
 using core::Step;
@@ -207,24 +209,6 @@
 
 }  // namespace internal
 
-core::Result<fleet::Endpoint> ParseEndpoint(std::string_view name,
-                                            const std::string& text) {
-  constexpr std::size_t kMaxDigits = 5;
-  const std::size_t colon = text.rfind(':');
-  const std::string port =
-      colon == std::string::npos ? "" : text.substr(colon + 1);
-  const bool is_number =
-      !port.empty() && port.size() <= kMaxDigits &&
-      port.find_first_not_of("0123456789") == std::string::npos;
-  const unsigned long number = is_number ? std::stoul(port) : 0;
-  if (colon == 0 || number < 1 ||
-      number > std::numeric_limits<std::uint16_t>::max()) {
-    return internal::Wrong(name, text, "HOST:PORT with a port of 1 to 65535");
-  }
-  return fleet::Endpoint{text.substr(0, colon),
-                         static_cast<std::uint16_t>(number)};
-}
-
 core::Result<ParsedCommandLine> ParseCommandLine(int argc,
                                                  const char* const* argv) {
   cxxopts::Options options = internal::MakeOptions();
--- a/src/crocusmast/daemon/settings.h
+++ b/src/crocusmast/daemon/settings.h
@@ -3,7 +3,6 @@
 
 #include <cstddef>
 #include <string>
-#include <string_view>
 
 #include "crocusmast/adapters/boost_logger.h"
 #include "crocusmast/core/error.h"
@@ -66,14 +65,6 @@
 core::Result<ParsedCommandLine> ParseCommandLine(int argc,
                                                  const char* const* argv);
 
-/**
- * @brief Reads an address.
- * @param name The setting's name, for errors.
- * @param text Host and port with a colon between.
- */
-core::Result<fleet::Endpoint> ParseEndpoint(std::string_view name,
-                                            const std::string& text);
-
 }  // namespace crocusmast::daemon
 
 #endif  // CROCUSMAST_DAEMON_SETTINGS_H_
