Give the maintenance lease up when a renewal fails

Cause: read again, KeepLease extended the lease here after a renewal that had failed, so a holder that could not reach the store believed itself holder for longer than the store did. Its writes and the incarnations of its acts still fenced it. Change: a renewal that fails loses the lease; an instance that asks for the lease while its own name still holds it is recognised by reading the holder back, where it would have renewed its lease and been refused for ever.

--- a/src/crocusmast/adapters/wave_client.cc
+++ b/src/crocusmast/adapters/wave_client.cc
@@ -82,7 +82,13 @@
   }
   const std::string path = m_folder + "holder?expect=0&lease=" + holder;
   BOOST_LEAF_AUTO(answer, m_http.Put(path, holder, internal::kWaveCallWait));
-  return internal::ToBool(answer, internal::kStatusConflict);
+  if (answer.status != internal::kStatusConflict) {
+    return internal::ToBool(answer, internal::kStatusConflict);
+  }
+  // The holder may be this instance, after an answer that was lost.
+  BOOST_LEAF_AUTO(present,
+                  m_http.Get(m_folder + "holder", internal::kWaveCallWait));
+  return present.status == internal::kStatusOk && present.body == holder;
 }
 
 core::Result<bool> WaveClient::Renew(const std::string& holder,
--- a/src/crocusmast/maintenance/service.cc
+++ b/src/crocusmast/maintenance/service.cc
@@ -112,7 +112,7 @@
         return is_first_try ? m_ports.store.Acquire(m_holder_name, kLeaseLength)
                             : m_ports.store.Renew(m_holder_name, kLeaseLength);
       },
-      [&](const core::Error&) { return m_lease.MayAct(now) && !is_first_try; });
+      [](const core::Error&) { return false; });
   if (!is_holder) {
     m_lease.Lose();
     return;
