--- /dev/null
+++ b/src/crocusmast/adapters/async/fwd.h
@@ -0,0 +1,15 @@
+#ifndef CROCUSMAST_ADAPTERS_ASYNC_FWD_H_
+#define CROCUSMAST_ADAPTERS_ASYNC_FWD_H_
+
+namespace crocusmast::adapters::async {
+
+class HttpClient;
+class HttpExchange;
+class HttpServer;
+class IoDuty;
+struct HttpCall;
+struct HttpReply;
+
+}  // namespace crocusmast::adapters::async
+
+#endif  // CROCUSMAST_ADAPTERS_ASYNC_FWD_H_
--- /dev/null
+++ b/src/crocusmast/adapters/async/http_server.cc
@@ -0,0 +1,268 @@
+#include "crocusmast/adapters/async/http_server.h"
+
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <optional>
+
+namespace crocusmast::adapters::async {
+namespace internal {
+
+namespace beast = boost::beast;
+namespace http = beast::http;
+using Tcp = boost::asio::ip::tcp;
+
+/** @brief The pause after accepting failed, as when descriptors are used up. */
+constexpr std::chrono::milliseconds kAcceptPause{50};
+
+class Session;
+
+}  // namespace internal
+
+/** @brief The listener and the open sessions. */
+struct HttpServer::State : std::enable_shared_from_this<HttpServer::State> {
+  State(IoDuty& duty, ServerLimits bounds, TakeRequest target)
+      : io(duty),
+        acceptor(duty.Context()),
+        limits(bounds),
+        take(std::move(target)) {}
+
+  core::Result<void> Listen(const fleet::Endpoint& address);
+  void Accept();
+
+  IoDuty& io;
+  internal::Tcp::acceptor acceptor;
+  ServerLimits limits;
+  TakeRequest take;
+  bool is_draining = false;
+  std::atomic<std::size_t> connections{0};
+};
+
+namespace internal {
+
+/** @brief One connection: reads a request, answers it, reads the next. */
+class Session final : public HttpExchange,
+                      public std::enable_shared_from_this<Session> {
+ public:
+  Session(Tcp::socket socket, std::shared_ptr<HttpServer::State> server)
+      : m_stream(std::move(socket)), m_server(std::move(server)) {
+    ++m_server->connections;
+  }
+  ~Session() override { --m_server->connections; }
+
+  void Read();
+
+  std::string_view Method() const override {
+    const auto text = m_request.method_string();
+    return {text.data(), text.size()};
+  }
+  std::string_view Target() const override {
+    const auto text = m_request.target();
+    return {text.data(), text.size()};
+  }
+  std::string_view Header(std::string_view name) const override {
+    const auto text = m_request[beast::string_view(name.data(), name.size())];
+    return {text.data(), text.size()};
+  }
+  const std::string& Body() const override { return m_request.body(); }
+  void Respond(HttpAnswer answer) override;
+
+ private:
+  void ReadHeader();
+  void ReadBody();
+  void Refuse(const boost::system::error_code& error);
+  void Write(HttpAnswer answer, bool keep);
+
+  beast::tcp_stream m_stream;
+  std::shared_ptr<HttpServer::State> m_server;
+  beast::flat_buffer m_buffer;
+  std::optional<http::request_parser<http::string_body>> m_parser;
+  http::request<http::string_body> m_request;
+  http::response<http::string_body> m_response;
+};
+
+void Session::Read() {
+  m_parser.emplace();
+  m_parser->header_limit(m_server->limits.header_bytes);
+  m_parser->body_limit(m_server->limits.body_bytes);
+  if (m_buffer.size() > 0) {
+    ReadHeader();
+    return;
+  }
+  m_stream.expires_after(m_server->limits.idle_timeout);
+  http::async_read_some(
+      m_stream, m_buffer, *m_parser,
+      [self = shared_from_this()](const boost::system::error_code& error,
+                                  std::size_t /*read*/) {
+        if (error) {
+          self->Refuse(error);
+        } else {
+          self->ReadHeader();
+        }
+      });
+}
+
+void Session::ReadHeader() {
+  m_stream.expires_after(m_server->limits.read_timeout);
+  if (m_parser->is_header_done()) {
+    ReadBody();
+    return;
+  }
+  http::async_read_header(
+      m_stream, m_buffer, *m_parser,
+      [self = shared_from_this()](const boost::system::error_code& error,
+                                  std::size_t /*read*/) {
+        if (error) {
+          self->Refuse(error);
+        } else {
+          self->ReadBody();
+        }
+      });
+}
+
+void Session::ReadBody() {
+  const auto done = [self = shared_from_this()](
+                        const boost::system::error_code& error,
+                        std::size_t /*read*/) {
+    if (error) {
+      self->Refuse(error);
+      return;
+    }
+    self->m_request = self->m_parser->release();
+    self->m_stream.expires_never();
+    self->m_server->take(self);
+  };
+  if (m_parser->is_done()) {
+    done({}, 0);
+    return;
+  }
+  http::async_read(m_stream, m_buffer, *m_parser, done);
+}
+
+void Session::Refuse(const boost::system::error_code& error) {
+  HttpAnswer answer;
+  if (error == http::error::body_limit) {
+    answer.status = 413;
+  } else if (error == http::error::header_limit) {
+    answer.status = 431;
+  } else if (error == beast::error::timeout && m_parser &&
+             m_parser->got_some()) {
+    answer.status = 408;
+  } else if (error.category() ==
+                 http::make_error_code(http::error::bad_method).category() &&
+             error != http::error::end_of_stream &&
+             error != http::error::partial_message) {
+    answer.status = 400;
+  } else {
+    return;
+  }
+  m_request = {};
+  Write(std::move(answer), false);
+}
+
+void Session::Respond(HttpAnswer answer) {
+  Write(std::move(answer), m_request.keep_alive() && !m_server->is_draining);
+}
+
+void Session::Write(HttpAnswer answer, bool keep) {
+  m_response = {};
+  m_response.version(11);
+  m_response.result(answer.status);
+  m_response.keep_alive(keep);
+  for (const auto& [name, value] : answer.headers) {
+    m_response.set(name, value);
+  }
+  if (!answer.body.empty()) {
+    m_response.set(http::field::content_type, answer.content_type);
+  }
+  m_response.body() = std::move(answer.body);
+  m_response.prepare_payload();
+  m_stream.expires_after(m_server->limits.write_timeout);
+  http::async_write(
+      m_stream, m_response,
+      [self = shared_from_this(), keep](const boost::system::error_code& error,
+                                        std::size_t /*sent*/) {
+        if (!error && keep) {
+          self->Read();
+          return;
+        }
+        boost::system::error_code unclosed;
+        self->m_stream.socket().shutdown(Tcp::socket::shutdown_send, unclosed);
+      });
+}
+
+}  // namespace internal
+
+core::Result<void> HttpServer::State::Listen(const fleet::Endpoint& address) {
+  boost::system::error_code failed;
+  const internal::Tcp::endpoint endpoint(
+      boost::asio::ip::make_address(address.host, failed), address.port);
+  if (!failed) {
+    acceptor.open(endpoint.protocol(), failed);
+  }
+  if (!failed) {
+    acceptor.set_option(internal::Tcp::acceptor::reuse_address(true), failed);
+  }
+  if (!failed) {
+    acceptor.bind(endpoint, failed);
+  }
+  if (!failed) {
+    acceptor.listen(boost::asio::socket_base::max_listen_connections, failed);
+  }
+  if (failed) {
+    return core::Fail(core::Step::kListen,
+                      address.host + ":" + std::to_string(address.port),
+                      failed.message());
+  }
+  return {};
+}
+
+void HttpServer::State::Accept() {
+  acceptor.async_accept(
+      [self = shared_from_this()](const boost::system::error_code& error,
+                                  internal::Tcp::socket socket) {
+        if (error) {
+          self->io.After(internal::kAcceptPause, [self] { self->Accept(); });
+          return;
+        }
+        boost::system::error_code unset;
+        socket.set_option(internal::Tcp::no_delay(true), unset);
+        if (self->connections < self->limits.connections) {
+          std::make_shared<internal::Session>(std::move(socket), self)->Read();
+        }
+        self->Accept();
+      });
+}
+
+core::Result<std::unique_ptr<HttpServer>> HttpServer::Create(
+    IoDuty& io,
+    const fleet::Endpoint& address,
+    ServerLimits limits,
+    TakeRequest take) {
+  auto state = std::make_shared<State>(io, limits, std::move(take));
+  BOOST_LEAF_CHECK(state->Listen(address));
+  state->Accept();
+  return std::unique_ptr<HttpServer>(new HttpServer(std::move(state)));
+}
+
+HttpServer::HttpServer(std::shared_ptr<State> state)
+    : m_state(std::move(state)) {}
+
+HttpServer::~HttpServer() = default;
+
+void HttpServer::SetLimits(ServerLimits limits) {
+  m_state->limits = limits;
+}
+
+void HttpServer::Drain() {
+  m_state->is_draining = true;
+}
+
+std::size_t HttpServer::Connections() const {
+  return m_state->connections;
+}
+
+}  // namespace crocusmast::adapters::async
--- a/src/crocusmast/adapters/boost_logger.cc
+++ b/src/crocusmast/adapters/boost_logger.cc
@@ -98,7 +98,7 @@
     : m_least(least), m_writer(std::make_unique<Writer>(format)) {
   auto backend = boost::make_shared<internal::Backend>();
   backend->add_stream(
-      boost::shared_ptr<std::ostream>(&std::clog, boost::null_deleter()));
+      boost::shared_ptr<std::ostream>(&std::cout, boost::null_deleter()));
   backend->auto_flush(true);
   m_writer->frontend = boost::make_shared<internal::Frontend>(backend);
   boost::log::core::get()->add_sink(m_writer->frontend);
--- a/src/crocusmast/core/duty.h
+++ b/src/crocusmast/core/duty.h
@@ -27,6 +27,9 @@
   virtual void Handle(Message&& message) = 0;
   /** @brief Does what is due with time; called at least once an interval. */
   virtual void Tick() = 0;
+  /** @brief The ring is empty after messages; what they add up to can be done.
+   */
+  virtual void Drained() {}
 };
 
 /**
@@ -86,6 +89,9 @@
       std::optional<Message> message = m_ring.PopFor(next_tick - now);
       if (message) {
         handler.Handle(std::move(*message));
+        if (m_ring.Depth() == 0) {
+          handler.Drained();
+        }
       } else if (m_ring.IsClosed()) {
         return;
       }
--- a/src/crocusmast/core/error.cc
+++ b/src/crocusmast/core/error.cc
@@ -34,6 +34,12 @@
       return "change state";
     case Step::kReadFile:
       return "read file";
+    case Step::kValidateJob:
+      return "validate job";
+    case Step::kCallWorker:
+      return "call worker";
+    case Step::kCallPlatform:
+      return "call platform";
   }
   return "unknown";
 }
--- a/src/crocusmast/core/error.h
+++ b/src/crocusmast/core/error.h
@@ -26,6 +26,9 @@
   kAdministration,
   kChangeState,
   kReadFile,
+  kValidateJob,
+  kCallWorker,
+  kCallPlatform,
 };
 
 /**
--- a/src/crocusmast/core/ids.h
+++ b/src/crocusmast/core/ids.h
@@ -35,6 +35,12 @@
 struct ChangeTag {
   static constexpr char kName[] = "change id";
 };
+struct JobTag {
+  static constexpr char kName[] = "job id";
+};
+struct QueueTag {
+  static constexpr char kName[] = "queue id";
+};
 
 }  // namespace internal
 
@@ -56,6 +62,10 @@
 using RequestId = StrongId<internal::RequestTag>;
 /** @brief Names one change of the configuration. */
 using ChangeId = StrongId<internal::ChangeTag>;
+/** @brief Names a job, as its caller chose. */
+using JobId = StrongId<internal::JobTag>;
+/** @brief Names a queue of jobs. */
+using QueueId = StrongId<internal::QueueTag>;
 
 }  // namespace crocusmast::core
 
--- a/src/crocusmast/core/logger.cc
+++ b/src/crocusmast/core/logger.cc
@@ -18,6 +18,18 @@
       return "http";
     case Part::kDaemon:
       return "daemon";
+    case Part::kIntake:
+      return "intake";
+    case Part::kScheduling:
+      return "schedule";
+    case Part::kLeadership:
+      return "lead";
+    case Part::kStore:
+      return "store";
+    case Part::kWorker:
+      return "worker";
+    case Part::kUpkeep:
+      return "upkeep";
   }
   return "unknown";
 }
--- a/src/crocusmast/core/logger.h
+++ b/src/crocusmast/core/logger.h
@@ -16,6 +16,12 @@
   kPeer,
   kHttp,
   kDaemon,
+  kIntake,
+  kScheduling,
+  kLeadership,
+  kStore,
+  kWorker,
+  kUpkeep,
 };
 
 /** @brief How much a log line matters. */
--- a/src/crocusmast/core/units.h
+++ b/src/crocusmast/core/units.h
@@ -19,6 +19,18 @@
 using Incarnation = Quantity<struct IncarnationTag>;
 /** @brief A share in hundredths. */
 using Percent = Quantity<struct PercentTag>;
+/** @brief Processor time, in thousandths of a core. */
+using MilliCores = Quantity<struct MilliCoresTag>;
+/** @brief A size of memory in megabytes. */
+using Megabytes = Quantity<struct MegabytesTag>;
+/** @brief Whole accelerators. */
+using Accelerators = Quantity<struct AcceleratorsTag>;
+/** @brief Numbers the starts of a task; rises with each. */
+using Attempt = Quantity<struct AttemptTag>;
+/** @brief Orders the holders of a duty; a worker ignores lower ones. */
+using FencingToken = Quantity<struct FencingTokenTag>;
+/** @brief Numbers the ends that one incarnation of a worker lists. */
+using EndNumber = Quantity<struct EndNumberTag>;
 /** @brief Numbers a request within one entry instance. */
 using RequestKey = Quantity<struct RequestKeyTag>;
 
--- /dev/null
+++ b/src/crocusmast/execution/worker.cc
@@ -0,0 +1,125 @@
+#include "crocusmast/execution/worker.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace crocusmast::execution {
+namespace internal {
+
+/** @brief Returns how long a slow clock may take for a time. */
+core::Duration OnSlowClock(core::Duration time) {
+  return time * (100 + kSlowClockPercent + 1) / 100;
+}
+
+}  // namespace internal
+
+Worker::Worker(WorkerRecord record, core::TimePoint now) {
+  BeginLife(std::move(record), now);
+}
+
+void Worker::BeginLife(WorkerRecord record, core::TimePoint now) {
+  m_record = std::move(record);
+  m_is_listed = true;
+  m_clock = m_record.clock;
+  m_clock_read_at = now;
+  m_lease_until = WorkerTime();
+  m_lapsed_at = core::TimePoint();
+  m_runs.clear();
+  m_used = {};
+  recorded = {};
+  taken = {};
+  acknowledged = {};
+  acknowledging = {};
+  look_not_before = {};
+  filler_share = core::Percent(100);
+  is_looking = false;
+  ++look_sequence;
+  is_adopted = false;
+  avoided_until = {};
+  failed_looks = 0;
+  failed_runs = 0;
+  is_cordoned = false;
+}
+
+bool Worker::Update(WorkerRecord record, core::TimePoint now) {
+  if (record.incarnation < m_record.incarnation) {
+    return false;
+  }
+  if (m_record.incarnation < record.incarnation) {
+    BeginLife(std::move(record), now);
+    return true;
+  }
+  m_is_listed = true;
+  m_record = std::move(record);
+  // An entry may be old when it is read, so only a clock that is ahead counts.
+  const auto since = std::chrono::duration_cast<std::chrono::milliseconds>(
+      now - m_clock_read_at);
+  if (m_clock + since < m_record.clock) {
+    ReadClock(m_record.clock, now);
+  }
+  return false;
+}
+
+void Worker::ReadClock(WorkerTime clock, core::TimePoint now) {
+  m_clock = clock;
+  m_clock_read_at = now;
+}
+
+WorkerTime Worker::ExtendLease(std::chrono::milliseconds hold,
+                               core::TimePoint now) {
+  const auto since = std::chrono::duration_cast<std::chrono::milliseconds>(
+      now - m_clock_read_at);
+  const WorkerTime until = m_clock + since + hold;
+  if (m_lease_until < until) {
+    m_lease_until = until;
+  }
+  // The clock was at least m_clock when it was read, and has run on since.
+  const core::TimePoint lapsed =
+      m_clock_read_at + internal::OnSlowClock(m_lease_until - m_clock);
+  m_lapsed_at = std::max(m_lapsed_at, lapsed);
+  return m_lease_until;
+}
+
+void Worker::AssumeLease(std::chrono::milliseconds hold, core::TimePoint now) {
+  m_lapsed_at = std::max(m_lapsed_at, now + internal::OnSlowClock(hold));
+}
+
+job::Room Worker::Free() const {
+  return m_record.capacity - m_used;
+}
+
+void Worker::Add(const RunKey& key, HeldRun run) {
+  const job::Room room = run.room;
+  if (m_runs.emplace(key, std::move(run)).second) {
+    m_used = m_used + room;
+  }
+}
+
+HeldRun* Worker::Find(const RunKey& key) {
+  const auto found = m_runs.find(key);
+  return found == m_runs.end() ? nullptr : &found->second;
+}
+
+bool Worker::Remove(const RunKey& key) {
+  const auto found = m_runs.find(key);
+  if (found == m_runs.end()) {
+    return false;
+  }
+  m_used = m_used - found->second.room;
+  m_runs.erase(found);
+  return true;
+}
+
+std::uint32_t Worker::CountStep(const job::TaskId& task) const {
+  std::uint32_t count = 0;
+  for (const auto& [key, run] : m_runs) {
+    count += key.task.job == task.job &&
+                     key.task.key.occurrence == task.key.occurrence &&
+                     key.task.key.step == task.key.step
+                 ? 1
+                 : 0;
+  }
+  return count;
+}
+
+}  // namespace crocusmast::execution
--- /dev/null
+++ b/src/crocusmast/intake/fwd.h
@@ -0,0 +1,12 @@
+#ifndef CROCUSMAST_INTAKE_FWD_H_
+#define CROCUSMAST_INTAKE_FWD_H_
+
+namespace crocusmast::intake {
+
+class AnswerPort;
+class Intake;
+struct Answer;
+
+}  // namespace crocusmast::intake
+
+#endif  // CROCUSMAST_INTAKE_FWD_H_
--- /dev/null
+++ b/src/crocusmast/job/fwd.h
@@ -0,0 +1,17 @@
+#ifndef CROCUSMAST_JOB_FWD_H_
+#define CROCUSMAST_JOB_FWD_H_
+
+namespace crocusmast::job {
+
+class Job;
+class JobBook;
+struct AcceptedJob;
+struct JobProgress;
+struct JobSpec;
+struct Room;
+struct Step;
+struct TaskId;
+
+}  // namespace crocusmast::job
+
+#endif  // CROCUSMAST_JOB_FWD_H_
--- /dev/null
+++ b/src/crocusmast/job/job.cc
@@ -0,0 +1,345 @@
+#include "crocusmast/job/job.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace crocusmast::job {
+namespace internal {
+
+bool IsAtWork(const Task& task) {
+  return !task.runs.empty();
+}
+
+TaskProgress Remember(std::uint32_t index, const Task& task) {
+  return {index, task.attempt, task.failures, task.checkpoint};
+}
+
+StepProgress Remember(const StepState& state) {
+  StepProgress progress;
+  progress.done.reserve(state.tasks.size());
+  for (std::uint32_t index = 0; index < state.tasks.size(); ++index) {
+    const Task& task = state.tasks[index];
+    progress.done.push_back(task.is_done);
+    if (!task.is_done && core::Attempt(0) < task.attempt) {
+      progress.tasks.push_back(Remember(index, task));
+    }
+  }
+  return progress;
+}
+
+void Restore(const StepProgress& progress, StepState& state) {
+  const std::size_t known = std::min(progress.done.size(), state.tasks.size());
+  for (std::size_t index = 0; index < known; ++index) {
+    state.tasks[index].is_done = progress.done[index];
+    state.done += progress.done[index] ? 1 : 0;
+  }
+  for (const TaskProgress& known_task : progress.tasks) {
+    if (known_task.index < state.tasks.size()) {
+      Task& task = state.tasks[known_task.index];
+      task.attempt = known_task.attempt;
+      task.failures = known_task.failures;
+      task.checkpoint = known_task.checkpoint;
+    }
+  }
+}
+
+}  // namespace internal
+
+std::string_view EndName(RunEnd end) {
+  switch (end) {
+    case RunEnd::kDone:
+      return "done";
+    case RunEnd::kFailed:
+      return "failed";
+    case RunEnd::kStopped:
+      return "stopped";
+    case RunEnd::kLapsed:
+      return "lapsed";
+    case RunEnd::kBroken:
+      return "broken";
+    case RunEnd::kAlone:
+      return "alone";
+    case RunEnd::kRejected:
+      return "rejected";
+    case RunEnd::kLost:
+      return "lost";
+  }
+  return "unknown";
+}
+
+bool Occurrence::IsDone() const {
+  return std::all_of(steps.begin(), steps.end(),
+                     [](const StepState& step) { return step.IsDone(); });
+}
+
+Job Job::Create(AcceptedJob accepted,
+                const JobProgress* stored,
+                core::Attempt last_attempt) {
+  Job job(std::move(accepted), last_attempt);
+  if (stored != nullptr) {
+    job.Restore(*stored);
+  }
+  return job;
+}
+
+void Job::Restore(const JobProgress& stored) {
+  m_state = stored.state;
+  m_opened = stored.opened;
+  for (const OccurrenceProgress& open : stored.open) {
+    Occurrence occurrence = MakeOccurrence();
+    const std::size_t known =
+        std::min(open.steps.size(), occurrence.steps.size());
+    for (std::size_t step = 0; step < known; ++step) {
+      internal::Restore(open.steps[step], occurrence.steps[step]);
+    }
+    m_open.emplace(open.number, std::move(occurrence));
+  }
+}
+
+Occurrence Job::MakeOccurrence() const {
+  Occurrence occurrence;
+  for (const Step& step : m_accepted.spec.steps) {
+    occurrence.steps.emplace_back().tasks.resize(step.count);
+  }
+  return occurrence;
+}
+
+bool Job::OpenDue(core::WallTime now) {
+  if (IsFinal(m_state)) {
+    return false;
+  }
+  const Schedule& schedule = m_accepted.spec.schedule;
+  const std::uint32_t all = std::max<std::uint32_t>(schedule.times, 1);
+  const std::uint32_t before = m_opened;
+  while (m_opened < all &&
+         (schedule.times == 0 ||
+          schedule.first + m_opened * schedule.interval <= now)) {
+    m_open.emplace(m_opened, MakeOccurrence());
+    ++m_opened;
+  }
+  return m_opened != before;
+}
+
+bool Job::MayBegin(const Occurrence& occurrence, const Step& step) const {
+  return std::all_of(step.after.begin(), step.after.end(),
+                     [&occurrence](std::uint32_t earlier) {
+                       return occurrence.steps[earlier].IsDone();
+                     });
+}
+
+void Job::ForEachReady(const TakeTask& take) const {
+  if (IsFinal(m_state)) {
+    return;
+  }
+  for (const auto& [number, occurrence] : m_open) {
+    for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+      const StepState& state = occurrence.steps[step];
+      const Step& spec = m_accepted.spec.steps[step];
+      if (state.IsDone() || !MayBegin(occurrence, spec)) {
+        continue;
+      }
+      for (std::uint32_t index = 0; index < state.tasks.size(); ++index) {
+        const Task& task = state.tasks[index];
+        if (!task.is_done && !internal::IsAtWork(task)) {
+          take({number, step, index}, spec);
+        }
+      }
+    }
+  }
+}
+
+const Task* Job::Find(const TaskKey& key) const {
+  const auto occurrence = m_open.find(key.occurrence);
+  if (occurrence == m_open.end() ||
+      key.step >= occurrence->second.steps.size() ||
+      key.index >= occurrence->second.steps[key.step].tasks.size()) {
+    return nullptr;
+  }
+  return &occurrence->second.steps[key.step].tasks[key.index];
+}
+
+Task* Job::FindTask(const TaskKey& key) {
+  return const_cast<Task*>(std::as_const(*this).Find(key));
+}
+
+core::Attempt Job::NextAttempt(const TaskKey& key) const {
+  core::Attempt last = m_last_attempt;
+  const StepState& state = m_open.at(key.occurrence).steps[key.step];
+  if (StepOf(key).gang) {
+    for (const Task& member : state.tasks) {
+      last = std::max(last, member.attempt);
+    }
+  } else {
+    last = std::max(last, state.tasks[key.index].attempt);
+  }
+  return last + core::Attempt(1);
+}
+
+const std::string& Job::CheckpointOf(const TaskKey& key) const {
+  const StepState& state = m_open.at(key.occurrence).steps[key.step];
+  if (StepOf(key).gang) {
+    for (const Task& member : state.tasks) {
+      if (!member.checkpoint.empty()) {
+        return member.checkpoint;
+      }
+    }
+  }
+  return state.tasks[key.index].checkpoint;
+}
+
+void Job::BeginRun(const TaskKey& key, Run run) {
+  Task* task = FindTask(key);
+  if (task == nullptr) {
+    return;
+  }
+  task->attempt = std::max(task->attempt, run.attempt);
+  task->runs.push_back(std::move(run));
+  if (m_state == JobState::kQueued) {
+    m_state = JobState::kRunning;
+  }
+}
+
+void Job::ReportRun(const TaskKey& key,
+                    core::Attempt attempt,
+                    std::uint32_t percent,
+                    const std::string& checkpoint,
+                    core::TimePoint now) {
+  Task* task = FindTask(key);
+  if (task == nullptr) {
+    return;
+  }
+  for (Run& run : task->runs) {
+    if (run.attempt == attempt) {
+      run.percent = percent;
+      constexpr std::uint32_t kFull = 100;
+      if (percent >= kFull) {
+        task->at_work_at = now;
+      }
+      if (!checkpoint.empty()) {
+        task->checkpoint = checkpoint;
+      }
+    }
+  }
+}
+
+void Job::StopRun(const TaskKey& key, core::Attempt attempt) {
+  if (Task* task = FindTask(key); task != nullptr) {
+    for (Run& run : task->runs) {
+      run.is_stopping = run.is_stopping || run.attempt == attempt;
+    }
+  }
+}
+
+bool Job::EndRun(const TaskKey& key,
+                 core::Attempt attempt,
+                 RunEnd end,
+                 const std::string& checkpoint,
+                 std::uint32_t max_attempts) {
+  Task* task = FindTask(key);
+  if (task == nullptr) {
+    return false;
+  }
+  const auto run = std::find_if(
+      task->runs.begin(), task->runs.end(),
+      [attempt](const Run& one) { return one.attempt == attempt; });
+  const bool was_known = run != task->runs.end();
+  if (was_known) {
+    task->runs.erase(run);
+  }
+  task->attempt = std::max(task->attempt, attempt);
+  if (task->is_done || IsFinal(m_state)) {
+    return false;
+  }
+  const bool is_new_checkpoint =
+      !checkpoint.empty() && task->checkpoint != checkpoint;
+  if (is_new_checkpoint) {
+    task->checkpoint = checkpoint;
+  }
+  if (end == RunEnd::kDone && !StepOf(key).long_running) {
+    Finish(key);
+    return true;
+  }
+  if (end == RunEnd::kFailed && !StepOf(key).long_running) {
+    CountFailure(key, attempt, max_attempts);
+    return true;
+  }
+  return is_new_checkpoint;
+}
+
+void Job::Finish(const TaskKey& key) {
+  Occurrence& occurrence = m_open.at(key.occurrence);
+  StepState& state = occurrence.steps[key.step];
+  const bool is_gang = StepOf(key).gang;
+  for (std::uint32_t index = 0; index < state.tasks.size(); ++index) {
+    Task& task = state.tasks[index];
+    if ((is_gang || index == key.index) && !task.is_done) {
+      task.is_done = true;
+      ++state.done;
+    }
+  }
+  if (!occurrence.IsDone()) {
+    return;
+  }
+  m_open.erase(key.occurrence);
+  const std::uint32_t all =
+      std::max<std::uint32_t>(m_accepted.spec.schedule.times, 1);
+  if (m_open.empty() && m_opened == all) {
+    m_state = JobState::kSucceeded;
+  }
+}
+
+void Job::CountFailure(const TaskKey& key,
+                       core::Attempt attempt,
+                       std::uint32_t max_attempts) {
+  StepState& state = m_open.at(key.occurrence).steps[key.step];
+  Task* counted = &state.tasks[key.index];
+  if (StepOf(key).gang) {
+    // Members that fail in one attempt count once, on the first member.
+    if (!(state.failed_attempt < attempt)) {
+      return;
+    }
+    state.failed_attempt = attempt;
+    counted = &state.tasks.front();
+  }
+  ++counted->failures;
+  if (max_attempts > 0 && counted->failures >= max_attempts) {
+    m_state = JobState::kFailed;
+  }
+}
+
+void Job::Cancel() {
+  if (!IsFinal(m_state)) {
+    m_state = JobState::kCancelled;
+  }
+}
+
+bool Job::HasRuns() const {
+  for (const auto& [number, occurrence] : m_open) {
+    for (const StepState& step : occurrence.steps) {
+      if (std::any_of(step.tasks.begin(), step.tasks.end(),
+                      internal::IsAtWork)) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
+JobProgress Job::Progress() const {
+  JobProgress progress;
+  progress.state = m_state;
+  progress.opened = m_opened;
+  if (IsFinal(m_state)) {
+    return progress;
+  }
+  for (const auto& [number, occurrence] : m_open) {
+    OccurrenceProgress& open = progress.open.emplace_back();
+    open.number = number;
+    for (const StepState& step : occurrence.steps) {
+      open.steps.push_back(internal::Remember(step));
+    }
+  }
+  return progress;
+}
+
+}  // namespace crocusmast::job
--- /dev/null
+++ b/src/crocusmast/job/job_book.cc
@@ -0,0 +1,69 @@
+#include "crocusmast/job/job_book.h"
+
+#include <utility>
+
+namespace crocusmast::job {
+
+JobState JobEntry::State() const {
+  const JobState stored = progress ? progress->state : JobState::kQueued;
+  return is_cancelled && !IsFinal(stored) ? JobState::kCancelled : stored;
+}
+
+void JobBook::Apply(JobEvent event, core::TimePoint now) {
+  std::visit([this, now](auto&& one) { Take(std::move(one), now); },
+             std::move(event));
+}
+
+void JobBook::Take(JobStored&& event, core::TimePoint now) {
+  JobEntry& entry = m_entries[event.job.id];
+  if (entry.job.id.IsEmpty()) {
+    entry.job = std::move(event.job);
+    Settle(entry, now);
+  }
+}
+
+void JobBook::Take(CancelStored&& event, core::TimePoint now) {
+  m_entries[event.id].is_cancelled = true;
+}
+
+void JobBook::Take(ProgressStored&& event, core::TimePoint now) {
+  JobEntry& entry = m_entries[event.id];
+  if (event.revision < entry.revision) {
+    return;
+  }
+  entry.progress = std::move(event.progress);
+  entry.revision = event.revision;
+  Settle(entry, now);
+}
+
+void JobBook::Take(JobRemoved&& event, core::TimePoint now) {
+  m_entries.erase(event.id);
+}
+
+void JobBook::Settle(JobEntry& entry, core::TimePoint now) {
+  if (entry.progress && IsFinal(entry.progress->state)) {
+    entry.job.spec = {};
+    entry.ended_at = now;
+  }
+}
+
+const JobEntry* JobBook::Find(const core::JobId& id) const {
+  const auto entry = m_entries.find(id);
+  if (entry == m_entries.end() || entry->second.job.id.IsEmpty()) {
+    return nullptr;
+  }
+  return &entry->second;
+}
+
+std::uint64_t JobBook::CountQueued(const core::QueueId& queue) const {
+  std::uint64_t count = 0;
+  for (const auto& [id, entry] : m_entries) {
+    count += entry.job.queue == queue && entry.State() == JobState::kQueued &&
+                     entry.job.spec.schedule.times == 0
+                 ? 1
+                 : 0;
+  }
+  return count;
+}
+
+}  // namespace crocusmast::job
--- /dev/null
+++ b/src/crocusmast/job/job_spec.cc
@@ -0,0 +1,74 @@
+#include "crocusmast/job/job_spec.h"
+
+#include <algorithm>
+
+namespace crocusmast::job {
+namespace internal {
+
+core::Result<void> Wrong(std::size_t step, const std::string& problem) {
+  return core::Fail(core::Step::kValidateJob, "step " + std::to_string(step),
+                    problem);
+}
+
+core::Result<void> CheckStep(const Step& step, std::size_t number) {
+  if (step.count == 0) {
+    return Wrong(number, "a step needs at least one task");
+  }
+  if (step.room == Room{}) {
+    return Wrong(number, "a task needs processor time, memory or accelerators");
+  }
+  for (const std::uint32_t earlier : step.after) {
+    if (earlier >= number) {
+      return Wrong(number, "it may only come after earlier steps, not after " +
+                               std::to_string(earlier));
+    }
+  }
+  return {};
+}
+
+}  // namespace internal
+
+core::Result<void> Validate(const JobSpec& spec) {
+  const auto fail = [](const std::string& problem) {
+    return core::Fail(core::Step::kValidateJob, "job", problem);
+  };
+  if (spec.payload.size() > kMaxPayloadBytes) {
+    return fail("the payload has more than " +
+                std::to_string(kMaxPayloadBytes) + " bytes");
+  }
+  if (spec.steps.empty() || spec.steps.size() > kMaxSteps) {
+    return fail("a job has 1 to " + std::to_string(kMaxSteps) + " steps");
+  }
+  if (spec.schedule.times > kMaxOccurrences) {
+    return fail("a job runs at most " + std::to_string(kMaxOccurrences) +
+                " times");
+  }
+  std::uint64_t tasks = 0;
+  for (std::size_t number = 0; number < spec.steps.size(); ++number) {
+    BOOST_LEAF_CHECK(internal::CheckStep(spec.steps[number], number));
+    tasks += spec.steps[number].count;
+  }
+  if (tasks > kMaxTasks) {
+    return fail("a job has at most " + std::to_string(kMaxTasks) + " tasks");
+  }
+  return {};
+}
+
+core::Duration LongestChain(const JobSpec& spec,
+                            const std::vector<bool>& is_left) {
+  std::vector<core::Duration> ends(spec.steps.size());
+  core::Duration longest{};
+  for (std::size_t number = 0; number < spec.steps.size(); ++number) {
+    const Step& step = spec.steps[number];
+    core::Duration begins{};
+    for (const std::uint32_t earlier : step.after) {
+      begins = std::max(begins, ends[earlier]);
+    }
+    ends[number] =
+        begins + (is_left[number] ? step.estimate : core::Duration::zero());
+    longest = std::max(longest, ends[number]);
+  }
+  return longest;
+}
+
+}  // namespace crocusmast::job
--- /dev/null
+++ b/src/crocusmast/job/job_store.h
@@ -0,0 +1,127 @@
+#ifndef CROCUSMAST_JOB_JOB_STORE_H_
+#define CROCUSMAST_JOB_JOB_STORE_H_
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "crocusmast/core/ids.h"
+#include "crocusmast/core/units.h"
+#include "crocusmast/job/job_book.h"
+#include "crocusmast/job/job_spec.h"
+#include "crocusmast/job/progress.h"
+
+namespace crocusmast::job {
+
+/** @brief Numbers a caller's request within one process. */
+using ExchangeId = core::Quantity<struct ExchangeTag>;
+
+/** @brief How a call to the store went. */
+enum class StoreOutcome {
+  kDone,
+  /** @brief The condition does not hold: the key exists, or has changed. */
+  kConflict,
+  /** @brief There is nothing under the key. */
+  kAbsent,
+  /** @brief The store refused or was not reached; nothing was done. */
+  kRefused,
+  /** @brief No answer; it may have been done, or may be done later. */
+  kUnknown,
+};
+
+/**
+ * @brief Names an outcome for logs.
+ * @param outcome The outcome.
+ */
+constexpr std::string_view StoreOutcomeName(StoreOutcome outcome) {
+  switch (outcome) {
+    case StoreOutcome::kDone:
+      return "done";
+    case StoreOutcome::kConflict:
+      return "conflict";
+    case StoreOutcome::kAbsent:
+      return "absent";
+    case StoreOutcome::kRefused:
+      return "refused";
+    case StoreOutcome::kUnknown:
+      return "unknown";
+  }
+  return "unknown";
+}
+
+/** @brief The answer to JobStore::Create and JobStore::Cancel. */
+struct JobWritten {
+  ExchangeId exchange;
+  StoreOutcome outcome = StoreOutcome::kUnknown;
+};
+
+/** @brief The answer to JobStore::Read. */
+struct JobRead {
+  ExchangeId exchange;
+  StoreOutcome outcome = StoreOutcome::kUnknown;
+  /** @brief What the store holds of the job, in order. */
+  std::vector<JobEvent> events;
+};
+
+/** @brief A worker that may hold a lease of the holder. */
+struct GrantedWorker {
+  core::InstanceId worker;
+  core::Incarnation incarnation;
+  core::PoolId pool;
+};
+
+/** @brief The store says which workers may hold leases. */
+struct GrantsStored {
+  std::vector<GrantedWorker> workers;
+};
+
+/** @brief Progress to store, if the store's has the revision expected. */
+struct ProgressWrite {
+  core::JobId id;
+  core::Revision expected;
+  JobProgress progress;
+};
+
+/** @brief Writes of a holder; all of them or none are done. */
+struct Commit {
+  /** @brief Numbers the commits of this process. */
+  std::uint64_t sequence = 0;
+  /** @brief The holder's claim; a deposed holder's commit fails. */
+  core::FencingToken token;
+  std::vector<ProgressWrite> progress;
+  /** @brief The workers that may hold leases; absent: as they are. */
+  std::optional<std::vector<GrantedWorker>> grants;
+};
+
+/** @brief The answer to a commit. */
+struct CommitReply {
+  std::uint64_t sequence = 0;
+  StoreOutcome outcome = StoreOutcome::kUnknown;
+  /** @brief The store's revision of what was written. */
+  core::Revision revision;
+  /** @brief After a conflict: the holder's claim still stands. */
+  bool is_still_holder = true;
+  /** @brief After a conflict: the revisions that the store has. */
+  std::vector<std::pair<core::JobId, core::Revision>> found;
+};
+
+/** @brief Keeps jobs in the store; answers come back as messages. */
+class JobStore {
+ public:
+  virtual ~JobStore() = default;
+  /** @brief Stores a job if its id is new; answered by JobWritten. */
+  virtual void Create(ExchangeId exchange, const AcceptedJob& job) = 0;
+  /** @brief Stores that a job is cancelled; answered by JobWritten. */
+  virtual void Cancel(ExchangeId exchange, const core::JobId& id) = 0;
+  /** @brief Reads a job; answered by JobRead. */
+  virtual void Read(ExchangeId exchange, const core::JobId& id) = 0;
+  /** @brief Stores a holder's writes; answered by CommitReply. */
+  virtual void Write(Commit commit) = 0;
+  /** @brief Removes what is stored of jobs; not answered. */
+  virtual void Remove(core::FencingToken token,
+                      const std::vector<core::JobId>& ids) = 0;
+};
+
+}  // namespace crocusmast::job
+
+#endif  // CROCUSMAST_JOB_JOB_STORE_H_
--- /dev/null
+++ b/src/crocusmast/job/room.h
@@ -0,0 +1,43 @@
+#ifndef CROCUSMAST_JOB_ROOM_H_
+#define CROCUSMAST_JOB_ROOM_H_
+
+#include "crocusmast/core/units.h"
+
+namespace crocusmast::job {
+
+/** @brief What a task takes on a worker, or what a worker has. */
+struct Room {
+  /** @brief Processor time, in thousandths of a core. */
+  core::MilliCores processor;
+  /** @brief Memory. */
+  core::Megabytes memory;
+  /** @brief Whole accelerators. */
+  core::Accelerators accelerators;
+
+  /**
+   * @brief Tells whether something fits into this room.
+   * @param need What has to fit.
+   */
+  bool Fits(const Room& need) const {
+    return !(processor < need.processor) && !(memory < need.memory) &&
+           !(accelerators < need.accelerators);
+  }
+
+  friend Room operator+(const Room& left, const Room& right) {
+    return {left.processor + right.processor, left.memory + right.memory,
+            left.accelerators + right.accelerators};
+  }
+  /** @brief Subtracts each part, and stops at zero. */
+  friend Room operator-(const Room& left, const Room& right) {
+    return {left.processor - right.processor, left.memory - right.memory,
+            left.accelerators - right.accelerators};
+  }
+  friend bool operator==(const Room& left, const Room& right) {
+    return left.processor == right.processor && left.memory == right.memory &&
+           left.accelerators == right.accelerators;
+  }
+};
+
+}  // namespace crocusmast::job
+
+#endif  // CROCUSMAST_JOB_ROOM_H_
--- /dev/null
+++ b/src/crocusmast/job/task_id.h
@@ -0,0 +1,58 @@
+#ifndef CROCUSMAST_JOB_TASK_ID_H_
+#define CROCUSMAST_JOB_TASK_ID_H_
+
+#include <cstdint>
+#include <string>
+#include <tuple>
+
+#include "crocusmast/core/ids.h"
+
+namespace crocusmast::job {
+
+/** @brief Places a task within its job. */
+struct TaskKey {
+  /** @brief The occurrence, from 0; 0 for a job that runs once. */
+  std::uint32_t occurrence = 0;
+  /** @brief The step, from 0. */
+  std::uint32_t step = 0;
+  /** @brief The task within the step, from 0. */
+  std::uint32_t index = 0;
+
+  friend bool operator==(const TaskKey& left, const TaskKey& right) {
+    return std::tie(left.occurrence, left.step, left.index) ==
+           std::tie(right.occurrence, right.step, right.index);
+  }
+  friend bool operator<(const TaskKey& left, const TaskKey& right) {
+    return std::tie(left.occurrence, left.step, left.index) <
+           std::tie(right.occurrence, right.step, right.index);
+  }
+};
+
+/** @brief Names a task. */
+struct TaskId {
+  /** @brief The job. */
+  core::JobId job;
+  /** @brief The task's place in the job. */
+  TaskKey key;
+
+  friend bool operator==(const TaskId& left, const TaskId& right) {
+    return left.key == right.key && left.job == right.job;
+  }
+  friend bool operator<(const TaskId& left, const TaskId& right) {
+    return std::tie(left.job, left.key) < std::tie(right.job, right.key);
+  }
+};
+
+/**
+ * @brief Writes a task's name for logs.
+ * @param task The task.
+ * @return Job, occurrence, step and index with dots between.
+ */
+inline std::string Describe(const TaskId& task) {
+  return task.job.Text() + "." + std::to_string(task.key.occurrence) + "." +
+         std::to_string(task.key.step) + "." + std::to_string(task.key.index);
+}
+
+}  // namespace crocusmast::job
+
+#endif  // CROCUSMAST_JOB_TASK_ID_H_
--- a/src/crocusmast/maintenance/fwd.h
+++ b/src/crocusmast/maintenance/fwd.h
@@ -3,7 +3,6 @@
 
 namespace crocusmast::maintenance {
 
-class HolderLease;
 class LeaseStore;
 class PeerPort;
 class Platform;
--- a/src/crocusmast/maintenance/service.cc
+++ b/src/crocusmast/maintenance/service.cc
@@ -109,8 +109,10 @@
   m_acquire_at = now + kAcquireRetry;
   const bool is_holder = core::Handle(
       [&] {
-        return is_first_try ? m_ports.store.Acquire(m_holder_name, kLeaseLength)
-                            : m_ports.store.Renew(m_holder_name, kLeaseLength);
+        return is_first_try ? m_ports.store.Acquire(m_holder_name,
+                                                    kMaintenanceLease.length)
+                            : m_ports.store.Renew(m_holder_name,
+                                                  kMaintenanceLease.length);
       },
       [](const core::Error&) { return false; });
   if (!is_holder) {
--- a/src/crocusmast/maintenance/service.h
+++ b/src/crocusmast/maintenance/service.h
@@ -9,8 +9,8 @@
 
 #include "crocusmast/core/duty.h"
 #include "crocusmast/core/logger.h"
+#include "crocusmast/leadership/duty_lease.h"
 #include "crocusmast/maintenance/budget.h"
-#include "crocusmast/maintenance/holder_lease.h"
 #include "crocusmast/maintenance/messages.h"
 #include "crocusmast/maintenance/peer_port.h"
 #include "crocusmast/maintenance/platform.h"
@@ -33,6 +33,12 @@
 /** @brief How often another instance tries to become the holder. */
 inline constexpr std::chrono::milliseconds kAcquireRetry{5000};
 
+/** @brief How the maintenance duty's lease is kept: acts stop 3 s before it
+ * can lapse, since nothing but the lease keeps two holders apart. */
+inline constexpr leadership::LeaseTerms kMaintenanceLease{
+    std::chrono::milliseconds(8000), std::chrono::milliseconds(2000),
+    std::chrono::milliseconds(5000)};
+
 /** @brief The ports that the maintenance duty uses; all outlive it. */
 struct ServicePorts {
   /** @brief The store. */
@@ -102,7 +108,7 @@
   const core::InstanceId m_self;
   const std::string m_holder_name;
   ServicePorts m_ports;
-  HolderLease m_lease;
+  leadership::DutyLease m_lease{kMaintenanceLease};
   StoredWave m_stored;
   std::shared_ptr<const membership::RosterView> m_roster;
   std::shared_ptr<const configuration::Lists> m_lists;
--- /dev/null
+++ b/src/crocusmast/manager/fwd.h
@@ -0,0 +1,11 @@
+#ifndef CROCUSMAST_MANAGER_FWD_H_
+#define CROCUSMAST_MANAGER_FWD_H_
+
+namespace crocusmast::manager {
+
+class Manager;
+struct ManagerPorts;
+
+}  // namespace crocusmast::manager
+
+#endif  // CROCUSMAST_MANAGER_FWD_H_
--- /dev/null
+++ b/src/crocusmast/manager/manager.h
@@ -0,0 +1,109 @@
+#ifndef CROCUSMAST_MANAGER_MANAGER_H_
+#define CROCUSMAST_MANAGER_MANAGER_H_
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "crocusmast/core/duty.h"
+#include "crocusmast/core/logger.h"
+#include "crocusmast/core/meter.h"
+#include "crocusmast/intake/intake.h"
+#include "crocusmast/job/job_book.h"
+#include "crocusmast/leadership/elector.h"
+#include "crocusmast/manager/messages.h"
+#include "crocusmast/scheduling/scheduler.h"
+
+namespace crocusmast::manager {
+
+/** @brief Without news from the store for this long an instance is not ready.
+ */
+inline constexpr std::chrono::milliseconds kStoreSilence{2500};
+
+/** @brief Takes whether this instance can serve callers. */
+class ReadinessPort {
+ public:
+  virtual ~ReadinessPort() = default;
+  /** @brief Sets whether new callers may be sent here. */
+  virtual void SetReady(bool is_ready) = 0;
+};
+
+/** @brief What the manager uses; all outlive it. */
+struct ManagerPorts {
+  leadership::LeasePort& leases;
+  job::JobStore& store;
+  execution::WorkerPort& workers;
+  scheduling::WorkerFeed& feed;
+  intake::AnswerPort& answers;
+  ReadinessPort& readiness;
+  const core::Clock& clock;
+  core::Logger& logger;
+  core::Meter& meter;
+};
+
+/** @brief Who the manager is, and what bounds it. */
+struct ManagerSettings {
+  leadership::Holder self;
+  /** @brief The longest lease that a worker grants. */
+  std::chrono::milliseconds max_hold{};
+};
+
+/**
+ * @brief The duty that owns the jobs of one entry instance.
+ *
+ * It serves callers, and while this instance holds the scheduling duty it runs
+ * the jobs.
+ */
+class Manager final : public core::DutyHandler<Message> {
+ public:
+  /**
+   * @brief Makes a manager.
+   * @param settings Who it is.
+   * @param ports What it uses.
+   */
+  Manager(ManagerSettings settings, const ManagerPorts& ports);
+
+  void Handle(Message&& message) override;
+  void Tick() override;
+  void Drained() override;
+
+ private:
+  void Take(StopRequested&& stop);
+  void Take(StoreListed&& listed);
+  void Take(StoreChanged&& changed);
+  void Take(StoreLink&& link);
+  void Take(DirectoryRead&& read);
+  void Take(StartReplied&& replied);
+  void Take(StopReplied&& replied);
+  template <typename Other>
+  void Take(Other&& other);
+
+  void Apply(StoreEvent&& event);
+  void ApplyJob(job::JobEvent&& event);
+  void BookIsCurrent(core::Revision revision);
+  void FollowLeadership();
+  void UpdateReadiness();
+  void RemoveEnded();
+  void Log(core::Severity severity,
+           std::string sentence,
+           std::vector<core::LogField> fields) const;
+
+  ManagerSettings m_settings;
+  ManagerPorts m_ports;
+  job::JobBook m_book;
+  std::vector<job::GrantedWorker> m_grants;
+  core::Revision m_book_revision;
+  core::TimePoint m_book_current_at;
+  core::TimePoint m_remove_at;
+  std::shared_ptr<const queue::Directory> m_directory;
+  leadership::Elector m_elector;
+  scheduling::Scheduler m_scheduler;
+  intake::Intake m_intake;
+  core::FencingToken m_token;
+  bool m_is_ready = false;
+  bool m_is_stopping = false;
+};
+
+}  // namespace crocusmast::manager
+
+#endif  // CROCUSMAST_MANAGER_MANAGER_H_
--- /dev/null
+++ b/src/crocusmast/queue/fwd.h
@@ -0,0 +1,12 @@
+#ifndef CROCUSMAST_QUEUE_FWD_H_
+#define CROCUSMAST_QUEUE_FWD_H_
+
+namespace crocusmast::queue {
+
+class Directory;
+struct Pool;
+struct Queue;
+
+}  // namespace crocusmast::queue
+
+#endif  // CROCUSMAST_QUEUE_FWD_H_
--- /dev/null
+++ b/src/crocusmast/scheduling/fwd.h
@@ -0,0 +1,12 @@
+#ifndef CROCUSMAST_SCHEDULING_FWD_H_
+#define CROCUSMAST_SCHEDULING_FWD_H_
+
+namespace crocusmast::scheduling {
+
+class Committer;
+class RunTimes;
+class Scheduler;
+
+}  // namespace crocusmast::scheduling
+
+#endif  // CROCUSMAST_SCHEDULING_FWD_H_
--- /dev/null
+++ b/src/crocusmast/scheduling/scheduler.cc
@@ -0,0 +1,432 @@
+#include "crocusmast/scheduling/scheduler.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace crocusmast::scheduling {
+namespace internal {
+
+constexpr std::chrono::seconds kOldestAge{30};
+
+bool IsLongRunning(const job::JobSpec& spec) {
+  return std::any_of(spec.steps.begin(), spec.steps.end(),
+                     [](const job::Step& step) { return step.long_running; });
+}
+
+}  // namespace internal
+
+using execution::Worker;
+
+Scheduler::Scheduler(const SchedulerPorts& ports) : m_ports(ports) {}
+
+// The hold.
+
+void Scheduler::Begin(const Reign& reign,
+                      const job::JobBook& book,
+                      const std::vector<job::GrantedWorker>& grants) {
+  End();
+  m_is_active = true;
+  m_reign = reign;
+  const core::TimePoint now = m_ports.clock.Now();
+  // A lease given right before the deposed holder stops ends this much later.
+  const core::TimePoint settled_at =
+      now + reign.deposed_acting +
+      reign.max_hold * (100 + execution::kSlowClockPercent + 1) / 100;
+  for (const job::GrantedWorker& grant : grants) {
+    m_unsettled[grant.worker] = {grant.incarnation, grant.pool, settled_at};
+  }
+  const core::WallTime wall = m_ports.clock.WallNow();
+  for (const auto& [id, entry] : book.Entries()) {
+    if (entry.job.id.IsEmpty() || job::IsFinal(entry.State())) {
+      const bool is_unrecorded =
+          !entry.job.id.IsEmpty() && entry.is_cancelled &&
+          !(entry.progress && job::IsFinal(entry.progress->state));
+      if (!is_unrecorded) {
+        continue;
+      }
+    }
+    const auto age = std::clamp<core::Duration>(wall - entry.job.accepted_at,
+                                                core::Duration::zero(),
+                                                internal::kOldestAge);
+    m_committer.SetRevision(id, entry.revision);
+    ActiveJob& active = Insert(
+        job::Job::Create(entry.job, entry.progress ? &*entry.progress : nullptr,
+                         core::Attempt(reign.token.Count())),
+        now - age);
+    active.is_inherited = true;
+    if (entry.is_cancelled) {
+      active.job.Cancel();
+      m_committer.MarkChanged(id);
+    }
+  }
+  Log(core::Severity::kInfo,
+      "Scheduling begins with token " + std::to_string(reign.token.Count()) +
+          ": " + std::to_string(m_jobs.size()) + " open jobs, " +
+          std::to_string(grants.size()) + " workers to look at.",
+      {{"event", "scheduling_begins"},
+       {"token", std::to_string(reign.token.Count())},
+       {"jobs", std::to_string(m_jobs.size())},
+       {"workers", std::to_string(grants.size())}});
+  m_ports.feed.Follow();
+}
+
+void Scheduler::End() {
+  if (!m_is_active) {
+    return;
+  }
+  m_is_active = false;
+  m_has_members = false;
+  m_was_fenced = false;
+  m_jobs.clear();
+  m_by_pool.clear();
+  m_workers.clear();
+  m_unsettled.clear();
+  m_open_pools.clear();
+  m_committer.Reset();
+  m_ports.feed.Leave();
+  Log(core::Severity::kInfo, "Scheduling ends here.",
+      {{"event", "scheduling_ends"}});
+}
+
+void Scheduler::SetDirectory(const queue::Directory& directory) {
+  // A queue that was removed keeps its last settings for the jobs it has.
+  for (const auto& [id, queue] : directory.Queues()) {
+    m_queues[id] = queue;
+    if (const queue::Pool* pool = directory.FindPool(queue.pool);
+        pool != nullptr) {
+      m_pools[pool->id] = *pool;
+    }
+  }
+  const core::TimePoint now = m_ports.clock.Now();
+  for (auto& [id, active] : m_jobs) {
+    ApplyQueue(active, now);
+  }
+}
+
+Scheduler::ActiveJob& Scheduler::Insert(job::Job job,
+                                        core::TimePoint accepted) {
+  const core::JobId id = job.Id();
+  ActiveJob& active =
+      m_jobs.insert_or_assign(id, ActiveJob(std::move(job))).first->second;
+  ApplyQueue(active, accepted);
+  active.job.OpenDue(m_ports.clock.WallNow());
+  return active;
+}
+
+void Scheduler::ApplyQueue(ActiveJob& active, core::TimePoint accepted) {
+  const auto found = m_queues.find(active.job.Accepted().queue);
+  if (found == m_queues.end()) {
+    return;
+  }
+  const queue::Queue& queue = found->second;
+  active.pool = queue.pool;
+  active.priority = queue.priority;
+  active.max_attempts = queue.max_attempts;
+  if (active.deadline == core::TimePoint()) {
+    const job::JobSpec& spec = active.job.Accepted().spec;
+    const std::vector<bool> all(spec.steps.size(), true);
+    active.deadline = accepted + queue.slack;
+    if (!internal::IsLongRunning(spec)) {
+      active.deadline += std::chrono::duration_cast<core::Duration>(
+          queue.slack_factor * job::LongestChain(spec, all));
+    }
+  }
+  active.may_be_ready = true;
+  m_open_pools.insert(active.pool);
+}
+
+void Scheduler::AddJob(const job::AcceptedJob& accepted) {
+  if (!m_is_active || m_jobs.count(accepted.id) > 0) {
+    return;
+  }
+  const core::TimePoint now = m_ports.clock.Now();
+  const auto age = std::clamp<core::Duration>(
+      m_ports.clock.WallNow() - accepted.accepted_at, core::Duration::zero(),
+      std::chrono::seconds(1));
+  Insert(job::Job::Create(accepted, nullptr, core::Attempt(0)), now - age);
+}
+
+void Scheduler::CancelJob(const core::JobId& id) {
+  ActiveJob* active = FindJob(id);
+  if (active == nullptr || job::IsFinal(active->job.State())) {
+    return;
+  }
+  active->job.Cancel();
+  m_committer.MarkChanged(id);
+  Log(core::Severity::kInfo, "Job " + id.Text() + " is cancelled.",
+      {{"event", "job_cancelled"}, {"job", id.Text()}});
+  StopAll(*active);
+}
+
+Scheduler::ActiveJob* Scheduler::FindJob(const core::JobId& id) {
+  const auto found = m_jobs.find(id);
+  return found == m_jobs.end() ? nullptr : &found->second;
+}
+
+// The membership list.
+
+void Scheduler::Handle(WorkersListed&& listed) {
+  if (!m_is_active) {
+    return;
+  }
+  std::set<core::InstanceId> named;
+  for (execution::WorkerRecord& worker : listed.workers) {
+    named.insert(worker.id);
+    Handle(WorkerSeen{std::move(worker)});
+  }
+  for (const auto& [id, worker] : m_workers) {
+    if (named.count(id) == 0) {
+      Handle(WorkerUnlisted{id});
+    }
+  }
+  m_has_members = true;
+  StoreGrants();
+}
+
+void Scheduler::Handle(WorkerSeen&& seen) {
+  if (!m_is_active) {
+    return;
+  }
+  const core::TimePoint now = m_ports.clock.Now();
+  const core::InstanceId id = seen.worker.id;
+  const core::PoolId pool = seen.worker.pool;
+  Worker* known = FindWorker(id);
+  bool is_new_life = known == nullptr;
+  if (known == nullptr) {
+    known =
+        m_workers
+            .emplace(id, std::make_unique<Worker>(std::move(seen.worker), now))
+            .first->second.get();
+    m_by_pool[pool].push_back(known);
+  } else if (known->Record().incarnation < seen.worker.incarnation) {
+    EndLife(*known, "it has started anew");
+    known->Update(std::move(seen.worker), now);
+    is_new_life = true;
+  } else {
+    const bool was_draining = known->Record().is_draining;
+    known->Update(std::move(seen.worker), now);
+    if (!was_draining && known->Record().is_draining) {
+      Log(core::Severity::kInfo, "Worker " + id.Text() + " is leaving.",
+          {{"event", "worker_leaving"}, {"worker", id.Text()}});
+    }
+  }
+  m_open_pools.insert(pool);
+  if (!is_new_life) {
+    return;
+  }
+  Log(core::Severity::kInfo, "Worker " + id.Text() + " has joined.",
+      {{"event", "worker_joined"},
+       {"worker", id.Text()},
+       {"pool", pool.Text()},
+       {"incarnation", std::to_string(known->Record().incarnation.Count())}});
+  const auto unsettled = m_unsettled.find(id);
+  const bool may_hold_runs =
+      unsettled != m_unsettled.end() &&
+      !(unsettled->second.incarnation < known->Record().incarnation);
+  known->is_adopted = !may_hold_runs;
+  if (unsettled != m_unsettled.end() && !may_hold_runs) {
+    Settle(id, "a later life of it has joined");
+  }
+  if (m_has_members) {
+    StoreGrants();
+  }
+}
+
+void Scheduler::Handle(const WorkerUnlisted& unlisted) {
+  Worker* worker = FindWorker(unlisted.worker);
+  if (worker != nullptr && worker->IsListed()) {
+    worker->Unlist();
+    Log(core::Severity::kInfo,
+        "Worker " + unlisted.worker.Text() + " is no longer listed.",
+        {{"event", "worker_unlisted"},
+         {"worker", unlisted.worker.Text()},
+         {"runs", std::to_string(worker->Runs().size())}});
+  }
+}
+
+void Scheduler::StoreGrants() {
+  std::vector<job::GrantedWorker> grants;
+  for (const auto& [id, worker] : m_workers) {
+    if (worker->IsListed() || !worker->Runs().empty()) {
+      grants.push_back(
+          {id, worker->Record().incarnation, worker->Record().pool});
+    }
+  }
+  for (const auto& [id, unsettled] : m_unsettled) {
+    if (m_workers.count(id) == 0) {
+      grants.push_back({id, unsettled.incarnation, unsettled.pool});
+    }
+  }
+  m_committer.SetGrants(std::move(grants));
+}
+
+Worker* Scheduler::FindWorker(const core::InstanceId& id) {
+  const auto found = m_workers.find(id);
+  return found == m_workers.end() ? nullptr : found->second.get();
+}
+
+void Scheduler::Settle(const core::InstanceId& id, const char* evidence) {
+  const auto unsettled = m_unsettled.find(id);
+  if (unsettled == m_unsettled.end()) {
+    return;
+  }
+  Log(core::Severity::kInfo,
+      "What the earlier holder had on worker " + id.Text() +
+          " is known: " + evidence + ".",
+      {{"event", "worker_settled"}, {"worker", id.Text()}});
+  m_open_pools.insert(unsettled->second.pool);
+  m_unsettled.erase(unsettled);
+}
+
+bool Scheduler::IsPoolSettled(const core::PoolId& pool) const {
+  return std::none_of(
+      m_unsettled.begin(), m_unsettled.end(),
+      [&pool](const auto& one) { return one.second.pool == pool; });
+}
+
+// Rounds.
+
+void Scheduler::Round() {
+  if (!m_is_active) {
+    return;
+  }
+  ExpireWorkers();
+  const core::WallTime wall = m_ports.clock.WallNow();
+  for (auto& [id, active] : m_jobs) {
+    if (active.job.Accepted().spec.schedule.times > 0 &&
+        active.job.OpenDue(wall)) {
+      active.may_be_ready = true;
+      m_open_pools.insert(active.pool);
+      m_committer.MarkChanged(id);
+    }
+  }
+  Retry();
+  if (m_has_members && m_committer.AreGrantsStored()) {
+    Place();
+  }
+  SendLooks();
+  const auto read = [this](const core::JobId& id) {
+    const ActiveJob* active = FindJob(id);
+    return active == nullptr ? std::nullopt
+                             : std::optional(active->job.Progress());
+  };
+  std::optional<job::Commit> commit =
+      m_committer.Next(m_reign.token, m_ports.clock.Now(), read);
+  if (commit) {
+    m_ports.store.Write(std::move(*commit));
+  }
+  ForgetEnded();
+}
+
+void Scheduler::Handle(const job::CommitReply& reply) {
+  if (!m_is_active) {
+    return;
+  }
+  const core::TimePoint now = m_ports.clock.Now();
+  const bool is_holder = m_committer.Handle(
+      reply, now,
+      [this, now](const core::InstanceId& id, core::EndNumber number) {
+        Worker* worker = FindWorker(id);
+        if (worker != nullptr && worker->recorded < number &&
+            !(worker->taken < number)) {
+          worker->recorded = number;
+          worker->look_not_before =
+              worker->Runs().empty() ? now + kAcknowledgePause : now;
+        }
+      });
+  if (reply.outcome != job::StoreOutcome::kDone) {
+    Log(core::Severity::kWarning,
+        "Commit " + std::to_string(reply.sequence) + " was not done: " +
+            std::string(job::StoreOutcomeName(reply.outcome)) + ".",
+        {{"event", "commit_not_done"},
+         {"outcome", std::string(job::StoreOutcomeName(reply.outcome))}});
+  }
+  m_was_fenced = m_was_fenced || !is_holder;
+}
+
+void Scheduler::ForgetEnded() {
+  for (auto job = m_jobs.begin(); job != m_jobs.end();) {
+    const bool is_over = job::IsFinal(job->second.job.State()) &&
+                         !m_committer.IsChanged(job->first) &&
+                         !job->second.job.HasRuns();
+    if (is_over) {
+      m_committer.Forget(job->first);
+      job = m_jobs.erase(job);
+    } else {
+      ++job;
+    }
+  }
+}
+
+void Scheduler::ExpireWorkers() {
+  const core::TimePoint now = m_ports.clock.Now();
+  std::vector<core::InstanceId> settled;
+  for (const auto& [id, unsettled] : m_unsettled) {
+    if (unsettled.until <= now) {
+      settled.push_back(id);
+    }
+  }
+  for (const core::InstanceId& id : settled) {
+    if (Worker* worker = FindWorker(id); worker != nullptr) {
+      worker->is_adopted = true;
+    }
+    Settle(id, "every lease that it may have had has lapsed");
+  }
+  for (auto next = m_workers.begin(); next != m_workers.end();) {
+    Worker& worker = *next->second;
+    if (!worker.Runs().empty() && worker.HasLapsed(now)) {
+      EndLife(worker, "its lease has lapsed");
+    }
+    const bool is_over = !worker.IsListed() && worker.Runs().empty() &&
+                         m_unsettled.count(next->first) == 0;
+    if (!is_over) {
+      ++next;
+      continue;
+    }
+    std::vector<Worker*>& pool = m_by_pool[worker.Record().pool];
+    pool.erase(std::remove(pool.begin(), pool.end(), &worker), pool.end());
+    next = m_workers.erase(next);
+  }
+}
+
+void Scheduler::SendLooks() {
+  const core::TimePoint now = m_ports.clock.Now();
+  for (const auto& [id, worker] : m_workers) {
+    const bool is_needed = !worker->is_adopted || !worker->Runs().empty() ||
+                           worker->acknowledged < worker->recorded;
+    if (!is_needed || worker->is_looking || now < worker->look_not_before) {
+      continue;
+    }
+    execution::LookOrder order;
+    order.to = Address(*worker);
+    order.sequence = ++worker->look_sequence;
+    order.recorded = worker->recorded;
+    const bool is_quiet = worker->is_adopted && !worker->Runs().empty() &&
+                          worker->taken == worker->recorded;
+    order.wait = is_quiet ? kLookWait : std::chrono::milliseconds(0);
+    // A worker that does not answer gets no longer lease, so that what it
+    // had surely ends.
+    if (worker->failed_looks == 0) {
+      order.until = worker->ExtendLease(kHold, now);
+    }
+    worker->is_looking = true;
+    worker->acknowledging = worker->recorded;
+    m_ports.workers.Look(std::move(order));
+  }
+}
+
+execution::Addressee Scheduler::Address(const Worker& worker) const {
+  return {worker.Record().id, worker.Record().incarnation,
+          worker.Record().address, m_reign.token};
+}
+
+void Scheduler::Log(core::Severity severity,
+                    std::string sentence,
+                    std::vector<core::LogField> fields) const {
+  if (m_ports.logger.IsEnabled(severity)) {
+    m_ports.logger.Write({core::Part::kScheduling, severity,
+                          std::move(sentence), std::move(fields)});
+  }
+}
+
+}  // namespace crocusmast::scheduling
--- /dev/null
+++ b/src/crocusmast/scheduling/scheduler.h
@@ -0,0 +1,224 @@
+#ifndef CROCUSMAST_SCHEDULING_SCHEDULER_H_
+#define CROCUSMAST_SCHEDULING_SCHEDULER_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "crocusmast/core/clock.h"
+#include "crocusmast/core/logger.h"
+#include "crocusmast/core/meter.h"
+#include "crocusmast/execution/worker.h"
+#include "crocusmast/execution/worker_port.h"
+#include "crocusmast/job/job.h"
+#include "crocusmast/job/job_book.h"
+#include "crocusmast/job/job_store.h"
+#include "crocusmast/queue/directory.h"
+#include "crocusmast/scheduling/committer.h"
+#include "crocusmast/scheduling/messages.h"
+#include "crocusmast/scheduling/run_times.h"
+
+namespace crocusmast::scheduling {
+
+/** @brief How long a worker may run on without being looked at: a death of
+ * the holder (2 s of its lease, then a takeover) must not end what runs. */
+inline constexpr std::chrono::milliseconds kHold{4500};
+/** @brief How long a look waits for an end; well below kHold. */
+inline constexpr std::chrono::milliseconds kLookWait{1000};
+/** @brief The pause after a look that went wrong. */
+inline constexpr std::chrono::milliseconds kLookRetry{150};
+/** @brief The pause before a look that only acknowledges ends. */
+inline constexpr std::chrono::milliseconds kAcknowledgePause{250};
+/** @brief The pause between looks while ends can't be recorded. */
+inline constexpr std::chrono::milliseconds kUnrecordedPause{300};
+/** @brief A worker that refused or did not answer gets no start for this. */
+inline constexpr std::chrono::milliseconds kAvoidance{500};
+/** @brief A worker on which this many runs in a row failed is avoided. */
+inline constexpr std::uint32_t kFailuresToAvoid{3};
+/** @brief For how long it is avoided, for each such failure. */
+inline constexpr std::chrono::milliseconds kFailureAvoidance{1500};
+/** @brief A stop without an answer is sent again after this. */
+inline constexpr std::chrono::milliseconds kStopRetry{250};
+/** @brief A final state is kept this long after its end; from the job
+ * interface. */
+inline constexpr std::chrono::seconds kKeepEnded{150};
+
+/** @brief What the scheduler uses; all outlive it. */
+struct SchedulerPorts {
+  execution::WorkerPort& workers;
+  job::JobStore& store;
+  WorkerFeed& feed;
+  const core::Clock& clock;
+  core::Logger& logger;
+  core::Meter& meter;
+};
+
+/** @brief What a hold of the duty begins with. */
+struct Reign {
+  core::FencingToken token;
+  /** @brief The longest lease that a worker grants. */
+  std::chrono::milliseconds max_hold{};
+  /** @brief How long a deposed holder may act on. */
+  std::chrono::milliseconds deposed_acting{};
+};
+
+/**
+ * @brief Runs accepted jobs on workers while it holds the duty.
+ *
+ * The workers are the truth about what runs: a new hold looks at each worker
+ * that the earlier holder may have used, which fences it, before it starts
+ * what may be running there.
+ */
+class Scheduler {
+ public:
+  /**
+   * @brief Makes a scheduler without the duty.
+   * @param ports What it uses.
+   */
+  explicit Scheduler(const SchedulerPorts& ports);
+
+  /**
+   * @brief Begins a hold.
+   * @param reign The hold.
+   * @param book All jobs, up to the claim at least.
+   * @param grants The workers that the earlier holder may have used.
+   */
+  void Begin(const Reign& reign,
+             const job::JobBook& book,
+             const std::vector<job::GrantedWorker>& grants);
+
+  /** @brief Ends the hold; what runs goes on under its leases. */
+  void End();
+
+  /** @brief Tells whether it holds the duty. */
+  bool IsActive() const { return m_is_active; }
+
+  /** @brief Takes in a version of the configuration. */
+  void SetDirectory(const queue::Directory& directory);
+
+  /** @brief Takes in that the store holds a new job. */
+  void AddJob(const job::AcceptedJob& job);
+  /** @brief Takes in that a caller cancelled a job. */
+  void CancelJob(const core::JobId& id);
+
+  /** @brief Takes in what the membership list says. */
+  void Handle(WorkersListed&& listed);
+  void Handle(WorkerSeen&& seen);
+  void Handle(const WorkerUnlisted& unlisted);
+
+  /** @brief Takes in answers to orders. */
+  void HandleStart(const execution::CallReply& reply);
+  void HandleStop(const execution::CallReply& reply);
+  void Handle(const execution::LookReply& reply);
+  void Handle(const job::CommitReply& reply);
+
+  /** @brief Tells whether a worker refused this holder's token. */
+  bool WasFenced() const { return m_was_fenced; }
+
+  /** @brief Does what is due: leases, looks, starts, commits. */
+  void Round();
+
+ private:
+  /** @brief A job and what its order needs. */
+  struct ActiveJob {
+    explicit ActiveJob(job::Job made) : job(std::move(made)) {}
+
+    job::Job job;
+    core::PoolId pool;
+    std::uint32_t priority = 0;
+    std::uint32_t max_attempts = 0;
+    /** @brief When it has to be done to meet its objective. */
+    core::TimePoint deadline;
+    /** @brief An earlier holder may have started tasks of it. */
+    bool is_inherited = false;
+    /** @brief It may have tasks to start. */
+    bool may_be_ready = true;
+  };
+
+  /** @brief A worker that an earlier holder may have used. */
+  struct Unsettled {
+    core::Incarnation incarnation;
+    core::PoolId pool;
+    core::TimePoint until;
+  };
+
+  struct Candidate;
+
+  execution::Worker* FindWorker(const core::InstanceId& id);
+  ActiveJob* FindJob(const core::JobId& id);
+  ActiveJob& Insert(job::Job job, core::TimePoint accepted);
+  void ApplyQueue(ActiveJob& active, core::TimePoint accepted);
+  void Settle(const core::InstanceId& id, const char* evidence);
+  void StoreGrants();
+  bool IsPoolSettled(const core::PoolId& pool) const;
+
+  void EndLife(execution::Worker& worker, const char* evidence);
+  void EndRun(execution::Worker& worker,
+              const execution::RunKey& key,
+              job::RunEnd end,
+              const std::string& checkpoint);
+  void TakeEnds(execution::Worker& worker, const execution::LookReply& reply);
+  void TakeRuns(execution::Worker& worker, const execution::LookReply& reply);
+  void Adopt(execution::Worker& worker, const execution::RunReport& report);
+  void DropAbsent(execution::Worker& worker, const execution::LookReply& reply);
+  void ScoreEnd(execution::Worker& worker, job::RunEnd end);
+  void PaceFillers(execution::Worker& worker,
+                   const execution::LookReply& reply);
+  void Reject(execution::Worker& worker,
+              const execution::RunKey& key,
+              const execution::CallReply& reply);
+
+  void ExpireWorkers();
+  void SendLooks();
+  void Retry();
+  void SendStart(execution::Worker& worker, const execution::RunKey& key);
+  void SendStop(execution::Worker& worker, const execution::RunKey& key);
+  void StopAll(ActiveJob& active);
+  void ForgetEnded();
+
+  void Place();
+  std::vector<Candidate> OrderJobs();
+  void PlaceJob(ActiveJob& active);
+  bool PlaceGang(ActiveJob& active,
+                 const std::vector<job::TaskKey>& members,
+                 const job::Step& step);
+  execution::Worker* Choose(const ActiveJob& active,
+                            const job::TaskId& task,
+                            const job::Step& step);
+  void Start(ActiveJob& active,
+             execution::Worker& worker,
+             const job::TaskId& task,
+             core::Attempt attempt);
+  static execution::HeldRun Hold(const job::Step& step);
+  core::Duration RemainingChain(const ActiveJob& active) const;
+
+  execution::Addressee Address(const execution::Worker& worker) const;
+  void Log(core::Severity severity,
+           std::string sentence,
+           std::vector<core::LogField> fields) const;
+
+  SchedulerPorts m_ports;
+  bool m_is_active = false;
+  bool m_has_members = false;
+  bool m_was_fenced = false;
+  Reign m_reign;
+  std::map<core::QueueId, queue::Queue> m_queues;
+  std::map<core::PoolId, queue::Pool> m_pools;
+  std::unordered_map<core::JobId, ActiveJob> m_jobs;
+  std::map<core::InstanceId, std::unique_ptr<execution::Worker>> m_workers;
+  std::map<core::InstanceId, Unsettled> m_unsettled;
+  std::map<core::PoolId, std::vector<execution::Worker*>> m_by_pool;
+  std::set<core::PoolId> m_open_pools;
+  Committer m_committer;
+  RunTimes m_run_times;
+};
+
+}  // namespace crocusmast::scheduling
+
+#endif  // CROCUSMAST_SCHEDULING_SCHEDULER_H_
--- /dev/null
+++ b/src/crocusmast/scheduling/scheduler_placement.cc
@@ -0,0 +1,225 @@
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+#include "crocusmast/scheduling/scheduler.h"
+
+// Which task starts where.
+
+namespace crocusmast::scheduling {
+
+using execution::RunKey;
+using execution::Worker;
+
+/** @brief A job in the order in which it gets room. */
+struct Scheduler::Candidate {
+  ActiveJob* active = nullptr;
+  bool is_late = false;
+
+  friend bool operator<(const Candidate& left, const Candidate& right) {
+    return std::tie(left.active->priority, left.is_late,
+                    left.active->deadline) < std::tie(right.active->priority,
+                                                      right.is_late,
+                                                      right.active->deadline);
+  }
+};
+
+core::Duration Scheduler::RemainingChain(const ActiveJob& active) const {
+  const job::JobSpec& spec = active.job.Accepted().spec;
+  std::vector<bool> is_left(spec.steps.size(), false);
+  for (const auto& [number, occurrence] : active.job.Open()) {
+    for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+      is_left[step] = is_left[step] || !occurrence.steps[step].IsDone();
+    }
+  }
+  return m_run_times.Correct(active.job.Accepted().queue,
+                             job::LongestChain(spec, is_left));
+}
+
+std::vector<Scheduler::Candidate> Scheduler::OrderJobs() {
+  const core::TimePoint now = m_ports.clock.Now();
+  std::vector<Candidate> candidates;
+  for (auto& [id, active] : m_jobs) {
+    const bool is_open = active.may_be_ready &&
+                         !job::IsFinal(active.job.State()) &&
+                         m_open_pools.count(active.pool) > 0;
+    if (!is_open) {
+      continue;
+    }
+    const bool is_late = active.deadline < now + RemainingChain(active);
+    candidates.push_back({&active, is_late});
+  }
+  std::sort(candidates.begin(), candidates.end());
+  return candidates;
+}
+
+void Scheduler::Place() {
+  if (m_open_pools.empty()) {
+    return;
+  }
+  for (const Candidate& candidate : OrderJobs()) {
+    ActiveJob& active = *candidate.active;
+    if (!active.is_inherited || IsPoolSettled(active.pool)) {
+      PlaceJob(active);
+    }
+  }
+  m_open_pools.clear();
+}
+
+void Scheduler::PlaceJob(ActiveJob& active) {
+  std::vector<std::pair<job::TaskKey, const job::Step*>> ready;
+  active.job.ForEachReady(
+      [&ready](const job::TaskKey& key, const job::Step& step) {
+        ready.emplace_back(key, &step);
+      });
+  active.may_be_ready = !ready.empty();
+  const job::Step* full = nullptr;
+  for (std::size_t next = 0; next < ready.size(); ++next) {
+    const auto& [key, step] = ready[next];
+    if (step == full) {
+      continue;
+    }
+    if (step->gang) {
+      std::vector<job::TaskKey> members;
+      while (next < ready.size() && ready[next].second == step &&
+             ready[next].first.occurrence == key.occurrence) {
+        members.push_back(ready[next++].first);
+      }
+      --next;
+      PlaceGang(active, members, *step);
+      continue;
+    }
+    const job::TaskId task{active.job.Id(), key};
+    Worker* worker = Choose(active, task, *step);
+    if (worker == nullptr) {
+      full = step;
+      continue;
+    }
+    Start(active, *worker, task, active.job.NextAttempt(key));
+  }
+}
+
+bool Scheduler::PlaceGang(ActiveJob& active,
+                          const std::vector<job::TaskKey>& members,
+                          const job::Step& step) {
+  // Members of an earlier attempt may still be on their way out.
+  if (members.size() != step.count) {
+    return false;
+  }
+  const core::Attempt attempt = active.job.NextAttempt(members.front());
+  std::vector<std::pair<Worker*, RunKey>> held;
+  for (const job::TaskKey& key : members) {
+    const job::TaskId task{active.job.Id(), key};
+    Worker* worker = Choose(active, task, step);
+    if (worker == nullptr) {
+      break;
+    }
+    worker->Add({task, attempt}, Hold(step));
+    held.emplace_back(worker, RunKey{task, attempt});
+  }
+  for (const auto& [worker, key] : held) {
+    worker->Remove(key);
+  }
+  if (held.size() != members.size()) {
+    return false;
+  }
+  for (const auto& [worker, key] : held) {
+    Start(active, *worker, key.task, attempt);
+  }
+  return true;
+}
+
+execution::HeldRun Scheduler::Hold(const job::Step& step) {
+  execution::HeldRun held;
+  held.room = step.room;
+  held.is_filler = step.is_filler;
+  if (step.is_filler) {
+    held.room.processor = {};
+  }
+  return held;
+}
+
+Worker* Scheduler::Choose(const ActiveJob& active,
+                          const job::TaskId& task,
+                          const job::Step& step) {
+  const core::TimePoint now = m_ports.clock.Now();
+  const job::Room need = Hold(step).room;
+  Worker* best = nullptr;
+  bool is_best_near = false;
+  for (Worker* worker : m_by_pool[active.pool]) {
+    const execution::WorkerRecord& record = worker->Record();
+    const bool is_usable =
+        worker->IsListed() && worker->is_adopted && !record.is_draining &&
+        !worker->is_cordoned && worker->failed_looks == 0 &&
+        worker->avoided_until <= now && worker->Free().Fits(need);
+    if (!is_usable ||
+        (!step.required_label.empty() &&
+         !record.HasLabel(step.required_label)) ||
+        (step.max_per_worker > 0 &&
+         worker->CountStep(task) >= step.max_per_worker)) {
+      continue;
+    }
+    const bool is_near =
+        !step.near_rack.empty() && record.Rack() == step.near_rack;
+    const bool is_better = best == nullptr || (is_near && !is_best_near) ||
+                           (is_near == is_best_near &&
+                            best->Free().processor < worker->Free().processor);
+    if (is_better) {
+      best = worker;
+      is_best_near = is_near;
+    }
+  }
+  return best;
+}
+
+void Scheduler::Start(ActiveJob& active,
+                      Worker& worker,
+                      const job::TaskId& task,
+                      core::Attempt attempt) {
+  const core::TimePoint now = m_ports.clock.Now();
+  const job::Step& step = active.job.StepOf(task.key);
+  worker.Add({task, attempt}, Hold(step));
+  if (worker.taken == worker.recorded) {
+    worker.look_not_before = std::min(worker.look_not_before, now);
+  }
+  if (active.job.State() == job::JobState::kQueued) {
+    m_committer.MarkChanged(task.job);
+  }
+  job::Run run;
+  run.worker = worker.Record().id;
+  run.attempt = attempt;
+  run.ordered_at = now;
+  active.job.BeginRun(task.key, std::move(run));
+  worker.ExtendLease(kHold, now);
+  Log(core::Severity::kInfo,
+      "Task " + Describe(task) + " goes to " + worker.Record().id.Text() + ".",
+      {{"event", "task_placed"},
+       {"job", task.job.Text()},
+       {"task", Describe(task)},
+       {"attempt", std::to_string(attempt.Count())},
+       {"worker", worker.Record().id.Text()},
+       {"free_millicores", std::to_string(worker.Free().processor.Count())},
+       {"token", std::to_string(m_reign.token.Count())}});
+  SendStart(worker, {task, attempt});
+}
+
+void Scheduler::SendStart(Worker& worker, const RunKey& key) {
+  ActiveJob* active = FindJob(key.task.job);
+  execution::HeldRun* run = worker.Find(key);
+  const job::Task* task = active->job.Find(key.task.key);
+  if (run == nullptr || task == nullptr) {
+    return;
+  }
+  run->is_asked = true;
+  run->ordered_at = m_ports.clock.Now();
+  execution::StartOrder order;
+  order.to = Address(worker);
+  order.task = key.task;
+  order.attempt = key.attempt;
+  order.payload = active->job.Accepted().spec.payload;
+  order.until = worker.LeaseUntil();
+  order.checkpoint = active->job.CheckpointOf(key.task.key);
+  m_ports.workers.Start(std::move(order));
+}
+
+}  // namespace crocusmast::scheduling
