Keep a commit within the 32 entries that the store takes

Cause: conditions and writes count together; a commit of 30 jobs was refused. Ruled out: the store's rate (400 writes a second; about 20 were made). Change: at most 14 jobs a commit.

--- a/src/crocusmast/scheduling/committer.h
+++ b/src/crocusmast/scheduling/committer.h
@@ -15,8 +15,9 @@
 
 namespace crocusmast::scheduling {
 
-/** @brief The most jobs in one commit; the store takes 32 keys at a time. */
-inline constexpr std::size_t kMaxCommitJobs = 30;
+/** @brief The most jobs in one commit; the store takes 32 conditions and
+ * writes together, and each job has one of either. */
+inline constexpr std::size_t kMaxCommitJobs = 14;
 /** @brief The pause between two commits, so that changes are batched. */
 inline constexpr std::chrono::milliseconds kCommitPause{15};
 /** @brief A commit without an answer is sent again after this. */
