Take machines of a wave down, and keep ended jobs ended

Ruled out: copies (the step allowed none); two holders (one started both). Change: a hold begins with a whole list read after its claim; jobs that ended in a hold are remembered. A wave plan with cap, pool shares and stages; workers are emptied first; lasting tasks move one by one within their budget.

--- a/src/crocusmast/adapters/records/job_records.cc
+++ b/src/crocusmast/adapters/records/job_records.cc
@@ -224,31 +224,63 @@
       });
 }
 
-std::string EncodeGrants(const std::vector<job::GrantedWorker>& grants) {
-  Json rows = Json::array();
-  for (const job::GrantedWorker& grant : grants) {
-    rows.push_back(
+std::string EncodeNotes(const job::HolderNotes& notes) {
+  Json workers = Json::array();
+  for (const job::GrantedWorker& grant : notes.workers) {
+    workers.push_back(
         {grant.worker.Text(), grant.incarnation.Count(), grant.pool.Text()});
   }
-  return internal::ToBytes(
-      {{"v", internal::kLayout}, {"workers", std::move(rows)}});
+  Json waves = Json::array();
+  for (const job::WaveNote& note : notes.waves) {
+    Json begun = Json::array();
+    for (const core::MachineId& machine : note.begun) {
+      begun.push_back(machine.Text());
+    }
+    waves.push_back({note.wave.Count(), std::move(begun)});
+  }
+  return internal::ToBytes({{"v", internal::kLayout},
+                            {"workers", std::move(workers)},
+                            {"waves", std::move(waves)}});
+}
+
+namespace internal {
+
+core::Result<job::GrantedWorker> DecodeGrant(const Json& row) {
+  job::GrantedWorker grant;
+  BOOST_LEAF_ASSIGN(grant.worker,
+                    core::InstanceId::Create(row.at(0).get<std::string>()));
+  grant.incarnation = core::Incarnation(row.at(1).get<std::uint64_t>());
+  BOOST_LEAF_ASSIGN(grant.pool,
+                    core::PoolId::Create(row.at(2).get<std::string>()));
+  return grant;
 }
 
-core::Result<std::vector<job::GrantedWorker>> DecodeGrants(
-    std::string_view bytes) {
-  return internal::Decode<std::vector<job::GrantedWorker>>(
-      bytes, "grants record",
-      [](const Json& json) -> core::Result<std::vector<job::GrantedWorker>> {
-        std::vector<job::GrantedWorker> grants;
+core::Result<job::WaveNote> DecodeWave(const Json& row) {
+  job::WaveNote note;
+  note.wave = core::WaveNumber(row.at(0).get<std::uint64_t>());
+  for (const Json& machine : row.at(1)) {
+    BOOST_LEAF_AUTO(id, core::MachineId::Create(machine.get<std::string>()));
+    note.begun.push_back(std::move(id));
+  }
+  return note;
+}
+
+}  // namespace internal
+
+core::Result<job::HolderNotes> DecodeNotes(std::string_view bytes) {
+  return internal::Decode<job::HolderNotes>(
+      bytes, "holder's notes",
+      [](const Json& json) -> core::Result<job::HolderNotes> {
+        job::HolderNotes notes;
         for (const Json& row : json.at("workers")) {
-          job::GrantedWorker& grant = grants.emplace_back();
-          BOOST_LEAF_ASSIGN(grant.worker, core::InstanceId::Create(
-                                              row.at(0).get<std::string>()));
-          grant.incarnation = core::Incarnation(row.at(1));
-          BOOST_LEAF_ASSIGN(grant.pool,
-                            core::PoolId::Create(row.at(2).get<std::string>()));
+          BOOST_LEAF_AUTO(grant, internal::DecodeGrant(row));
+          notes.workers.push_back(std::move(grant));
+        }
+        for (const Json& row : json.at("waves")) {
+          BOOST_LEAF_AUTO(note, internal::DecodeWave(row));
+          notes.waves.push_back(std::move(note));
         }
-        return grants;
+        return notes;
       });
 }
 
--- a/src/crocusmast/adapters/records/job_records.h
+++ b/src/crocusmast/adapters/records/job_records.h
@@ -29,11 +29,10 @@
 /** @brief Decodes a job's progress; an error names what is wrong. */
 core::Result<job::JobProgress> DecodeProgress(std::string_view bytes);
 
-/** @brief Encodes the workers that may hold leases. */
-std::string EncodeGrants(const std::vector<job::GrantedWorker>& grants);
-/** @brief Decodes the workers that may hold leases. */
-core::Result<std::vector<job::GrantedWorker>> DecodeGrants(
-    std::string_view bytes);
+/** @brief Encodes a holder's notes. */
+std::string EncodeNotes(const job::HolderNotes& notes);
+/** @brief Decodes a holder's notes. */
+core::Result<job::HolderNotes> DecodeNotes(std::string_view bytes);
 
 /** @brief Encodes who holds a duty. */
 std::string EncodeHolder(const leadership::Holder& holder);
--- a/src/crocusmast/core/ids.h
+++ b/src/crocusmast/core/ids.h
@@ -41,6 +41,9 @@
 struct QueueTag {
   static constexpr char kName[] = "queue id";
 };
+struct MachineTag {
+  static constexpr char kName[] = "machine id";
+};
 
 }  // namespace internal
 
@@ -66,6 +69,8 @@
 using JobId = StrongId<internal::JobTag>;
 /** @brief Names a queue of jobs. */
 using QueueId = StrongId<internal::QueueTag>;
+/** @brief Names the hardware that one worker after the other lives on. */
+using MachineId = StrongId<internal::MachineTag>;
 
 }  // namespace crocusmast::core
 
--- a/src/crocusmast/core/units.h
+++ b/src/crocusmast/core/units.h
@@ -31,6 +31,8 @@
 using FencingToken = Quantity<struct FencingTokenTag>;
 /** @brief Numbers the ends that one incarnation of a worker lists. */
 using EndNumber = Quantity<struct EndNumberTag>;
+/** @brief Numbers a wave of upkeep. */
+using WaveNumber = Quantity<struct WaveNumberTag>;
 /** @brief Numbers a request within one entry instance. */
 using RequestKey = Quantity<struct RequestKeyTag>;
 
--- a/src/crocusmast/execution/worker.cc
+++ b/src/crocusmast/execution/worker.cc
@@ -35,6 +35,7 @@
   is_looking = false;
   ++look_sequence;
   is_adopted = false;
+  is_noted = false;
   avoided_until = {};
   failed_looks = 0;
   failed_runs = 0;
--- a/src/crocusmast/execution/worker.h
+++ b/src/crocusmast/execution/worker.h
@@ -165,6 +165,8 @@
   bool is_adopted = false;
   /** @brief No look is sent before. */
   core::TimePoint look_not_before;
+  /** @brief The store names it as a worker that this holder may use. */
+  bool is_noted = false;
   /** @brief No new work goes here before. */
   core::TimePoint avoided_until;
   /** @brief Looks in a row that went wrong. */
--- a/src/crocusmast/job/job.cc
+++ b/src/crocusmast/job/job.cc
@@ -213,7 +213,7 @@
       run.percent = percent;
       constexpr std::uint32_t kFull = 100;
       if (percent >= kFull) {
-        task->at_work_at = now;
+        run.at_work_at = now;
       }
       if (!checkpoint.empty()) {
         task->checkpoint = checkpoint;
--- a/src/crocusmast/job/job.h
+++ b/src/crocusmast/job/job.h
@@ -50,6 +50,8 @@
   core::TimePoint ordered_at;
   /** @brief The share of its work that is done, or of its speed. */
   std::uint32_t percent = 0;
+  /** @brief When it was last seen at full work. */
+  core::TimePoint at_work_at;
   /** @brief It has been told to stop. */
   bool is_stopping = false;
 };
@@ -66,8 +68,6 @@
   std::string checkpoint;
   /** @brief Runs that may be going on. */
   std::vector<Run> runs;
-  /** @brief When it last was at work, for tasks that last. */
-  core::TimePoint at_work_at;
 };
 
 /** @brief One step of an open occurrence. */
--- a/src/crocusmast/job/job_book.cc
+++ b/src/crocusmast/job/job_book.cc
@@ -1,9 +1,29 @@
 #include "crocusmast/job/job_book.h"
 
+#include <iterator>
 #include <utility>
 
 namespace crocusmast::job {
 
+namespace internal {
+
+const core::JobId& IdOf(const JobStored& stored) {
+  return stored.job.id;
+}
+
+template <typename Event>
+const core::JobId& IdOf(const Event& event) {
+  return event.id;
+}
+
+}  // namespace internal
+
+const core::JobId& IdOf(const JobEvent& event) {
+  return std::visit(
+      [](const auto& one) -> const core::JobId& { return internal::IdOf(one); },
+      event);
+}
+
 JobState JobEntry::State() const {
   const JobState stored = progress ? progress->state : JobState::kQueued;
   return is_cancelled && !IsFinal(stored) ? JobState::kCancelled : stored;
@@ -40,6 +60,13 @@
   m_entries.erase(event.id);
 }
 
+void JobBook::Retain(const std::unordered_set<core::JobId>& named) {
+  for (auto entry = m_entries.begin(); entry != m_entries.end();) {
+    entry = named.count(entry->first) == 0 ? m_entries.erase(entry)
+                                           : std::next(entry);
+  }
+}
+
 void JobBook::Settle(JobEntry& entry, core::TimePoint now) {
   if (entry.progress && IsFinal(entry.progress->state)) {
     entry.job.spec = {};
--- a/src/crocusmast/job/job_book.h
+++ b/src/crocusmast/job/job_book.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <optional>
 #include <unordered_map>
+#include <unordered_set>
 #include <variant>
 #include <vector>
 
@@ -38,6 +39,12 @@
 using JobEvent =
     std::variant<JobStored, CancelStored, ProgressStored, JobRemoved>;
 
+/**
+ * @brief Returns the job that an event is about.
+ * @param event The event.
+ */
+const core::JobId& IdOf(const JobEvent& event);
+
 /** @brief What the store holds of one job. */
 struct JobEntry {
   /** @brief The job; without payload and steps once its state is final. */
@@ -65,8 +72,11 @@
    */
   void Apply(JobEvent event, core::TimePoint now);
 
-  /** @brief Forgets all, before the store is read anew. */
-  void Clear() { m_entries.clear(); }
+  /**
+   * @brief Forgets the jobs that a whole list of the store does not name.
+   * @param named The jobs that it names.
+   */
+  void Retain(const std::unordered_set<core::JobId>& named);
 
   /**
    * @brief Returns a job.
--- a/src/crocusmast/job/job_store.h
+++ b/src/crocusmast/job/job_store.h
@@ -70,9 +70,23 @@
   core::PoolId pool;
 };
 
-/** @brief The store says which workers may hold leases. */
-struct GrantsStored {
+/** @brief The machines of a wave whose upkeep has begun. */
+struct WaveNote {
+  core::WaveNumber wave;
+  std::vector<core::MachineId> begun;
+};
+
+/** @brief What a successor has to know besides the jobs. */
+struct HolderNotes {
+  /** @brief The workers that may hold leases. */
   std::vector<GrantedWorker> workers;
+  /** @brief The waves that are under way. */
+  std::vector<WaveNote> waves;
+};
+
+/** @brief The store holds the notes of a holder. */
+struct NotesStored {
+  HolderNotes notes;
 };
 
 /** @brief Progress to store, if the store's has the revision expected. */
@@ -89,8 +103,8 @@
   /** @brief The holder's claim; a deposed holder's commit fails. */
   core::FencingToken token;
   std::vector<ProgressWrite> progress;
-  /** @brief The workers that may hold leases; absent: as they are. */
-  std::optional<std::vector<GrantedWorker>> grants;
+  /** @brief The holder's notes; absent: as they are. */
+  std::optional<HolderNotes> notes;
 };
 
 /** @brief The answer to a commit. */
@@ -117,6 +131,8 @@
   virtual void Read(ExchangeId exchange, const core::JobId& id) = 0;
   /** @brief Stores a holder's writes; answered by CommitReply. */
   virtual void Write(Commit commit) = 0;
+  /** @brief Reads all that is stored anew; answered by the whole list. */
+  virtual void Refresh() = 0;
   /** @brief Removes what is stored of jobs; not answered. */
   virtual void Remove(core::FencingToken token,
                       const std::vector<core::JobId>& ids) = 0;
--- a/src/crocusmast/manager/manager.cc
+++ b/src/crocusmast/manager/manager.cc
@@ -1,6 +1,7 @@
 #include "crocusmast/manager/manager.h"
 
 #include <type_traits>
+#include <unordered_set>
 #include <utility>
 
 namespace crocusmast::manager {
@@ -20,6 +21,8 @@
       m_elector(m_settings.self, ports.leases, ports.clock, ports.logger),
       m_scheduler({ports.workers, ports.store, ports.feed, ports.clock,
                    ports.logger, ports.meter}),
+      m_upkeep({ports.machines, m_scheduler, ports.clock, ports.logger},
+               m_settings.machine_order_gap),
       m_intake(
           {ports.store, ports.answers, ports.clock, ports.logger, ports.meter},
           m_book) {}
@@ -40,6 +43,9 @@
 
 void Manager::Drained() {
   FollowLeadership();
+  if (m_upkeep.Round(m_elector.IsSure())) {
+    m_scheduler.SetWaveNotes(m_upkeep.Notes());
+  }
   m_scheduler.Round();
 }
 
@@ -54,6 +60,12 @@
                        std::is_same_v<Kind, leadership::DutyClaimed> ||
                        std::is_same_v<Kind, leadership::LeaseRenewed>) {
     m_elector.Handle(other);
+  } else if constexpr (std::is_same_v<Kind, upkeep::MachinesListed> ||
+                       std::is_same_v<Kind, upkeep::MachineReplied> ||
+                       std::is_same_v<Kind, upkeep::StatusWritten> ||
+                       std::is_same_v<Kind, upkeep::WaveAsked> ||
+                       std::is_same_v<Kind, upkeep::WaveRemoved>) {
+    m_upkeep.Handle(std::forward<Other>(other));
   } else {
     m_scheduler.Handle(std::forward<Other>(other));
   }
@@ -98,10 +110,13 @@
 }
 
 void Manager::Take(StoreListed&& listed) {
-  m_book.Clear();
-  m_grants.clear();
+  m_notes = {};
   bool has_duty = false;
+  std::unordered_set<core::JobId> named;
   for (StoreEvent& event : listed.events) {
+    if (const auto* job = std::get_if<job::JobEvent>(&event)) {
+      named.insert(job::IdOf(*job));
+    }
     has_duty =
         has_duty || std::holds_alternative<leadership::DutyStored>(event);
     Apply(std::move(event));
@@ -109,21 +124,23 @@
   if (!has_duty) {
     m_elector.Handle(leadership::DutyVacant{listed.revision});
   }
-  BookIsCurrent(listed.revision);
+  m_book.Retain(named);
+  m_listed_revision = listed.revision;
+  BookIsCurrent();
 }
 
 void Manager::Take(StoreChanged&& changed) {
   for (StoreEvent& event : changed.events) {
     Apply(std::move(event));
   }
-  BookIsCurrent(changed.revision);
+  BookIsCurrent();
 }
 
 void Manager::Apply(StoreEvent&& event) {
   if (auto* job = std::get_if<job::JobEvent>(&event)) {
     ApplyJob(std::move(*job));
-  } else if (auto* grants = std::get_if<job::GrantsStored>(&event)) {
-    m_grants = std::move(grants->workers);
+  } else if (auto* notes = std::get_if<job::NotesStored>(&event)) {
+    m_notes = std::move(notes->notes);
   } else if (const auto* duty = std::get_if<leadership::DutyStored>(&event)) {
     m_elector.Handle(*duty);
   } else {
@@ -132,16 +149,19 @@
 }
 
 void Manager::ApplyJob(job::JobEvent&& event) {
-  if (const auto* stored = std::get_if<job::JobStored>(&event)) {
-    m_scheduler.AddJob(stored->job);
-  } else if (const auto* cancel = std::get_if<job::CancelStored>(&event)) {
-    m_scheduler.CancelJob(cancel->id);
+  const core::JobId id = job::IdOf(event);
+  if (std::holds_alternative<job::CancelStored>(event)) {
+    m_scheduler.CancelJob(id);
   }
+  const bool is_new = std::holds_alternative<job::JobStored>(event);
   m_book.Apply(std::move(event), m_ports.clock.Now());
+  const job::JobEntry* entry = is_new ? m_book.Find(id) : nullptr;
+  if (entry != nullptr && !job::IsFinal(entry->State())) {
+    m_scheduler.AddJob(entry->job);
+  }
 }
 
-void Manager::BookIsCurrent(core::Revision revision) {
-  m_book_revision = revision;
+void Manager::BookIsCurrent() {
   m_book_current_at = m_ports.clock.Now();
   m_intake.BookIsCurrent(m_book_current_at);
   UpdateReadiness();
@@ -155,17 +175,25 @@
       m_elector.MayAct() ? m_elector.Token() : core::FencingToken();
   if (m_scheduler.IsActive() && m_token != token) {
     m_scheduler.End();
+    m_upkeep.End();
+  }
+  const bool is_waiting =
+      !m_scheduler.IsActive() && token != core::FencingToken() && m_directory;
+  if (is_waiting && m_refreshed_for != token) {
+    m_refreshed_for = token;
+    m_ports.store.Refresh();
   }
-  const bool may_begin = !m_scheduler.IsActive() &&
-                         token != core::FencingToken() && m_directory &&
-                         token.Count() <= m_book_revision.Count();
+  // All that an earlier holder stored lies before this holder's claim.
+  const bool may_begin =
+      is_waiting && token.Count() <= m_listed_revision.Count();
   if (may_begin) {
     m_token = token;
     m_scheduler.SetDirectory(*m_directory);
     m_scheduler.Begin({token, m_settings.max_hold,
                        leadership::kSchedulingLease.acting -
                            leadership::kSchedulingLease.length},
-                      m_book, m_grants);
+                      m_book, m_notes);
+    m_upkeep.Begin(token, m_notes.waves);
   }
 }
 
--- a/src/crocusmast/manager/manager.h
+++ b/src/crocusmast/manager/manager.h
@@ -13,6 +13,7 @@
 #include "crocusmast/leadership/elector.h"
 #include "crocusmast/manager/messages.h"
 #include "crocusmast/scheduling/scheduler.h"
+#include "crocusmast/upkeep/upkeep.h"
 
 namespace crocusmast::manager {
 
@@ -34,6 +35,7 @@
   job::JobStore& store;
   execution::WorkerPort& workers;
   scheduling::WorkerFeed& feed;
+  upkeep::MachinePort& machines;
   intake::AnswerPort& answers;
   ReadinessPort& readiness;
   const core::Clock& clock;
@@ -46,6 +48,8 @@
   leadership::Holder self;
   /** @brief The longest lease that a worker grants. */
   std::chrono::milliseconds max_hold{};
+  /** @brief Two holders give a machine orders at least this far apart. */
+  std::chrono::milliseconds machine_order_gap{};
 };
 
 /**
@@ -80,7 +84,7 @@
 
   void Apply(StoreEvent&& event);
   void ApplyJob(job::JobEvent&& event);
-  void BookIsCurrent(core::Revision revision);
+  void BookIsCurrent();
   void FollowLeadership();
   void UpdateReadiness();
   void RemoveEnded();
@@ -91,15 +95,19 @@
   ManagerSettings m_settings;
   ManagerPorts m_ports;
   job::JobBook m_book;
-  std::vector<job::GrantedWorker> m_grants;
-  core::Revision m_book_revision;
+  job::HolderNotes m_notes;
+  /** @brief The revision of the newest whole list. */
+  core::Revision m_listed_revision;
   core::TimePoint m_book_current_at;
   core::TimePoint m_remove_at;
   std::shared_ptr<const queue::Directory> m_directory;
   leadership::Elector m_elector;
   scheduling::Scheduler m_scheduler;
+  upkeep::Upkeep m_upkeep;
   intake::Intake m_intake;
   core::FencingToken m_token;
+  /** @brief The hold for which a whole list was asked. */
+  core::FencingToken m_refreshed_for;
   bool m_is_ready = false;
   bool m_is_stopping = false;
 };
--- a/src/crocusmast/manager/messages.h
+++ b/src/crocusmast/manager/messages.h
@@ -14,12 +14,13 @@
 #include "crocusmast/leadership/lease_port.h"
 #include "crocusmast/queue/directory.h"
 #include "crocusmast/scheduling/messages.h"
+#include "crocusmast/upkeep/machine_port.h"
 
 namespace crocusmast::manager {
 
 /** @brief One change of what the store holds for this system. */
 using StoreEvent = std::variant<job::JobEvent,
-                                job::GrantsStored,
+                                job::NotesStored,
                                 leadership::DutyStored,
                                 leadership::DutyVacant>;
 
@@ -71,7 +72,12 @@
                              leadership::LeaseRenewed,
                              scheduling::WorkersListed,
                              scheduling::WorkerSeen,
-                             scheduling::WorkerUnlisted>;
+                             scheduling::WorkerUnlisted,
+                             upkeep::MachinesListed,
+                             upkeep::MachineReplied,
+                             upkeep::StatusWritten,
+                             upkeep::WaveAsked,
+                             upkeep::WaveRemoved>;
 
 }  // namespace crocusmast::manager
 
--- a/src/crocusmast/scheduling/committer.cc
+++ b/src/crocusmast/scheduling/committer.cc
@@ -14,8 +14,8 @@
   m_in_flight_jobs.clear();
   m_ends.clear();
   m_in_flight_ends.clear();
-  m_grants.reset();
-  m_in_flight_grants.reset();
+  m_notes.reset();
+  m_in_flight_notes.reset();
 }
 
 void Committer::SetRevision(const core::JobId& id, core::Revision revision) {
@@ -31,18 +31,18 @@
   known = std::max(known, taken);
 }
 
-void Committer::SetGrants(std::vector<job::GrantedWorker> workers) {
-  m_grants = std::move(workers);
+void Committer::SetNotes(job::HolderNotes notes) {
+  m_notes = std::move(notes);
 }
 
-bool Committer::AreGrantsStored() const {
-  return !m_grants && !m_in_flight_grants;
+bool Committer::AreNotesStored() const {
+  return !m_notes && !m_in_flight_notes;
 }
 
 std::optional<job::Commit> Committer::Next(core::FencingToken token,
                                            core::TimePoint now,
                                            const ReadProgress& read) {
-  const bool is_empty = m_changed.empty() && m_ends.empty() && !m_grants;
+  const bool is_empty = m_changed.empty() && m_ends.empty() && !m_notes;
   if (m_is_in_flight || is_empty || now < m_next_at) {
     return std::nullopt;
   }
@@ -61,8 +61,8 @@
   if (m_changed.empty()) {
     m_in_flight_ends = std::exchange(m_ends, {});
   }
-  m_in_flight_grants = std::exchange(m_grants, std::nullopt);
-  commit.grants = m_in_flight_grants;
+  m_in_flight_notes = std::exchange(m_notes, std::nullopt);
+  commit.notes = m_in_flight_notes;
   m_is_in_flight = true;
   return commit;
 }
@@ -80,7 +80,7 @@
       m_revisions[id] = reply.revision;
     }
     m_in_flight_jobs.clear();
-    m_in_flight_grants.reset();
+    m_in_flight_notes.reset();
     for (const auto& [worker, number] : std::exchange(m_in_flight_ends, {})) {
       take(worker, number);
     }
@@ -105,10 +105,10 @@
     AddEnds(worker, number);
   }
   m_in_flight_ends.clear();
-  if (!m_grants) {
-    m_grants = std::move(m_in_flight_grants);
+  if (!m_notes) {
+    m_notes = std::move(m_in_flight_notes);
   }
-  m_in_flight_grants.reset();
+  m_in_flight_notes.reset();
 }
 
 void Committer::Forget(const core::JobId& id) {
--- a/src/crocusmast/scheduling/committer.h
+++ b/src/crocusmast/scheduling/committer.h
@@ -60,13 +60,13 @@
   void AddEnds(const core::InstanceId& worker, core::EndNumber taken);
 
   /**
-   * @brief Sets the workers that may hold leases, to be stored.
-   * @param workers The workers.
+   * @brief Sets what a successor has to know, to be stored.
+   * @param notes The notes.
    */
-  void SetGrants(std::vector<job::GrantedWorker> workers);
+  void SetNotes(job::HolderNotes notes);
 
-  /** @brief Tells whether all grants are stored. */
-  bool AreGrantsStored() const;
+  /** @brief Tells whether the newest notes are stored. */
+  bool AreNotesStored() const;
 
   /**
    * @brief Makes the next commit, if there is something to store.
@@ -119,8 +119,8 @@
   std::set<core::JobId> m_in_flight_jobs;
   std::map<core::InstanceId, core::EndNumber> m_ends;
   std::map<core::InstanceId, core::EndNumber> m_in_flight_ends;
-  std::optional<std::vector<job::GrantedWorker>> m_grants;
-  std::optional<std::vector<job::GrantedWorker>> m_in_flight_grants;
+  std::optional<job::HolderNotes> m_notes;
+  std::optional<job::HolderNotes> m_in_flight_notes;
 };
 
 }  // namespace crocusmast::scheduling
--- a/src/crocusmast/scheduling/scheduler.cc
+++ b/src/crocusmast/scheduling/scheduler.cc
@@ -23,7 +23,7 @@
 
 void Scheduler::Begin(const Reign& reign,
                       const job::JobBook& book,
-                      const std::vector<job::GrantedWorker>& grants) {
+                      const job::HolderNotes& notes) {
   End();
   m_is_active = true;
   m_reign = reign;
@@ -32,7 +32,8 @@
   const core::TimePoint settled_at =
       now + reign.deposed_acting +
       reign.max_hold * (100 + execution::kSlowClockPercent + 1) / 100;
-  for (const job::GrantedWorker& grant : grants) {
+  m_wave_notes = notes.waves;
+  for (const job::GrantedWorker& grant : notes.workers) {
     m_unsettled[grant.worker] = {grant.incarnation, grant.pool, settled_at};
   }
   const core::WallTime wall = m_ports.clock.WallNow();
@@ -62,11 +63,11 @@
   Log(core::Severity::kInfo,
       "Scheduling begins with token " + std::to_string(reign.token.Count()) +
           ": " + std::to_string(m_jobs.size()) + " open jobs, " +
-          std::to_string(grants.size()) + " workers to look at.",
+          std::to_string(notes.workers.size()) + " workers to look at.",
       {{"event", "scheduling_begins"},
        {"token", std::to_string(reign.token.Count())},
        {"jobs", std::to_string(m_jobs.size())},
-       {"workers", std::to_string(grants.size())}});
+       {"workers", std::to_string(notes.workers.size())}});
   m_ports.feed.Follow();
 }
 
@@ -78,6 +79,7 @@
   m_has_members = false;
   m_was_fenced = false;
   m_jobs.clear();
+  m_ended.clear();
   m_by_pool.clear();
   m_workers.clear();
   m_unsettled.clear();
@@ -136,7 +138,8 @@
 }
 
 void Scheduler::AddJob(const job::AcceptedJob& accepted) {
-  if (!m_is_active || m_jobs.count(accepted.id) > 0) {
+  if (!m_is_active || m_jobs.count(accepted.id) > 0 ||
+      m_ended.count(accepted.id) > 0) {
     return;
   }
   const core::TimePoint now = m_ports.clock.Now();
@@ -180,7 +183,7 @@
     }
   }
   m_has_members = true;
-  StoreGrants();
+  StoreNotes();
 }
 
 void Scheduler::Handle(WorkerSeen&& seen) {
@@ -228,7 +231,7 @@
     Settle(id, "a later life of it has joined");
   }
   if (m_has_members) {
-    StoreGrants();
+    StoreNotes();
   }
 }
 
@@ -244,7 +247,7 @@
   }
 }
 
-void Scheduler::StoreGrants() {
+void Scheduler::StoreNotes() {
   std::vector<job::GrantedWorker> grants;
   for (const auto& [id, worker] : m_workers) {
     if (worker->IsListed() || !worker->Runs().empty()) {
@@ -257,7 +260,27 @@
       grants.push_back({id, unsettled.incarnation, unsettled.pool});
     }
   }
-  m_committer.SetGrants(std::move(grants));
+  m_noted_workers = grants;
+  m_committer.SetNotes({std::move(grants), m_wave_notes});
+}
+
+void Scheduler::TakeNotesStored() {
+  for (const job::GrantedWorker& noted : std::exchange(m_noted_workers, {})) {
+    Worker* worker = FindWorker(noted.worker);
+    if (worker != nullptr &&
+        worker->Record().incarnation == noted.incarnation &&
+        !worker->is_noted) {
+      worker->is_noted = true;
+      m_open_pools.insert(noted.pool);
+    }
+  }
+}
+
+void Scheduler::SetWaveNotes(std::vector<job::WaveNote> waves) {
+  m_wave_notes = std::move(waves);
+  if (m_is_active && m_has_members) {
+    StoreNotes();
+  }
 }
 
 Worker* Scheduler::FindWorker(const core::InstanceId& id) {
@@ -301,9 +324,7 @@
     }
   }
   Retry();
-  if (m_has_members && m_committer.AreGrantsStored()) {
-    Place();
-  }
+  Place();
   SendLooks();
   const auto read = [this](const core::JobId& id) {
     const ActiveJob* active = FindJob(id);
@@ -334,7 +355,11 @@
               worker->Runs().empty() ? now + kAcknowledgePause : now;
         }
       });
-  if (reply.outcome != job::StoreOutcome::kDone) {
+  if (reply.outcome == job::StoreOutcome::kDone) {
+    if (m_committer.AreNotesStored()) {
+      TakeNotesStored();
+    }
+  } else {
     Log(core::Severity::kWarning,
         "Commit " + std::to_string(reply.sequence) + " was not done: " +
             std::string(job::StoreOutcomeName(reply.outcome)) + ".",
@@ -351,6 +376,7 @@
                          !job->second.job.HasRuns();
     if (is_over) {
       m_committer.Forget(job->first);
+      m_ended.insert(job->first);
       job = m_jobs.erase(job);
     } else {
       ++job;
--- a/src/crocusmast/scheduling/scheduler.h
+++ b/src/crocusmast/scheduling/scheduler.h
@@ -8,6 +8,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <utility>
 #include <vector>
 
@@ -23,6 +24,7 @@
 #include "crocusmast/scheduling/committer.h"
 #include "crocusmast/scheduling/messages.h"
 #include "crocusmast/scheduling/run_times.h"
+#include "crocusmast/upkeep/worker_keeper.h"
 
 namespace crocusmast::scheduling {
 
@@ -75,7 +77,7 @@
  * that the earlier holder may have used, which fences it, before it starts
  * what may be running there.
  */
-class Scheduler {
+class Scheduler final : public upkeep::WorkerKeeper {
  public:
   /**
    * @brief Makes a scheduler without the duty.
@@ -87,11 +89,11 @@
    * @brief Begins a hold.
    * @param reign The hold.
    * @param book All jobs, up to the claim at least.
-   * @param grants The workers that the earlier holder may have used.
+   * @param notes The notes of the earlier holder.
    */
   void Begin(const Reign& reign,
              const job::JobBook& book,
-             const std::vector<job::GrantedWorker>& grants);
+             const job::HolderNotes& notes);
 
   /** @brief Ends the hold; what runs goes on under its leases. */
   void End();
@@ -118,6 +120,16 @@
   void Handle(const execution::LookReply& reply);
   void Handle(const job::CommitReply& reply);
 
+  /**
+   * @brief Sets how far waves of upkeep are, to be noted for a successor.
+   * @param waves The waves under way.
+   */
+  void SetWaveNotes(std::vector<job::WaveNote> waves);
+
+  upkeep::Usage UsageOf(const core::InstanceId& worker) const override;
+  void SetAside(const core::InstanceId& worker) override;
+  bool IsEmpty(const core::InstanceId& worker) const override;
+
   /** @brief Tells whether a worker refused this holder's token. */
   bool WasFenced() const { return m_was_fenced; }
 
@@ -155,7 +167,10 @@
   ActiveJob& Insert(job::Job job, core::TimePoint accepted);
   void ApplyQueue(ActiveJob& active, core::TimePoint accepted);
   void Settle(const core::InstanceId& id, const char* evidence);
-  void StoreGrants();
+  void StoreNotes();
+  void TakeNotesStored();
+  void MoveLasting(execution::Worker& worker);
+  bool MayTakeAway(const ActiveJob& active, const job::TaskKey& key) const;
   bool IsPoolSettled(const core::PoolId& pool) const;
 
   void EndLife(execution::Worker& worker, const char* evidence);
@@ -215,8 +230,13 @@
   std::map<core::InstanceId, Unsettled> m_unsettled;
   std::map<core::PoolId, std::vector<execution::Worker*>> m_by_pool;
   std::set<core::PoolId> m_open_pools;
+  /** @brief Jobs that ended in this hold: news of them may still come. */
+  std::unordered_set<core::JobId> m_ended;
   Committer m_committer;
   RunTimes m_run_times;
+  std::vector<job::WaveNote> m_wave_notes;
+  /** @brief The workers of the newest notes. */
+  std::vector<job::GrantedWorker> m_noted_workers;
 };
 
 }  // namespace crocusmast::scheduling
--- a/src/crocusmast/scheduling/scheduler_placement.cc
+++ b/src/crocusmast/scheduling/scheduler_placement.cc
@@ -148,10 +148,11 @@
   bool is_best_near = false;
   for (Worker* worker : m_by_pool[active.pool]) {
     const execution::WorkerRecord& record = worker->Record();
-    const bool is_usable =
-        worker->IsListed() && worker->is_adopted && !record.is_draining &&
-        !worker->is_cordoned && worker->failed_looks == 0 &&
-        worker->avoided_until <= now && worker->Free().Fits(need);
+    const bool is_usable = worker->IsListed() && worker->is_adopted &&
+                           worker->is_noted && !record.is_draining &&
+                           !worker->is_cordoned && worker->failed_looks == 0 &&
+                           worker->avoided_until <= now &&
+                           worker->Free().Fits(need);
     if (!is_usable ||
         (!step.required_label.empty() &&
          !record.HasLabel(step.required_label)) ||
--- /dev/null
+++ b/src/crocusmast/scheduling/scheduler_upkeep.cc
@@ -0,0 +1,98 @@
+#include <utility>
+
+#include "crocusmast/scheduling/scheduler.h"
+
+// Emptying workers for upkeep.
+
+namespace crocusmast::scheduling {
+namespace internal {
+
+/** @brief A task counts as at work this long after it was seen so: looks at
+ * its worker come each second. */
+constexpr std::chrono::milliseconds kSeenAtWork{2500};
+
+}  // namespace internal
+
+using execution::RunKey;
+using execution::Worker;
+
+upkeep::Usage Scheduler::UsageOf(const core::InstanceId& id) const {
+  upkeep::Usage usage;
+  const auto worker = m_workers.find(id);
+  if (worker == m_workers.end()) {
+    return usage;
+  }
+  for (const auto& [key, run] : worker->second->Runs()) {
+    const auto active = m_jobs.find(key.task.job);
+    const bool is_lasting =
+        active != m_jobs.end() &&
+        active->second.job.StepOf(key.task.key).long_running;
+    ++(is_lasting ? usage.lasting : usage.passing);
+  }
+  return usage;
+}
+
+bool Scheduler::IsEmpty(const core::InstanceId& id) const {
+  const auto worker = m_workers.find(id);
+  const bool may_hold_more =
+      m_unsettled.count(id) > 0 ||
+      (worker != m_workers.end() && !worker->second->Runs().empty());
+  return !may_hold_more;
+}
+
+void Scheduler::SetAside(const core::InstanceId& id) {
+  Worker* worker = FindWorker(id);
+  if (worker == nullptr) {
+    return;
+  }
+  worker->is_cordoned = true;
+  MoveLasting(*worker);
+}
+
+void Scheduler::MoveLasting(Worker& worker) {
+  std::vector<RunKey> lasting;
+  for (const auto& [key, run] : worker.Runs()) {
+    const ActiveJob* active = FindJob(key.task.job);
+    if (!run.is_stopping && active != nullptr &&
+        active->job.StepOf(key.task.key).long_running) {
+      lasting.push_back(key);
+    }
+  }
+  for (const RunKey& key : lasting) {
+    ActiveJob* active = FindJob(key.task.job);
+    if (!MayTakeAway(*active, key.task.key)) {
+      continue;
+    }
+    Log(core::Severity::kInfo,
+        "Task " + Describe(key.task) + " is moved away from " +
+            worker.Record().id.Text() + ".",
+        {{"event", "task_moved"},
+         {"job", key.task.job.Text()},
+         {"task", Describe(key.task)},
+         {"worker", worker.Record().id.Text()}});
+    SendStop(worker, key);
+  }
+}
+
+bool Scheduler::MayTakeAway(const ActiveJob& active,
+                            const job::TaskKey& key) const {
+  const job::Step& step = active.job.StepOf(key);
+  const auto occurrence = active.job.Open().find(key.occurrence);
+  if (!step.max_unavailable || occurrence == active.job.Open().end()) {
+    return true;
+  }
+  const core::TimePoint now = m_ports.clock.Now();
+  std::uint32_t away = 0;
+  const std::vector<job::Task>& tasks =
+      occurrence->second.steps[key.step].tasks;
+  for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+    const job::Task& task = tasks[index];
+    const bool is_at_work =
+        !task.runs.empty() && !task.runs.front().is_stopping &&
+        now < task.runs.front().at_work_at + internal::kSeenAtWork;
+    away += index != key.index && !is_at_work ? 1 : 0;
+  }
+  return away < *step.max_unavailable;
+}
+
+}  // namespace crocusmast::scheduling
--- /dev/null
+++ b/src/crocusmast/upkeep/wave_plan.h
@@ -0,0 +1,143 @@
+#ifndef CROCUSMAST_UPKEEP_WAVE_PLAN_H_
+#define CROCUSMAST_UPKEEP_WAVE_PLAN_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+#include "crocusmast/core/clock.h"
+#include "crocusmast/upkeep/machine_port.h"
+
+namespace crocusmast::upkeep {
+
+/** @brief The share of a pool that is given up at once while time is left, in
+ * per cent; a pool's rush asks for all of it, so only little is. */
+inline constexpr std::size_t kPoolSharePercent = 25;
+/** @brief After this share of a wave's time, busy machines are taken too. */
+inline constexpr int kCalmPercent = 45;
+/** @brief After this share of a wave's time, only the cap bounds it. */
+inline constexpr int kPressingPercent = 65;
+
+/** @brief A machine that is listed as up this long after its order is back,
+ * though it was never listed as down; an upkeep takes about two seconds. */
+inline constexpr std::chrono::milliseconds kSurelyBack{5000};
+
+/** @brief How much a machine is in use, as the scheduler sees it. */
+struct Usage {
+  /** @brief Runs that end by themselves. */
+  std::uint32_t passing = 0;
+  /** @brief Runs that last. */
+  std::uint32_t lasting = 0;
+};
+
+/** @brief Where a machine of a wave is. */
+enum class Stage {
+  kWaiting,
+  /** @brief It gets no new work, and what lasts there is moved. */
+  kEmptying,
+  /** @brief The order was sent; it may be down at any moment. */
+  kOrdered,
+  /** @brief It is down for its upkeep. */
+  kDown,
+  /** @brief It is back. */
+  kBack,
+};
+
+/**
+ * @brief One wave of upkeep and how far it is.
+ *
+ * Its rules: at most `cap` machines are between the order and their return; a
+ * machine counts as done only once its upkeep surely began; the wave is done
+ * when each machine that still exists has begun.
+ */
+class WavePlan {
+ public:
+  /**
+   * @brief Makes a plan.
+   * @param request The wave.
+   * @param begun Machines whose upkeep is known to have begun.
+   * @param now The time.
+   */
+  WavePlan(WaveRequest request,
+           const std::vector<core::MachineId>& begun,
+           core::TimePoint now);
+
+  /** @brief Returns the wave. */
+  const WaveRequest& Request() const { return m_request; }
+
+  /** @brief Tells how much a machine is in use. */
+  using ReadUsage = std::map<core::MachineId, Usage>;
+
+  /**
+   * @brief Takes in the list of machines.
+   * @param machines All machines.
+   * @param now The time.
+   * @return True if more machines have surely begun.
+   */
+  bool Update(const std::map<core::MachineId, Machine>& machines,
+              core::TimePoint now);
+
+  /**
+   * @brief Names machines to empty now.
+   * @param machines All machines.
+   * @param usage Their use.
+   * @param now The time.
+   */
+  std::vector<core::MachineId> ChooseNext(
+      const std::map<core::MachineId, Machine>& machines,
+      const ReadUsage& usage,
+      core::TimePoint now);
+
+  /** @brief Takes in that a machine is being emptied. */
+  void Empty(const core::MachineId& machine);
+  /** @brief Takes in that the order was sent. */
+  void Order(const core::MachineId& machine);
+  /**
+   * @brief Takes in the answer to an order.
+   * @param machine The machine.
+   * @param outcome The answer.
+   * @param now The time.
+   * @return True if its upkeep has surely begun.
+   */
+  bool Answer(const core::MachineId& machine,
+              MachineOutcome outcome,
+              core::TimePoint now);
+
+  /** @brief Returns where a machine is; nothing if it is not of the wave. */
+  std::optional<Stage> StageOf(const core::MachineId& machine) const;
+  /** @brief Returns the machines at a stage. */
+  std::vector<core::MachineId> At(Stage stage) const;
+  /** @brief Tells whether one more may be ordered down. */
+  bool HasRoom() const;
+  /** @brief Tells whether each machine that exists has begun. */
+  bool IsDone() const;
+  /** @brief Returns the machines that have begun. */
+  std::vector<core::MachineId> Begun() const;
+
+ private:
+  /** @brief A machine of the wave. */
+  struct Item {
+    Stage stage = Stage::kWaiting;
+    bool has_begun = false;
+    /** @brief The platform lists it. */
+    bool exists = true;
+    /** @brief The list has shown it down. */
+    bool was_seen_down = false;
+    /** @brief When the order was answered. */
+    core::TimePoint answered_at;
+    /** @brief The worker on it when it was ordered down. */
+    core::InstanceId worker;
+  };
+
+  bool MayEmpty(const Usage& usage, int passed_percent) const;
+
+  WaveRequest m_request;
+  core::TimePoint m_begun_at;
+  std::map<core::MachineId, Item> m_items;
+};
+
+}  // namespace crocusmast::upkeep
+
+#endif  // CROCUSMAST_UPKEEP_WAVE_PLAN_H_
