--- /dev/null
+++ b/test/support/job_fakes.h
@@ -0,0 +1,184 @@
+#ifndef TEST_SUPPORT_JOB_FAKES_H_
+#define TEST_SUPPORT_JOB_FAKES_H_
+
+#include <map>
+#include <string>
+#include <trompeloeil.hpp>
+#include <vector>
+
+#include "crocusmast/execution/worker_port.h"
+#include "crocusmast/intake/messages.h"
+#include "crocusmast/job/job.h"
+#include "crocusmast/job/job_store.h"
+#include "crocusmast/leadership/lease_port.h"
+#include "crocusmast/queue/directory.h"
+#include "crocusmast/scheduling/messages.h"
+#include "crocusmast/upkeep/machine_port.h"
+#include "crocusmast/upkeep/worker_keeper.h"
+#include "test/support/make.h"
+
+namespace test {
+
+namespace core = crocusmast::core;
+namespace execution = crocusmast::execution;
+namespace intake = crocusmast::intake;
+namespace job = crocusmast::job;
+namespace leadership = crocusmast::leadership;
+namespace queue = crocusmast::queue;
+namespace scheduling = crocusmast::scheduling;
+namespace upkeep = crocusmast::upkeep;
+
+/** @brief Keeps the orders given, for a test to answer. */
+class OrderBook final : public execution::WorkerPort {
+ public:
+  void Start(execution::StartOrder order) override {
+    starts.push_back(std::move(order));
+  }
+  void Stop(execution::StopOrder order) override {
+    stops.push_back(std::move(order));
+  }
+  void Pace(execution::PaceOrder order) override {
+    paces.push_back(std::move(order));
+  }
+  void Look(execution::LookOrder order) override {
+    looks.push_back(std::move(order));
+  }
+
+  std::vector<execution::StartOrder> starts;
+  std::vector<execution::StopOrder> stops;
+  std::vector<execution::PaceOrder> paces;
+  std::vector<execution::LookOrder> looks;
+};
+
+/** @brief Keeps what is written, for a test to answer. */
+class StoreBook final : public job::JobStore {
+ public:
+  void Create(job::ExchangeId exchange, const job::AcceptedJob& job) override {
+    created.emplace_back(exchange, job);
+  }
+  void Cancel(job::ExchangeId exchange, const core::JobId& id) override {
+    cancelled.emplace_back(exchange, id);
+  }
+  void Read(job::ExchangeId exchange, const core::JobId& id) override {
+    read.emplace_back(exchange, id);
+  }
+  void Write(job::Commit commit) override {
+    commits.push_back(std::move(commit));
+  }
+  void Refresh() override { ++refreshes; }
+  void Remove(core::FencingToken token,
+              const std::vector<core::JobId>& ids) override {
+    removed.insert(removed.end(), ids.begin(), ids.end());
+  }
+
+  std::vector<std::pair<job::ExchangeId, job::AcceptedJob>> created;
+  std::vector<std::pair<job::ExchangeId, core::JobId>> cancelled;
+  std::vector<std::pair<job::ExchangeId, core::JobId>> read;
+  std::vector<job::Commit> commits;
+  std::vector<core::JobId> removed;
+  int refreshes = 0;
+};
+
+class MockLeases : public leadership::LeasePort {
+ public:
+  MAKE_MOCK1(Grant, void(std::chrono::milliseconds), override);
+  MAKE_MOCK2(Claim,
+             void(const leadership::Holder&, leadership::LeaseId),
+             override);
+  MAKE_MOCK1(Renew, void(leadership::LeaseId), override);
+  MAKE_MOCK1(Release, void(leadership::LeaseId), override);
+  MAKE_MOCK1(Depose, void(core::Revision), override);
+};
+
+class MockFeed : public scheduling::WorkerFeed {
+ public:
+  MAKE_MOCK0(Follow, void(), override);
+  MAKE_MOCK0(Leave, void(), override);
+};
+
+class MockMachines : public upkeep::MachinePort {
+ public:
+  MAKE_MOCK0(List, void(), override);
+  MAKE_MOCK3(TakeDown,
+             void(core::FencingToken,
+                  const core::MachineId&,
+                  core::WaveNumber),
+             override);
+  MAKE_MOCK3(WriteStatus,
+             void(core::FencingToken, core::WaveNumber, bool),
+             override);
+};
+
+class MockKeeper : public upkeep::WorkerKeeper {
+ public:
+  MAKE_CONST_MOCK1(UsageOf, upkeep::Usage(const core::InstanceId&), override);
+  MAKE_MOCK1(SetAside, void(const core::InstanceId&), override);
+  MAKE_CONST_MOCK1(IsEmpty, bool(const core::InstanceId&), override);
+};
+
+/** @brief Keeps answers to callers. */
+class AnswerBook final : public intake::AnswerPort {
+ public:
+  void Send(intake::Answer answer) override {
+    answers.push_back(std::move(answer));
+  }
+  std::vector<intake::Answer> answers;
+};
+
+inline job::Step MakeStep(std::uint32_t count,
+                          std::uint64_t processor = 1000,
+                          std::vector<std::uint32_t> after = {}) {
+  job::Step step;
+  step.count = count;
+  step.room = {core::MilliCores(processor), core::Megabytes(100),
+               core::Accelerators(0)};
+  step.estimate = std::chrono::seconds(1);
+  step.after = std::move(after);
+  return step;
+}
+
+inline job::AcceptedJob MakeJob(const std::string& id,
+                                std::vector<job::Step> steps,
+                                const std::string& queue_id = "queue") {
+  job::AcceptedJob job;
+  job.id = MakeId<core::JobId>(id);
+  job.queue = MakeId<core::QueueId>(queue_id);
+  job.spec.payload = "payload of " + id;
+  job.spec.steps = std::move(steps);
+  return job;
+}
+
+inline queue::Directory MakeDirectory(std::uint64_t version = 1) {
+  queue::Queue queue;
+  queue.id = MakeId<core::QueueId>("queue");
+  queue.host = "host.example";
+  queue.prefix = "/jobs/";
+  queue.pool = MakeId<core::PoolId>("pool");
+  queue.max_attempts = 3;
+  queue.slack_factor = 2;
+  queue.slack = std::chrono::milliseconds(600);
+  queue::Pool pool;
+  pool.id = queue.pool;
+  pool.guards_capacity = true;
+  return queue::Directory(core::Revision(version), {queue}, {pool}, {});
+}
+
+inline execution::WorkerRecord MakeWorker(const std::string& id,
+                                          std::uint64_t incarnation = 1,
+                                          std::uint64_t processor = 4000) {
+  execution::WorkerRecord worker;
+  worker.id = MakeId<core::InstanceId>(id);
+  worker.incarnation = core::Incarnation(incarnation);
+  worker.pool = MakeId<core::PoolId>("pool");
+  worker.zone = MakeId<core::ZoneId>("zone");
+  worker.address = {"127.0.0.1", 1};
+  worker.capacity = {core::MilliCores(processor), core::Megabytes(10000),
+                     core::Accelerators(0)};
+  worker.labels = {"kind", "rack-1"};
+  worker.clock = execution::WorkerTime(std::chrono::seconds(10));
+  return worker;
+}
+
+}  // namespace test
+
+#endif  // TEST_SUPPORT_JOB_FAKES_H_
