Conclude from lapsed leases only while the hold is confirmed

Ruled out: workers taking a lower token (both sides reached other workers). Change: a lease counts as lapsed only if the store has named this holder since; the notes carry how long leases can last, and a planned stop writes what is left of them in the same transaction that gives the duty up.

--- a/src/crocusmast/adapters/records/job_records.cc
+++ b/src/crocusmast/adapters/records/job_records.cc
@@ -227,8 +227,8 @@
 std::string EncodeNotes(const job::HolderNotes& notes) {
   Json workers = Json::array();
   for (const job::GrantedWorker& grant : notes.workers) {
-    workers.push_back(
-        {grant.worker.Text(), grant.incarnation.Count(), grant.pool.Text()});
+    workers.push_back({grant.worker.Text(), grant.incarnation.Count(),
+                       grant.pool.Text(), grant.lease_left.count()});
   }
   Json waves = Json::array();
   for (const job::WaveNote& note : notes.waves) {
@@ -252,6 +252,7 @@
   grant.incarnation = core::Incarnation(row.at(1).get<std::uint64_t>());
   BOOST_LEAF_ASSIGN(grant.pool,
                     core::PoolId::Create(row.at(2).get<std::string>()));
+  grant.lease_left = std::chrono::milliseconds(row.at(3).get<std::int64_t>());
   return grant;
 }
 
--- a/src/crocusmast/execution/worker.cc
+++ b/src/crocusmast/execution/worker.cc
@@ -81,10 +81,6 @@
   return m_lease_until;
 }
 
-void Worker::AssumeLease(std::chrono::milliseconds hold, core::TimePoint now) {
-  m_lapsed_at = std::max(m_lapsed_at, now + internal::OnSlowClock(hold));
-}
-
 job::Room Worker::Free() const {
   return m_record.capacity - m_used;
 }
--- a/src/crocusmast/execution/worker.h
+++ b/src/crocusmast/execution/worker.h
@@ -103,19 +103,15 @@
   /** @brief Returns the end of the longest lease asked for. */
   WorkerTime LeaseUntil() const { return m_lease_until; }
 
-  /**
-   * @brief Remembers a lease that another holder may have given.
-   * @param hold The longest that it can last from now.
-   * @param now The time.
-   */
-  void AssumeLease(std::chrono::milliseconds hold, core::TimePoint now);
-
   /**
    * @brief Tells whether nothing can run here any more.
    * @param now The time.
    */
   bool HasLapsed(core::TimePoint now) const { return m_lapsed_at <= now; }
 
+  /** @brief Returns when surely nothing can run here any more. */
+  core::TimePoint LapsedAt() const { return m_lapsed_at; }
+
   /** @brief Returns what is free. */
   job::Room Free() const;
 
--- a/src/crocusmast/job/job_store.h
+++ b/src/crocusmast/job/job_store.h
@@ -1,8 +1,10 @@
 #ifndef CROCUSMAST_JOB_JOB_STORE_H_
 #define CROCUSMAST_JOB_JOB_STORE_H_
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
+#include <utility>
 #include <vector>
 
 #include "crocusmast/core/ids.h"
@@ -68,6 +70,8 @@
   core::InstanceId worker;
   core::Incarnation incarnation;
   core::PoolId pool;
+  /** @brief The longest that what runs there can outlast the holder. */
+  std::chrono::milliseconds lease_left{};
 };
 
 /** @brief The machines of a wave whose upkeep has begun. */
@@ -131,6 +135,8 @@
   virtual void Read(ExchangeId exchange, const core::JobId& id) = 0;
   /** @brief Stores a holder's writes; answered by CommitReply. */
   virtual void Write(Commit commit) = 0;
+  /** @brief Gives the duty up together with the last notes; not answered. */
+  virtual void HandOver(core::FencingToken token, const HolderNotes& notes) = 0;
   /** @brief Reads all that is stored anew; answered by the whole list. */
   virtual void Refresh() = 0;
   /** @brief Removes what is stored of jobs; not answered. */
--- a/src/crocusmast/leadership/duty_lease.h
+++ b/src/crocusmast/leadership/duty_lease.h
@@ -71,6 +71,9 @@
     return m_is_held && now < m_asked_at + m_terms.length;
   }
 
+  /** @brief Returns when the call began that last showed it as held. */
+  core::TimePoint ConfirmedAt() const { return m_asked_at; }
+
   /**
    * @brief Tells whether it is time to renew.
    * @param now The time.
--- a/src/crocusmast/leadership/elector.h
+++ b/src/crocusmast/leadership/elector.h
@@ -66,6 +66,9 @@
   /** @brief Tells whether the store surely still names this instance. */
   bool IsSure() const;
 
+  /** @brief Returns when the store last was asked and named this instance. */
+  core::TimePoint ConfirmedAt() const { return m_lease.ConfirmedAt(); }
+
   /** @brief Returns the token of the hold; 0 without one. */
   core::FencingToken Token() const { return m_token; }
 
--- a/src/crocusmast/manager/manager.cc
+++ b/src/crocusmast/manager/manager.cc
@@ -46,7 +46,7 @@
   if (m_upkeep.Round(m_elector.IsSure())) {
     m_scheduler.SetWaveNotes(m_upkeep.Notes());
   }
-  m_scheduler.Round();
+  m_scheduler.Round(m_elector.ConfirmedAt());
 }
 
 template <typename Other>
@@ -82,6 +82,9 @@
 void Manager::Take(StopRequested&& stop) {
   m_is_stopping = true;
   UpdateReadiness();
+  if (m_scheduler.IsActive()) {
+    m_ports.store.HandOver(m_token, m_scheduler.LastNotes());
+  }
   m_elector.Resign();
   FollowLeadership();
 }
@@ -189,9 +192,8 @@
   if (may_begin) {
     m_token = token;
     m_scheduler.SetDirectory(*m_directory);
-    m_scheduler.Begin({token, m_settings.max_hold,
-                       leadership::kSchedulingLease.acting -
-                           leadership::kSchedulingLease.length},
+    m_scheduler.Begin({token, leadership::kSchedulingLease.acting -
+                                  leadership::kSchedulingLease.length},
                       m_book, m_notes);
     m_upkeep.Begin(token, m_notes.waves);
   }
--- a/src/crocusmast/manager/manager.h
+++ b/src/crocusmast/manager/manager.h
@@ -46,8 +46,6 @@
 /** @brief Who the manager is, and what bounds it. */
 struct ManagerSettings {
   leadership::Holder self;
-  /** @brief The longest lease that a worker grants. */
-  std::chrono::milliseconds max_hold{};
   /** @brief Two holders give a machine orders at least this far apart. */
   std::chrono::milliseconds machine_order_gap{};
 };
--- a/src/crocusmast/scheduling/scheduler.cc
+++ b/src/crocusmast/scheduling/scheduler.cc
@@ -28,13 +28,10 @@
   m_is_active = true;
   m_reign = reign;
   const core::TimePoint now = m_ports.clock.Now();
-  // A lease given right before the deposed holder stops ends this much later.
-  const core::TimePoint settled_at =
-      now + reign.deposed_acting +
-      reign.max_hold * (100 + execution::kSlowClockPercent + 1) / 100;
   m_wave_notes = notes.waves;
   for (const job::GrantedWorker& grant : notes.workers) {
-    m_unsettled[grant.worker] = {grant.incarnation, grant.pool, settled_at};
+    m_unsettled[grant.worker] = {grant.incarnation, grant.pool,
+                                 now + grant.lease_left};
   }
   const core::WallTime wall = m_ports.clock.WallNow();
   for (const auto& [id, entry] : book.Entries()) {
@@ -247,21 +244,48 @@
   }
 }
 
-void Scheduler::StoreNotes() {
-  std::vector<job::GrantedWorker> grants;
+job::HolderNotes Scheduler::MakeNotes(bool acts_on) const {
+  const core::TimePoint now = m_ports.clock.Now();
+  const auto left = [now](core::TimePoint until) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+        std::max(until - now, core::Duration::zero()));
+  };
+  // The last lease of a holder that acts on is given right before it stops.
+  const std::chrono::milliseconds longest =
+      m_reign.deposed_acting +
+      kHold * (100 + execution::kSlowClockPercent + 1) / 100;
+  job::HolderNotes notes;
+  notes.waves = m_wave_notes;
   for (const auto& [id, worker] : m_workers) {
-    if (worker->IsListed() || !worker->Runs().empty()) {
-      grants.push_back(
-          {id, worker->Record().incarnation, worker->Record().pool});
+    if (!worker->IsListed() && worker->Runs().empty()) {
+      continue;
+    }
+    const auto unsettled = m_unsettled.find(id);
+    std::chrono::milliseconds lease = left(worker->LapsedAt());
+    if (unsettled != m_unsettled.end()) {
+      lease = std::max(lease, left(unsettled->second.until));
     }
+    notes.workers.push_back({id, worker->Record().incarnation,
+                             worker->Record().pool,
+                             acts_on ? std::max(lease, longest) : lease});
   }
   for (const auto& [id, unsettled] : m_unsettled) {
     if (m_workers.count(id) == 0) {
-      grants.push_back({id, unsettled.incarnation, unsettled.pool});
+      notes.workers.push_back(
+          {id, unsettled.incarnation, unsettled.pool, left(unsettled.until)});
     }
   }
-  m_noted_workers = grants;
-  m_committer.SetNotes({std::move(grants), m_wave_notes});
+  return notes;
+}
+
+job::HolderNotes Scheduler::LastNotes() const {
+  return MakeNotes(false);
+}
+
+void Scheduler::StoreNotes() {
+  job::HolderNotes notes = MakeNotes(true);
+  m_noted_workers = notes.workers;
+  m_committer.SetNotes(std::move(notes));
 }
 
 void Scheduler::TakeNotesStored() {
@@ -309,11 +333,11 @@
 
 // Rounds.
 
-void Scheduler::Round() {
+void Scheduler::Round(core::TimePoint confirmed_at) {
   if (!m_is_active) {
     return;
   }
-  ExpireWorkers();
+  ExpireWorkers(confirmed_at);
   const core::WallTime wall = m_ports.clock.WallNow();
   for (auto& [id, active] : m_jobs) {
     if (active.job.Accepted().spec.schedule.times > 0 &&
@@ -384,11 +408,10 @@
   }
 }
 
-void Scheduler::ExpireWorkers() {
-  const core::TimePoint now = m_ports.clock.Now();
+void Scheduler::ExpireWorkers(core::TimePoint confirmed_at) {
   std::vector<core::InstanceId> settled;
   for (const auto& [id, unsettled] : m_unsettled) {
-    if (unsettled.until <= now) {
+    if (unsettled.until <= confirmed_at) {
       settled.push_back(id);
     }
   }
@@ -400,7 +423,7 @@
   }
   for (auto next = m_workers.begin(); next != m_workers.end();) {
     Worker& worker = *next->second;
-    if (!worker.Runs().empty() && worker.HasLapsed(now)) {
+    if (!worker.Runs().empty() && worker.HasLapsed(confirmed_at)) {
       EndLife(worker, "its lease has lapsed");
     }
     const bool is_over = !worker.IsListed() && worker.Runs().empty() &&
--- a/src/crocusmast/scheduling/scheduler.h
+++ b/src/crocusmast/scheduling/scheduler.h
@@ -64,9 +64,7 @@
 /** @brief What a hold of the duty begins with. */
 struct Reign {
   core::FencingToken token;
-  /** @brief The longest lease that a worker grants. */
-  std::chrono::milliseconds max_hold{};
-  /** @brief How long a deposed holder may act on. */
+  /** @brief How long a holder that lost the duty may act on unknowingly. */
   std::chrono::milliseconds deposed_acting{};
 };
 
@@ -98,6 +96,9 @@
   /** @brief Ends the hold; what runs goes on under its leases. */
   void End();
 
+  /** @brief Returns the notes of a hold that ends now and acts no more. */
+  job::HolderNotes LastNotes() const;
+
   /** @brief Tells whether it holds the duty. */
   bool IsActive() const { return m_is_active; }
 
@@ -133,8 +134,12 @@
   /** @brief Tells whether a worker refused this holder's token. */
   bool WasFenced() const { return m_was_fenced; }
 
-  /** @brief Does what is due: leases, looks, starts, commits. */
-  void Round();
+  /**
+   * @brief Does what is due: leases, looks, starts, commits.
+   * @param confirmed_at When the store last was asked and still named this
+   * holder. A lease that lapsed later may have been extended by a successor.
+   */
+  void Round(core::TimePoint confirmed_at);
 
  private:
   /** @brief A job and what its order needs. */
@@ -168,6 +173,7 @@
   void ApplyQueue(ActiveJob& active, core::TimePoint accepted);
   void Settle(const core::InstanceId& id, const char* evidence);
   void StoreNotes();
+  job::HolderNotes MakeNotes(bool acts_on) const;
   void TakeNotesStored();
   void MoveLasting(execution::Worker& worker);
   bool MayTakeAway(const ActiveJob& active, const job::TaskKey& key) const;
@@ -189,7 +195,7 @@
               const execution::RunKey& key,
               const execution::CallReply& reply);
 
-  void ExpireWorkers();
+  void ExpireWorkers(core::TimePoint confirmed_at);
   void SendLooks();
   void Retry();
   void SendStart(execution::Worker& worker, const execution::RunKey& key);
