--- a/src/crocusmast/intake/intake.cc
+++ b/src/crocusmast/intake/intake.cc
@@ -70,14 +70,15 @@
       Submit(std::move(request), *queue);
       break;
     case Verb::kShow:
-      Show(request, *queue);
+      if (request.path.size() == queue->prefix.size()) {
+        Count(request, *queue);
+      } else {
+        Show(request, *queue);
+      }
       break;
     case Verb::kCancel:
       Cancel(request, *queue);
       break;
-    case Verb::kCountQueued:
-      Count(request, *queue);
-      break;
   }
 }
 
@@ -169,10 +170,6 @@
 }
 
 void Intake::Count(const CallerRequest& request, const queue::Queue& queue) {
-  if (request.path.size() != queue.prefix.size()) {
-    Reply(request.exchange, AnswerKind::kNoJob, {}, "this is no job id");
-    return;
-  }
   if (m_book_current_at + kCountMaxAge < m_ports.clock.Now()) {
     Reply(request.exchange, AnswerKind::kNotNow, {},
           "the jobs of the store have not been read lately");
--- a/src/crocusmast/intake/messages.h
+++ b/src/crocusmast/intake/messages.h
@@ -15,7 +15,12 @@
 namespace crocusmast::intake {
 
 /** @brief What a caller wants. */
-enum class Verb { kSubmit, kShow, kCancel, kCountQueued };
+enum class Verb {
+  kSubmit,
+  /** @brief Shows a job, or counts what a queue holds. */
+  kShow,
+  kCancel,
+};
 
 /** @brief A caller's request, decoded. */
 struct CallerRequest {
