Test the platform's decoders and the asynchronous HTTP parts

Cause: what is read from outside had no tests, and damage must be an error. Change: each decoder on the examples, on wrong input and on damaged bytes; server and client over loopback: kept connections, bounds, silence, draining.

--- /dev/null
+++ b/test/adapters/async_http_test.cc
@@ -0,0 +1,143 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <future>
+#include <string>
+
+#include "crocusmast/adapters/async/http_client.h"
+#include "crocusmast/adapters/async/http_server.h"
+
+namespace {
+
+using namespace crocusmast;
+using adapters::async::CallResult;
+using adapters::async::ClientLimits;
+using adapters::async::HttpAnswer;
+using adapters::async::HttpCall;
+using adapters::async::HttpClient;
+using adapters::async::HttpExchange;
+using adapters::async::HttpReply;
+using adapters::async::HttpServer;
+using adapters::async::IoDuty;
+using adapters::async::ServerLimits;
+
+constexpr std::uint16_t kPort = 18463;
+constexpr std::uint16_t kClosedPort = 18464;
+constexpr std::chrono::seconds kLongWait{20};
+
+class AsyncHttpTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(AsyncHttpTest);
+  CPPUNIT_TEST(AnswersAndKeepsTheConnection);
+  CPPUNIT_TEST(ALargeBodyIsRefused);
+  CPPUNIT_TEST(AClosedPortMeansNotSent);
+  CPPUNIT_TEST(SilenceMeansUnknown);
+  CPPUNIT_TEST(ADrainingServerClosesAfterItsAnswer);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    m_io = IoDuty::Create(1024);
+    ServerLimits limits;
+    limits.body_bytes = 1000;
+    m_server = HttpServer::Create(
+                   *m_io, {"127.0.0.1", kPort}, limits,
+                   [this](std::shared_ptr<HttpExchange> exchange) {
+                     ++m_requests;
+                     if (exchange->Target() == "/silent") {
+                       m_silent.push_back(std::move(exchange));
+                       return;
+                     }
+                     HttpAnswer answer;
+                     answer.body = std::string(exchange->Method()) + " " +
+                                   std::string(exchange->Header("X-Name")) +
+                                   " " + exchange->Body();
+                     exchange->Respond(std::move(answer));
+                   })
+                   .value();
+    m_client = HttpClient::Create(*m_io, ClientLimits());
+    m_io->Start();
+  }
+
+  void tearDown() override {
+    m_io->Stop();
+    m_silent.clear();
+    m_client.reset();
+    m_server.reset();
+    m_io.reset();
+  }
+
+  void AnswersAndKeepsTheConnection() {
+    for (int count = 0; count < 5; ++count) {
+      const HttpReply reply = Call("/echo", "body");
+      CPPUNIT_ASSERT(reply.result == CallResult::kAnswered);
+      CPPUNIT_ASSERT_EQUAL(200, reply.status);
+      CPPUNIT_ASSERT_EQUAL(std::string("POST name body"), reply.body);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, m_client->Opened());
+  }
+
+  void ALargeBodyIsRefused() {
+    const HttpReply reply = Call("/echo", std::string(2000, 'x'));
+    CPPUNIT_ASSERT_EQUAL(413, reply.status);
+    CPPUNIT_ASSERT_EQUAL(0, m_requests);
+  }
+
+  void AClosedPortMeansNotSent() {
+    const HttpReply reply = Call("/echo", "", kClosedPort);
+    CPPUNIT_ASSERT(reply.result == CallResult::kNotSent);
+    CPPUNIT_ASSERT(!reply.problem.empty());
+  }
+
+  void SilenceMeansUnknown() {
+    const HttpReply reply =
+        Call("/silent", "", kPort, std::chrono::milliseconds(200));
+    CPPUNIT_ASSERT(reply.result == CallResult::kUnknown);
+    // A stuck call holds no other up.
+    CPPUNIT_ASSERT(Call("/echo", "").result == CallResult::kAnswered);
+  }
+
+  void ADrainingServerClosesAfterItsAnswer() {
+    Call("/echo", "");
+    std::promise<void> drained;
+    m_io->Post([&] {
+      m_server->Drain();
+      drained.set_value();
+    });
+    drained.get_future().wait();
+    // The kept connection is served once more, then closed.
+    CPPUNIT_ASSERT(Call("/echo", "").result == CallResult::kAnswered);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, m_client->Opened());
+    CPPUNIT_ASSERT(Call("/echo", "").result == CallResult::kAnswered);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, m_client->Opened());
+  }
+
+ private:
+  HttpReply Call(const std::string& target,
+                 const std::string& body,
+                 std::uint16_t port = kPort,
+                 std::chrono::milliseconds timeout = kLongWait) {
+    HttpCall call;
+    call.to = {"127.0.0.1", port};
+    call.method = "POST";
+    call.target = target;
+    call.headers.emplace_back("X-Name", "name");
+    call.body = body;
+    call.timeout = timeout;
+    std::promise<HttpReply> done;
+    m_io->Post([&] {
+      m_client->Call(call, [&done](HttpReply&& reply) {
+        done.set_value(std::move(reply));
+      });
+    });
+    return done.get_future().get();
+  }
+
+  std::unique_ptr<IoDuty> m_io;
+  std::unique_ptr<HttpServer> m_server;
+  std::unique_ptr<HttpClient> m_client;
+  std::vector<std::shared_ptr<HttpExchange>> m_silent;
+  int m_requests = 0;
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(AsyncHttpTest, "adapters");
+
+}  // namespace
--- /dev/null
+++ b/test/platform/codec_test.cc
@@ -0,0 +1,316 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <functional>
+#include <random>
+#include <string>
+
+#include "platform/config_codec.h"
+#include "platform/job_codec.h"
+#include "platform/keys.h"
+#include "platform/machine_codec.h"
+#include "platform/settings.h"
+#include "platform/store_codec.h"
+#include "platform/worker_codec.h"
+#include "test/support/make.h"
+
+namespace {
+
+using namespace platform;
+using execution::CallOutcome;
+using test::MakeId;
+
+constexpr char kJobBody[] =
+    R"({"spec":"text","steps":[{"count":4,"cpu":500,"mem_mb":256,)"
+    R"("estimate_ms":900,"affinity":"r1-3"},{"count":20,"cpu":2000,)"
+    R"("mem_mb":1024,"estimate_ms":7000,"after":[0],"checkpointing":true,)"
+    R"("max_unavailable":1,"target_ms":80,"utilisation":true}]})";
+constexpr char kLook[] =
+    R"({"clock_ms":482113,"born":1771897180004,)"
+    R"("running":[["5c0e7a21d94b36f8.0.1.17",2,"00bb",41,12]],)"
+    R"("ended":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""]]})";
+constexpr char kWorker[] =
+    R"({"service":"pool","address":"10.128.0.9:8080","zone":"zone-a",)"
+    R"("version":"v1","slots":8,"state":"ready","cold_left_ms":0,)"
+    R"("capacity":{"cpu":16000,"mem_mb":32768,"gpu":0},)"
+    R"("labels":["a","r1-3"],"clock_ms":482113,"seq":4,"born":17})";
+constexpr char kConfiguration[] =
+    R"({"version":7,"routes":[{"name":"r-1","host":"a.example",)"
+    R"("prefix":"/x/","service":"pool","priority":1,"max_attempts":4,)"
+    R"("slack_factor":1.6,"target_runtime_ms":600,"kind":"unsafe"},)"
+    R"({"name":"r-2","host":"a.example","prefix":"/x/y/","service":"pool"}],)"
+    R"("services":[{"name":"pool","enforce_capacity":true,"standby":false}],)"
+    R"("limits":{"max_body_bytes":1000}})";
+constexpr char kSettings[] =
+    R"({"node_name":"front-1","ip":"10.1.0.9","zone":"zone-a",)"
+    R"("listen":{"front":"10.1.0.9:8624","readiness":"10.1.0.9:8622"},)"
+    R"("platform":{"address":"10.200.1.7:8621"},"advice":"10.200.1.9:8621",)"
+    R"("cloud_api":{"address":"10.200.0.107:8621"},)"
+    R"("bounds":{"grace_s":6,"lease_ms":3000},"unheard_of":{"x":1}})";
+constexpr char kWatch[] =
+    R"({"events":[{"key":"my/leader","value":"bm9kZS0x","revision":412,)"
+    R"("created":412,"lease":77120},)"
+    R"({"key":"my/old","revision":413,"deleted":true}],"at_rev":413})";
+
+template <typename T>
+bool IsError(const core::Result<T>& result) {
+  return !result;
+}
+
+class CodecTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(CodecTest);
+  CPPUNIT_TEST(ReadsAJob);
+  CPPUNIT_TEST(RefusesABadJob);
+  CPPUNIT_TEST(AnswersAreTrue);
+  CPPUNIT_TEST(ReadsTaskNames);
+  CPPUNIT_TEST(ReadsWorkers);
+  CPPUNIT_TEST(ReadsALook);
+  CPPUNIT_TEST(WritesOrders);
+  CPPUNIT_TEST(ReadsOutcomes);
+  CPPUNIT_TEST(ReadsTheConfiguration);
+  CPPUNIT_TEST(ReadsTheSettings);
+  CPPUNIT_TEST(ReadsTheStore);
+  CPPUNIT_TEST(ReadsMachinesAndWaves);
+  CPPUNIT_TEST(KeysComeBack);
+  CPPUNIT_TEST(DamagedInputIsAnError);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void ReadsAJob() {
+    const job::JobSpec spec = DecodeJobSpec(kJobBody).value();
+    CPPUNIT_ASSERT_EQUAL(std::string("text"), spec.payload);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, spec.steps.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("r1-3"), spec.steps[0].near_rack);
+    CPPUNIT_ASSERT(spec.steps[1].is_filler);
+    CPPUNIT_ASSERT(spec.steps[1].max_unavailable == 1U);
+    CPPUNIT_ASSERT(spec.steps[1].latency_target ==
+                   std::chrono::milliseconds(80));
+  }
+
+  void RefusesABadJob() {
+    for (const char* body :
+         {"", "{", "[]", R"({"spec":"x"})", R"({"steps":{}})",
+          R"({"steps":[{"count":-1}]})", R"({"steps":[{"count":1.5}]})",
+          R"({"steps":[{"count":5000000000}]})", R"({"steps":[{"count":"1"}]})",
+          R"({"steps":[1]})", R"({"spec":7,"steps":[]})",
+          R"({"steps":[{"count":1,"after":[-1]}],"times":-2})"}) {
+      const bool is_refused = core::Handle(
+          [body]() -> core::Result<bool> {
+            BOOST_LEAF_AUTO(spec, DecodeJobSpec(body));
+            BOOST_LEAF_CHECK(job::Validate(spec));
+            return false;
+          },
+          [](const core::Error& error) { return !error.detail.empty(); });
+      CPPUNIT_ASSERT_MESSAGE(body, is_refused);
+    }
+  }
+
+  void AnswersAreTrue() {
+    intake::Answer answer;
+    answer.kind = intake::AnswerKind::kNotNow;
+    CPPUNIT_ASSERT_EQUAL(503U, EncodeAnswer(answer).status);
+    CPPUNIT_ASSERT_EQUAL(std::string("Retry-After"),
+                         EncodeAnswer(answer).headers[0].first);
+    // An unknown outcome must not be told as a refusal.
+    answer.kind = intake::AnswerKind::kUnknown;
+    CPPUNIT_ASSERT_EQUAL(504U, EncodeAnswer(answer).status);
+    answer.kind = intake::AnswerKind::kNoJob;
+    CPPUNIT_ASSERT_EQUAL(410U, EncodeAnswer(answer).status);
+    answer.kind = intake::AnswerKind::kNoQueue;
+    CPPUNIT_ASSERT_EQUAL(404U, EncodeAnswer(answer).status);
+    answer.kind = intake::AnswerKind::kState;
+    answer.state = job::JobState::kRunning;
+    CPPUNIT_ASSERT_EQUAL(std::string(R"({"state":"running"})"),
+                         EncodeAnswer(answer).body);
+    answer.kind = intake::AnswerKind::kCount;
+    answer.count = 12;
+    CPPUNIT_ASSERT_EQUAL(std::string(R"({"pending":12})"),
+                         EncodeAnswer(answer).body);
+  }
+
+  void ReadsTaskNames() {
+    const std::string name = "5c0e7a21d94b36f8.3.1.17";
+    CPPUNIT_ASSERT_EQUAL(name, EncodeTask(DecodeTask(name).value()));
+    for (const char* wrong :
+         {"", ".", "a", "a.1", "a.1.2", "a.1.2.", "a.1.2.3.4", "a.1.2.x",
+          "a.1.2.-3", ".1.2.3", "a.1.2.99999999999"}) {
+      CPPUNIT_ASSERT_MESSAGE(wrong, IsError(DecodeTask(wrong)));
+    }
+  }
+
+  void ReadsWorkers() {
+    const core::InstanceId id = MakeId<core::InstanceId>("i-1");
+    const execution::WorkerRecord worker = DecodeWorker(id, kWorker).value();
+    CPPUNIT_ASSERT_EQUAL(std::string("r1-3"), worker.Rack());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{17}, worker.incarnation.Count());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{16000},
+                         worker.capacity.processor.Count());
+    CPPUNIT_ASSERT(!worker.is_draining);
+    for (const char* wrong :
+         {"", "{}", R"({"service":7})", "\xff\xfe",
+          R"({"service":"pool","address":"nowhere","zone":"z","state":"ready",)"
+          R"("capacity":{"cpu":1,"mem_mb":1},"labels":[],"clock_ms":1})",
+          R"({"service":"pool","address":"1.2.3.4:5","zone":"z","state":"odd",)"
+          R"("capacity":{"cpu":1,"mem_mb":1},"labels":[],"clock_ms":1})"}) {
+      CPPUNIT_ASSERT_MESSAGE(wrong, IsError(DecodeWorker(id, wrong)));
+    }
+  }
+
+  void ReadsALook() {
+    execution::LookReply reply;
+    CPPUNIT_ASSERT(!IsError(DecodeLook(kLook, reply)));
+    CPPUNIT_ASSERT_EQUAL(41U, reply.running[0].percent);
+    CPPUNIT_ASSERT(reply.running[0].tail == std::chrono::milliseconds(12));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{58}, reply.ended[0].number.Count());
+    CPPUNIT_ASSERT(reply.ended[0].end == job::RunEnd::kDone);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1771897180004},
+                         reply.answered_by->Count());
+  }
+
+  void WritesOrders() {
+    execution::StartOrder order;
+    order.to.token = core::FencingToken(7);
+    order.task = DecodeTask("5c0e7a21d94b36f8.0.1.17").value();
+    order.attempt = core::Attempt(2);
+    order.payload = "text";
+    order.until = execution::WorkerTime(std::chrono::milliseconds(486000));
+    CPPUNIT_ASSERT_EQUAL(
+        std::string(R"({"attempt":2,"fencing_token":7,"spec":"text",)"
+                    R"("task":"5c0e7a21d94b36f8.0.1.17","until_ms":486000})"),
+        EncodeStart(order));
+    execution::LookOrder look;
+    look.to.token = core::FencingToken(7);
+    look.recorded = core::EndNumber(57);
+    look.wait = std::chrono::milliseconds(1000);
+    CPPUNIT_ASSERT_EQUAL(
+        std::string(R"({"fencing_token":7,"last_seen":57,"wait_ms":1000})"),
+        EncodeLook(look));
+  }
+
+  void ReadsOutcomes() {
+    const auto outcome = [](int status, const char* body) {
+      return DecodeAnswer(status, body).outcome;
+    };
+    CPPUNIT_ASSERT(outcome(200, R"({"clock_ms":5})") == CallOutcome::kDone);
+    CPPUNIT_ASSERT(outcome(409, R"({"reason":"fence"})") ==
+                   CallOutcome::kFenced);
+    CPPUNIT_ASSERT(outcome(409, R"({"reason":"room"})") ==
+                   CallOutcome::kNoRoom);
+    CPPUNIT_ASSERT(outcome(409, "what") == CallOutcome::kUnknown);
+    CPPUNIT_ASSERT(outcome(421, "") == CallOutcome::kOtherIncarnation);
+    CPPUNIT_ASSERT(outcome(503, "") == CallOutcome::kUnhealthy);
+    CPPUNIT_ASSERT(outcome(500, "") == CallOutcome::kUnknown);
+  }
+
+  void ReadsTheConfiguration() {
+    const auto directory = DecodeConfiguration(kConfiguration).value();
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, directory->Version().Count());
+    // The longest prefix decides.
+    CPPUNIT_ASSERT_EQUAL(std::string("r-2"),
+                         directory->Match("a.example", "/x/y/1")->id.Text());
+    CPPUNIT_ASSERT_EQUAL(std::string("r-1"),
+                         directory->Match("a.example", "/x/z")->id.Text());
+    CPPUNIT_ASSERT(directory->Match("b.example", "/x/z") == nullptr);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1000}, directory->Limits().body.Count());
+    CPPUNIT_ASSERT(IsError(DecodeConfiguration("{}")));
+  }
+
+  void ReadsTheSettings() {
+    const Settings settings = ParseSettings(kSettings, "file").value();
+    CPPUNIT_ASSERT_EQUAL(std::string("front-1"), settings.instance);
+    CPPUNIT_ASSERT_EQUAL(std::uint16_t{8624}, settings.callers.port);
+    CPPUNIT_ASSERT(settings.tickets.has_value());
+    CPPUNIT_ASSERT(settings.grace == std::chrono::seconds(6));
+    CPPUNIT_ASSERT(IsError(ParseSettings("{}", "file")));
+    CPPUNIT_ASSERT(IsError(ParseSettings("not json", "file")));
+  }
+
+  void ReadsTheStore() {
+    const StorePage changes = DecodeWatch(kWatch).value();
+    CPPUNIT_ASSERT_EQUAL(std::string("node-1"), *changes.items[0].value);
+    CPPUNIT_ASSERT(!changes.items[1].value);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{413}, changes.revision.Count());
+    Transaction transaction;
+    transaction.conditions.push_back({"my/leader", core::Revision(0)});
+    transaction.writes.push_back(
+        {"my/leader", "node-1", leadership::LeaseId(77120)});
+    CPPUNIT_ASSERT_EQUAL(
+        std::string(R"({"deletes":[],"expected":[{"key":"my/leader",)"
+                    R"("revision":0}],"writes":[{"key":"my/leader",)"
+                    R"("lease":77120,"value":"bm9kZS0x"}]})"),
+        EncodeTransaction(transaction));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{412},
+                         DecodeRevision(R"({"revision":412})").value().Count());
+  }
+
+  void ReadsMachinesAndWaves() {
+    const MachinePage page =
+        DecodeMachines(R"({"machines":[{"machine_id":"m-1","pool":"p",)"
+                       R"("state":"up","zone":"z","id":"i-1"},)"
+                       R"({"machine_id":"m-2","pool":"p","state":"upkeep",)"
+                       R"("id":null}],"next_token":null})")
+            .value();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, page.machines.size());
+    CPPUNIT_ASSERT(page.machines[1].worker.IsEmpty());
+    CPPUNIT_ASSERT(page.next.empty());
+    const upkeep::WaveRequest wave =
+        DecodeWave(
+            R"({"wave":1,"machines":["m-1","m-2"],"deadline_s":20,"cap":1})")
+            .value();
+    CPPUNIT_ASSERT(wave.time == std::chrono::seconds(20));
+    CPPUNIT_ASSERT(DecodeMachineOutcome(409, R"({"reason":"busy"})") ==
+                   upkeep::MachineOutcome::kBusy);
+    CPPUNIT_ASSERT(DecodeMachineOutcome(500, "") ==
+                   upkeep::MachineOutcome::kUnknown);
+  }
+
+  void KeysComeBack() {
+    const core::JobId id = MakeId<core::JobId>("5c0e7a21d94b36f8");
+    for (const keys::JobPart part :
+         {keys::JobPart::kAccepted, keys::JobPart::kCancelled,
+          keys::JobPart::kProgress}) {
+      const auto key = keys::ReadJobKey(keys::ForJob(id, part));
+      CPPUNIT_ASSERT(key && key->id == id && key->part == part);
+    }
+    for (const char* other :
+         {"", "cm/j/", "cm/j//a", "cm/j/x/z", "cm/duty", "cm/j/x"}) {
+      CPPUNIT_ASSERT_MESSAGE(other, !keys::ReadJobKey(other));
+    }
+  }
+
+  // Any bytes give a value or an error, and nothing else.
+  void DamagedInputIsAnError() {
+    const core::InstanceId id = MakeId<core::InstanceId>("i-1");
+    const std::vector<
+        std::pair<std::string, std::function<bool(const std::string&)>>>
+        readers{
+            {kJobBody, [](auto& t) { return IsError(DecodeJobSpec(t)); }},
+            {kLook,
+             [](auto& t) {
+               execution::LookReply reply;
+               return IsError(DecodeLook(t, reply));
+             }},
+            {kWorker, [&id](auto& t) { return IsError(DecodeWorker(id, t)); }},
+            {kConfiguration,
+             [](auto& t) { return IsError(DecodeConfiguration(t)); }},
+            {kSettings, [](auto& t) { return IsError(ParseSettings(t, "f")); }},
+            {kWatch, [](auto& t) { return IsError(DecodeWatch(t)); }},
+            {kWatch, [](auto& t) { return IsError(DecodePage(t)); }},
+            {kWatch, [](auto& t) { return IsError(DecodeMachines(t)); }}};
+    std::mt19937 random(11);
+    std::size_t errors = 0;
+    for (const auto& [whole, read] : readers) {
+      for (int round = 0; round < 2000; ++round) {
+        std::string damaged = whole.substr(0, random() % (whole.size() + 1));
+        for (int count = 0; count < 2 && !damaged.empty(); ++count) {
+          damaged[random() % damaged.size()] = static_cast<char>(random());
+        }
+        errors += read(damaged) ? 1 : 0;
+      }
+    }
+    CPPUNIT_ASSERT(errors > 0);
+  }
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(CodecTest, "platform");
+
+}  // namespace
