Ask a queue's policy for tickets before its tasks start

Cause: queues with a policy could not be served: every start was rejected. Ruled out: asking for each task (one answer is valid for the whole step). Conclusion: on the two sites no queue has a policy, so this is tested at the ports only.

--- a/src/crocusmast/manager/manager.cc
+++ b/src/crocusmast/manager/manager.cc
@@ -19,8 +19,8 @@
     : m_settings(std::move(settings)),
       m_ports(ports),
       m_elector(m_settings.self, ports.leases, ports.clock, ports.logger),
-      m_scheduler({ports.workers, ports.store, ports.feed, ports.clock,
-                   ports.logger, ports.meter}),
+      m_scheduler({ports.workers, ports.store, ports.feed, ports.tickets,
+                   ports.clock, ports.logger, ports.meter}),
       m_upkeep({ports.machines, m_scheduler, ports.clock, ports.logger},
                m_settings.machine_order_gap),
       m_intake(
--- a/src/crocusmast/manager/manager.h
+++ b/src/crocusmast/manager/manager.h
@@ -35,6 +35,7 @@
   job::JobStore& store;
   execution::WorkerPort& workers;
   scheduling::WorkerFeed& feed;
+  scheduling::TicketPort& tickets;
   upkeep::MachinePort& machines;
   intake::AnswerPort& answers;
   ReadinessPort& readiness;
--- a/src/crocusmast/manager/messages.h
+++ b/src/crocusmast/manager/messages.h
@@ -14,6 +14,7 @@
 #include "crocusmast/leadership/lease_port.h"
 #include "crocusmast/queue/directory.h"
 #include "crocusmast/scheduling/messages.h"
+#include "crocusmast/scheduling/ticket_port.h"
 #include "crocusmast/upkeep/machine_port.h"
 
 namespace crocusmast::manager {
@@ -73,6 +74,7 @@
                              scheduling::WorkersListed,
                              scheduling::WorkerSeen,
                              scheduling::WorkerUnlisted,
+                             scheduling::TicketsAnswered,
                              upkeep::MachinesListed,
                              upkeep::MachineReplied,
                              upkeep::StatusWritten,
--- a/src/crocusmast/scheduling/scheduler.cc
+++ b/src/crocusmast/scheduling/scheduler.cc
@@ -77,6 +77,7 @@
   m_was_fenced = false;
   m_jobs.clear();
   m_ended.clear();
+  m_tickets.Clear();
   m_by_pool.clear();
   m_workers.clear();
   m_unsettled.clear();
@@ -121,6 +122,7 @@
   active.pool = queue.pool;
   active.priority = queue.priority;
   active.max_attempts = queue.max_attempts;
+  active.needs_tickets = queue.tickets.has_value();
   if (active.deadline == core::TimePoint()) {
     const job::JobSpec& spec = active.job.Accepted().spec;
     const std::vector<bool> all(spec.steps.size(), true);
@@ -400,6 +402,7 @@
                          !job->second.job.HasRuns();
     if (is_over) {
       m_committer.Forget(job->first);
+      m_tickets.Forget(job->first);
       m_ended.insert(job->first);
       job = m_jobs.erase(job);
     } else {
--- a/src/crocusmast/scheduling/scheduler.h
+++ b/src/crocusmast/scheduling/scheduler.h
@@ -24,6 +24,7 @@
 #include "crocusmast/scheduling/committer.h"
 #include "crocusmast/scheduling/messages.h"
 #include "crocusmast/scheduling/run_times.h"
+#include "crocusmast/scheduling/ticket_book.h"
 #include "crocusmast/upkeep/worker_keeper.h"
 
 namespace crocusmast::scheduling {
@@ -56,6 +57,7 @@
   execution::WorkerPort& workers;
   job::JobStore& store;
   WorkerFeed& feed;
+  TicketPort& tickets;
   const core::Clock& clock;
   core::Logger& logger;
   core::Meter& meter;
@@ -120,6 +122,7 @@
   void HandleStop(const execution::CallReply& reply);
   void Handle(const execution::LookReply& reply);
   void Handle(const job::CommitReply& reply);
+  void Handle(const TicketsAnswered& answer);
 
   /**
    * @brief Sets how far waves of upkeep are, to be noted for a successor.
@@ -150,6 +153,8 @@
     core::PoolId pool;
     std::uint32_t priority = 0;
     std::uint32_t max_attempts = 0;
+    /** @brief Its starts need tickets. */
+    bool needs_tickets = false;
     /** @brief When it has to be done to meet its objective. */
     core::TimePoint deadline;
     /** @brief An earlier holder may have started tasks of it. */
@@ -212,6 +217,10 @@
   execution::Worker* Choose(const ActiveJob& active,
                             const job::TaskId& task,
                             const job::Step& step);
+  bool IsUsable(const execution::Worker& worker) const;
+  void AskTickets(const ActiveJob& active,
+                  const job::TaskId& task,
+                  const job::Step& step);
   void Start(ActiveJob& active,
              execution::Worker& worker,
              const job::TaskId& task,
@@ -240,6 +249,7 @@
   std::unordered_set<core::JobId> m_ended;
   Committer m_committer;
   RunTimes m_run_times;
+  TicketBook m_tickets;
   std::vector<job::WaveNote> m_wave_notes;
   /** @brief The workers of the newest notes. */
   std::vector<job::GrantedWorker> m_noted_workers;
--- a/src/crocusmast/scheduling/scheduler_placement.cc
+++ b/src/crocusmast/scheduling/scheduler_placement.cc
@@ -93,6 +93,7 @@
     Worker* worker = Choose(active, task, *step);
     if (worker == nullptr) {
       full = step;
+      AskTickets(active, task, *step);
       continue;
     }
     Start(active, *worker, task, active.job.NextAttempt(key));
@@ -121,6 +122,7 @@
     worker->Remove(key);
   }
   if (held.size() != members.size()) {
+    AskTickets(active, {active.job.Id(), members.front()}, step);
     return false;
   }
   for (const auto& [worker, key] : held) {
@@ -139,6 +141,65 @@
   return held;
 }
 
+bool Scheduler::IsUsable(const Worker& worker) const {
+  return worker.IsListed() && worker.is_adopted && worker.is_noted &&
+         !worker.Record().is_draining && !worker.is_cordoned &&
+         worker.failed_looks == 0 &&
+         worker.avoided_until <= m_ports.clock.Now();
+}
+
+void Scheduler::AskTickets(const ActiveJob& active,
+                           const job::TaskId& task,
+                           const job::Step& step) {
+  if (!active.needs_tickets) {
+    return;
+  }
+  std::vector<const Worker*> usable;
+  for (const Worker* worker : m_by_pool[active.pool]) {
+    const bool may_run = step.required_label.empty() ||
+                         worker->Record().HasLabel(step.required_label);
+    if (may_run && IsUsable(*worker)) {
+      usable.push_back(worker);
+    }
+  }
+  std::stable_sort(usable.begin(), usable.end(),
+                   [](const Worker* left, const Worker* right) {
+                     return right->Free().processor < left->Free().processor;
+                   });
+  std::vector<TicketCandidate> candidates;
+  candidates.reserve(usable.size());
+  for (const Worker* worker : usable) {
+    candidates.push_back({worker->Record().id, worker->Record().incarnation});
+  }
+  const StepId id = StepId::Of(task);
+  const std::vector<core::InstanceId> asked =
+      m_tickets.Ask(id, candidates, m_ports.clock.Now());
+  if (!asked.empty()) {
+    Log(core::Severity::kInfo,
+        "Tickets for step " + std::to_string(id.step) + " of job " +
+            id.job.Text() + " are asked for " + std::to_string(asked.size()) +
+            " workers.",
+        {{"event", "tickets_asked"},
+         {"job", id.job.Text()},
+         {"workers", std::to_string(asked.size())}});
+    m_ports.tickets.Ask(id, asked);
+  }
+}
+
+void Scheduler::Handle(const TicketsAnswered& answer) {
+  m_tickets.Take(answer, m_ports.clock.Now());
+  if (ActiveJob* active = FindJob(answer.step.job); active != nullptr) {
+    active->may_be_ready = true;
+    m_open_pools.insert(active->pool);
+    Log(core::Severity::kInfo,
+        "Job " + answer.step.job.Text() + " got tickets for " +
+            std::to_string(answer.allowed.size()) + " workers.",
+        {{"event", "tickets_answered"},
+         {"job", answer.step.job.Text()},
+         {"allowed", std::to_string(answer.allowed.size())}});
+  }
+}
+
 Worker* Scheduler::Choose(const ActiveJob& active,
                           const job::TaskId& task,
                           const job::Step& step) {
@@ -148,11 +209,10 @@
   bool is_best_near = false;
   for (Worker* worker : m_by_pool[active.pool]) {
     const execution::WorkerRecord& record = worker->Record();
-    const bool is_usable = worker->IsListed() && worker->is_adopted &&
-                           worker->is_noted && !record.is_draining &&
-                           !worker->is_cordoned && worker->failed_looks == 0 &&
-                           worker->avoided_until <= now &&
-                           worker->Free().Fits(need);
+    const bool is_usable = IsUsable(*worker) && worker->Free().Fits(need) &&
+                           (!active.needs_tickets ||
+                            m_tickets.Find(StepId::Of(task), record.id,
+                                           record.incarnation, now) != nullptr);
     if (!is_usable ||
         (!step.required_label.empty() &&
          !record.HasLabel(step.required_label)) ||
@@ -220,6 +280,10 @@
   order.payload = active->job.Accepted().spec.payload;
   order.until = worker.LeaseUntil();
   order.checkpoint = active->job.CheckpointOf(key.task.key);
+  const std::string* ticket =
+      m_tickets.Find(StepId::Of(key.task), order.to.worker,
+                     order.to.incarnation, run->ordered_at);
+  order.ticket = ticket == nullptr ? "" : *ticket;
   m_ports.workers.Start(std::move(order));
 }
 
--- a/src/crocusmast/scheduling/scheduler_runs.cc
+++ b/src/crocusmast/scheduling/scheduler_runs.cc
@@ -178,7 +178,11 @@
        {"attempt", std::to_string(reply.attempt.Count())},
        {"worker", reply.worker.Text()},
        {"outcome", std::string(OutcomeName(reply.outcome))}});
-  worker.avoided_until = m_ports.clock.Now() + kAvoidance;
+  if (reply.outcome == CallOutcome::kBadTicket) {
+    m_tickets.Drop(StepId::Of(reply.task), reply.worker);
+  } else {
+    worker.avoided_until = m_ports.clock.Now() + kAvoidance;
+  }
   if (worker.Find(key)->is_uncertain) {
     // An earlier order of this attempt may still be carried out.
     SendStop(worker, key);
--- a/test/scheduling/scheduler_test.cc
+++ b/test/scheduling/scheduler_test.cc
@@ -107,7 +107,8 @@
   std::unique_ptr<trompeloeil::expectation> leaves =
       NAMED_ALLOW_CALL(feed, Leave());
   job::JobBook book;
-  Scheduler scheduler{{orders, store, feed, clock, logger, meter}};
+  test::TicketDesk desk;
+  Scheduler scheduler{{orders, store, feed, desk, clock, logger, meter}};
   std::size_t answered = 0;
   std::uint64_t revision = 100;
 };
@@ -136,6 +137,7 @@
   CPPUNIT_TEST(AFailingWorkerIsAvoided);
   CPPUNIT_TEST(FillersAreSlowedDown);
   CPPUNIT_TEST(LastingTasksMoveOneByOne);
+  CPPUNIT_TEST(StartsCarryTheirTickets);
   CPPUNIT_TEST(ADeposedHolderStops);
   CPPUNIT_TEST_SUITE_END();
 
@@ -552,6 +554,43 @@
     CPPUNIT_ASSERT(!bench.scheduler.IsEmpty(worker));
   }
 
+  void StartsCarryTheirTickets() {
+    Bench bench;
+    bench.scheduler.SetDirectory(test::MakeDirectory(2, true));
+    bench.Begin();
+    bench.List({MakeWorker("w-1"), MakeWorker("w-2")});
+    bench.scheduler.AddJob(MakeJob(kJob, {MakeStep(1)}));
+    bench.Round();
+    CPPUNIT_ASSERT(bench.orders.starts.empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.desk.asked.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, bench.desk.asked[0].second.size());
+    const scheduling::StepId step = bench.desk.asked[0].first;
+    // A failed request is repeated after a pause.
+    bench.scheduler.Handle(scheduling::TicketsAnswered{step, false, {}, {}});
+    bench.Round();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.desk.asked.size());
+    bench.clock.Advance(std::chrono::seconds(1));
+    bench.scheduler.Handle(scheduling::WorkerSeen{MakeWorker("w-2")});
+    bench.Round();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, bench.desk.asked.size());
+    bench.scheduler.Handle(scheduling::TicketsAnswered{
+        step,
+        true,
+        {{MakeId<core::InstanceId>("w-2"), "permit"}},
+        std::chrono::seconds(3)});
+    bench.Round();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.orders.starts.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("permit"), bench.orders.starts[0].ticket);
+    CPPUNIT_ASSERT_EQUAL(std::string("w-2"),
+                         bench.orders.starts[0].to.worker.Text());
+    // A rejected ticket is asked for anew, and no other worker is tried.
+    bench.Reply(bench.orders.starts[0], CallOutcome::kBadTicket);
+    bench.Round();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.orders.starts.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, bench.desk.asked.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.desk.asked[2].second.size());
+  }
+
   void ADeposedHolderStops() {
     Bench bench;
     bench.Begin();
--- a/test/support/job_fakes.h
+++ b/test/support/job_fakes.h
@@ -13,6 +13,7 @@
 #include "crocusmast/leadership/lease_port.h"
 #include "crocusmast/queue/directory.h"
 #include "crocusmast/scheduling/messages.h"
+#include "crocusmast/scheduling/ticket_port.h"
 #include "crocusmast/upkeep/machine_port.h"
 #include "crocusmast/upkeep/worker_keeper.h"
 #include "test/support/make.h"
@@ -95,6 +96,17 @@
   MAKE_MOCK1(Depose, void(core::Revision), override);
 };
 
+/** @brief Keeps requests for tickets, for a test to answer. */
+class TicketDesk final : public scheduling::TicketPort {
+ public:
+  void Ask(const scheduling::StepId& step,
+           const std::vector<core::InstanceId>& workers) override {
+    asked.emplace_back(step, workers);
+  }
+  std::vector<std::pair<scheduling::StepId, std::vector<core::InstanceId>>>
+      asked;
+};
+
 class MockFeed : public scheduling::WorkerFeed {
  public:
   MAKE_MOCK0(Follow, void(), override);
@@ -151,7 +163,8 @@
   return job;
 }
 
-inline queue::Directory MakeDirectory(std::uint64_t version = 1) {
+inline queue::Directory MakeDirectory(std::uint64_t version = 1,
+                                      bool needs_tickets = false) {
   queue::Queue queue;
   queue.id = MakeId<core::QueueId>("queue");
   queue.host = "host.example";
@@ -160,6 +173,9 @@
   queue.max_attempts = 3;
   queue.slack_factor = 2;
   queue.slack = std::chrono::milliseconds(600);
+  if (needs_tickets) {
+    queue.tickets = queue::TicketPolicy{std::chrono::seconds(3)};
+  }
   queue::Pool pool;
   pool.id = queue.pool;
   pool.guards_capacity = true;
