Lend standby machines to pools in a rush

Change: a balancer with one rule: a backlog that lasts longer than a move borrows what it needs, idle borrowed machines go back; only empty machines move. Ruled out: taking machines from other pools (their own turn is five seconds away, and a move back takes two of them).

--- /dev/null
+++ b/src/crocusmast/capacity/balancer.h
@@ -0,0 +1,126 @@
+#ifndef CROCUSMAST_CAPACITY_BALANCER_H_
+#define CROCUSMAST_CAPACITY_BALANCER_H_
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "crocusmast/capacity/pool_load.h"
+#include "crocusmast/core/clock.h"
+#include "crocusmast/core/logger.h"
+#include "crocusmast/upkeep/machine_port.h"
+#include "crocusmast/upkeep/worker_keeper.h"
+
+namespace crocusmast::capacity {
+
+/** @brief How often loads are looked at. */
+inline constexpr std::chrono::milliseconds kLookPause{200};
+/** @brief A backlog that is gone within this time needs no machine: a move
+ * takes 1.5 s, and its worker then has to join. */
+inline constexpr double kBacklogSeconds = 2.0;
+/** @brief A borrowed machine that was idle for this long goes back. */
+inline constexpr std::chrono::milliseconds kIdleBeforeReturn{1500};
+/** @brief Below this share of its capacity in use a pool gives machines back.
+ */
+inline constexpr double kSlackShare = 0.6;
+/** @brief How old the list of machines may be while machines move. */
+inline constexpr std::chrono::milliseconds kListAge{1000};
+/** @brief How old it may be otherwise. */
+inline constexpr std::chrono::milliseconds kCalmListAge{5000};
+/** @brief An order without an answer is repeated after this. */
+inline constexpr std::chrono::milliseconds kMoveRetry{700};
+/** @brief A machine that could not be moved is left alone for this long. */
+inline constexpr std::chrono::milliseconds kMoveAvoidance{3000};
+
+/** @brief What the balancer uses; all outlive it. */
+struct BalancerPorts {
+  upkeep::MachinePort& machines;
+  upkeep::WorkerKeeper& workers;
+  LoadView& loads;
+  const core::Clock& clock;
+  core::Logger& logger;
+};
+
+/**
+ * @brief Lends machines of the standby pool to pools in a rush.
+ *
+ * One rule: a pool whose backlog lasts longer than a move borrows as many
+ * machines as the backlog needs; a borrowed machine that stands idle in a pool
+ * with slack goes back. A pool never gives up the machines that it began with,
+ * and only machines on which surely nothing runs are moved.
+ */
+class Balancer {
+ public:
+  /**
+   * @brief Makes a balancer without the duty.
+   * @param ports What it uses.
+   * @param order_gap How far apart the orders of two holders must be.
+   */
+  Balancer(const BalancerPorts& ports, std::chrono::milliseconds order_gap);
+
+  /**
+   * @brief Begins a hold of the duty.
+   * @param token The hold's token.
+   */
+  void Begin(core::FencingToken token);
+  /** @brief Ends the hold. */
+  void End();
+
+  /** @brief Takes in the list of machines, whoever asked for it. */
+  void Handle(const upkeep::MachinesListed& listed);
+  /** @brief Takes in the answer to an order. */
+  void Handle(const upkeep::MachineReplied& replied);
+
+  /** @brief Tells whether a machine is set aside for something else. */
+  using IsTaken = std::function<bool(const core::MachineId&)>;
+  /**
+   * @brief Does what is due.
+   * @param is_sure The store surely still names this holder; no order is
+   * given otherwise.
+   * @param is_taken Tells which machines to leave alone.
+   */
+  void Round(bool is_sure, const IsTaken& is_taken);
+
+  /** @brief Tells whether a machine is on its way to another pool. */
+  bool IsMoving(const core::MachineId& machine) const {
+    return m_moves.count(machine) > 0;
+  }
+
+ private:
+  /** @brief A move that was ordered. */
+  struct Move {
+    core::PoolId to;
+    core::TimePoint order_at;
+    /** @brief The order was carried out. */
+    bool is_done = false;
+  };
+
+  void Settle();
+  void Lend(const PoolLoad& load, const IsTaken& is_taken);
+  void Return(const PoolLoad& load, const IsTaken& is_taken);
+  void Order(const core::MachineId& machine, const core::PoolId& to);
+  std::size_t CountIncoming(const core::PoolId& pool) const;
+  double CoresOf(const core::PoolId& pool) const;
+  void Log(std::string sentence, std::vector<core::LogField> fields) const;
+
+  BalancerPorts m_ports;
+  const std::chrono::milliseconds m_order_gap;
+  bool m_is_active = false;
+  core::FencingToken m_token;
+  core::TimePoint m_orders_from;
+  core::TimePoint m_look_at;
+  core::TimePoint m_listed_at;
+  core::TimePoint m_list_asked_at;
+  core::PoolId m_standby;
+  std::map<core::MachineId, upkeep::Machine> m_machines;
+  /** @brief How many machines each pool began with. */
+  std::map<core::PoolId, std::size_t> m_own;
+  std::map<core::MachineId, Move> m_moves;
+  std::map<core::MachineId, core::TimePoint> m_idle_since;
+  std::map<core::MachineId, core::TimePoint> m_avoided_until;
+};
+
+}  // namespace crocusmast::capacity
+
+#endif  // CROCUSMAST_CAPACITY_BALANCER_H_
--- /dev/null
+++ b/src/crocusmast/capacity/fwd.h
@@ -0,0 +1,12 @@
+#ifndef CROCUSMAST_CAPACITY_FWD_H_
+#define CROCUSMAST_CAPACITY_FWD_H_
+
+namespace crocusmast::capacity {
+
+class Balancer;
+class LoadView;
+struct PoolLoad;
+
+}  // namespace crocusmast::capacity
+
+#endif  // CROCUSMAST_CAPACITY_FWD_H_
--- a/src/crocusmast/core/logger.cc
+++ b/src/crocusmast/core/logger.cc
@@ -30,6 +30,8 @@
       return "worker";
     case Part::kUpkeep:
       return "upkeep";
+    case Part::kCapacity:
+      return "capacity";
   }
   return "unknown";
 }
--- a/src/crocusmast/core/logger.h
+++ b/src/crocusmast/core/logger.h
@@ -22,6 +22,7 @@
   kStore,
   kWorker,
   kUpkeep,
+  kCapacity,
 };
 
 /** @brief How much a log line matters. */
--- a/src/crocusmast/manager/manager.cc
+++ b/src/crocusmast/manager/manager.cc
@@ -23,6 +23,9 @@
                    ports.clock, ports.logger, ports.meter}),
       m_upkeep({ports.machines, m_scheduler, ports.clock, ports.logger},
                m_settings.machine_order_gap),
+      m_balancer(
+          {ports.machines, m_scheduler, m_scheduler, ports.clock, ports.logger},
+          m_settings.machine_order_gap),
       m_intake(
           {ports.store, ports.answers, ports.clock, ports.logger, ports.meter},
           m_book) {}
@@ -43,7 +46,15 @@
 
 void Manager::Drained() {
   FollowLeadership();
-  if (m_upkeep.Round(m_elector.IsSure())) {
+  const bool is_sure = m_elector.IsSure();
+  m_balancer.Round(is_sure, [this](const core::MachineId& machine) {
+    return m_upkeep.IsTaken(machine);
+  });
+  const bool has_news =
+      m_upkeep.Round(is_sure, [this](const core::MachineId& machine) {
+        return m_balancer.IsMoving(machine);
+      });
+  if (has_news) {
     m_scheduler.SetWaveNotes(m_upkeep.Notes());
   }
   m_scheduler.Round(m_elector.ConfirmedAt());
@@ -60,9 +71,7 @@
                        std::is_same_v<Kind, leadership::DutyClaimed> ||
                        std::is_same_v<Kind, leadership::LeaseRenewed>) {
     m_elector.Handle(other);
-  } else if constexpr (std::is_same_v<Kind, upkeep::MachinesListed> ||
-                       std::is_same_v<Kind, upkeep::MachineReplied> ||
-                       std::is_same_v<Kind, upkeep::StatusWritten> ||
+  } else if constexpr (std::is_same_v<Kind, upkeep::StatusWritten> ||
                        std::is_same_v<Kind, upkeep::WaveAsked> ||
                        std::is_same_v<Kind, upkeep::WaveRemoved>) {
     m_upkeep.Handle(std::forward<Other>(other));
@@ -79,6 +88,16 @@
   m_scheduler.HandleStop(replied.reply);
 }
 
+void Manager::Take(upkeep::MachinesListed&& listed) {
+  m_balancer.Handle(listed);
+  m_upkeep.Handle(std::move(listed));
+}
+
+void Manager::Take(upkeep::MachineReplied&& replied) {
+  m_balancer.Handle(replied);
+  m_upkeep.Handle(replied);
+}
+
 void Manager::Take(StopRequested&& stop) {
   m_is_stopping = true;
   UpdateReadiness();
@@ -179,6 +198,7 @@
   if (m_scheduler.IsActive() && m_token != token) {
     m_scheduler.End();
     m_upkeep.End();
+    m_balancer.End();
   }
   const bool is_waiting =
       !m_scheduler.IsActive() && token != core::FencingToken() && m_directory;
@@ -196,6 +216,7 @@
                                   leadership::kSchedulingLease.length},
                       m_book, m_notes);
     m_upkeep.Begin(token, m_notes.waves);
+    m_balancer.Begin(token);
   }
 }
 
--- a/src/crocusmast/manager/manager.h
+++ b/src/crocusmast/manager/manager.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "crocusmast/capacity/balancer.h"
 #include "crocusmast/core/duty.h"
 #include "crocusmast/core/logger.h"
 #include "crocusmast/core/meter.h"
@@ -78,6 +79,8 @@
   void Take(DirectoryRead&& read);
   void Take(StartReplied&& replied);
   void Take(StopReplied&& replied);
+  void Take(upkeep::MachinesListed&& listed);
+  void Take(upkeep::MachineReplied&& replied);
   template <typename Other>
   void Take(Other&& other);
 
@@ -103,6 +106,7 @@
   leadership::Elector m_elector;
   scheduling::Scheduler m_scheduler;
   upkeep::Upkeep m_upkeep;
+  capacity::Balancer m_balancer;
   intake::Intake m_intake;
   core::FencingToken m_token;
   /** @brief The hold for which a whole list was asked. */
--- a/src/crocusmast/queue/directory.h
+++ b/src/crocusmast/queue/directory.h
@@ -105,6 +105,8 @@
 
   /** @brief Returns the queues. */
   const std::map<core::QueueId, Queue>& Queues() const { return m_queues; }
+  /** @brief Returns the pools. */
+  const std::map<core::PoolId, Pool>& Pools() const { return m_pools; }
   /** @brief Returns the bounds of what callers may send. */
   const CallerLimits& Limits() const { return m_limits; }
 
--- a/src/crocusmast/scheduling/scheduler.cc
+++ b/src/crocusmast/scheduling/scheduler.cc
@@ -92,11 +92,8 @@
   // A queue that was removed keeps its last settings for the jobs it has.
   for (const auto& [id, queue] : directory.Queues()) {
     m_queues[id] = queue;
-    if (const queue::Pool* pool = directory.FindPool(queue.pool);
-        pool != nullptr) {
-      m_pools[pool->id] = *pool;
-    }
   }
+  m_pools = directory.Pools();
   const core::TimePoint now = m_ports.clock.Now();
   for (auto& [id, active] : m_jobs) {
     ApplyQueue(active, now);
--- a/src/crocusmast/scheduling/scheduler.h
+++ b/src/crocusmast/scheduling/scheduler.h
@@ -12,6 +12,7 @@
 #include <utility>
 #include <vector>
 
+#include "crocusmast/capacity/pool_load.h"
 #include "crocusmast/core/clock.h"
 #include "crocusmast/core/logger.h"
 #include "crocusmast/core/meter.h"
@@ -77,7 +78,7 @@
  * that the earlier holder may have used, which fences it, before it starts
  * what may be running there.
  */
-class Scheduler final : public upkeep::WorkerKeeper {
+class Scheduler final : public upkeep::WorkerKeeper, public capacity::LoadView {
  public:
   /**
    * @brief Makes a scheduler without the duty.
@@ -133,6 +134,7 @@
   upkeep::Usage UsageOf(const core::InstanceId& worker) const override;
   void SetAside(const core::InstanceId& worker) override;
   bool IsEmpty(const core::InstanceId& worker) const override;
+  std::vector<capacity::PoolLoad> PoolLoads() const override;
 
   /** @brief Tells whether a worker refused this holder's token. */
   bool WasFenced() const { return m_was_fenced; }
--- a/src/crocusmast/scheduling/scheduler_upkeep.cc
+++ b/src/crocusmast/scheduling/scheduler_upkeep.cc
@@ -10,6 +10,8 @@
 /** @brief A task counts as at work this long after it was seen so: looks at
  * its worker come each second. */
 constexpr std::chrono::milliseconds kSeenAtWork{2500};
+/** @brief Thousandths of a core in a core. */
+constexpr double kMilliCores = 1000;
 
 }  // namespace internal
 
@@ -74,6 +76,50 @@
   }
 }
 
+std::vector<capacity::PoolLoad> Scheduler::PoolLoads() const {
+  std::map<core::PoolId, capacity::PoolLoad> loads;
+  for (const auto& [id, pool] : m_pools) {
+    loads[id].pool = id;
+    loads[id].is_standby = pool.is_standby;
+  }
+  const auto cores = [](core::MilliCores processor) {
+    return static_cast<double>(processor.Count()) / internal::kMilliCores;
+  };
+  for (const auto& [id, worker] : m_workers) {
+    const auto load = loads.find(worker->Record().pool);
+    if (load == loads.end() || !IsUsable(*worker)) {
+      continue;
+    }
+    const core::MilliCores all = worker->Record().capacity.processor;
+    load->second.capacity_cores += cores(all);
+    load->second.running_cores += cores(all) - cores(worker->Free().processor);
+  }
+  for (const auto& [id, active] : m_jobs) {
+    const auto load = loads.find(active.pool);
+    if (load == loads.end() || !active.may_be_ready) {
+      continue;
+    }
+    active.job.ForEachReady([&](const job::TaskKey&, const job::Step& step) {
+      if (step.is_filler) {
+        return;
+      }
+      const double need = cores(step.room.processor);
+      load->second.waiting_cores += need;
+      load->second.waiting_core_seconds +=
+          need *
+          std::chrono::duration<double>(
+              m_run_times.Correct(active.job.Accepted().queue, step.estimate))
+              .count();
+    });
+  }
+  std::vector<capacity::PoolLoad> all;
+  all.reserve(loads.size());
+  for (auto& [id, load] : loads) {
+    all.push_back(std::move(load));
+  }
+  return all;
+}
+
 bool Scheduler::MayTakeAway(const ActiveJob& active,
                             const job::TaskKey& key) const {
   const job::Step& step = active.job.StepOf(key);
--- a/src/crocusmast/upkeep/machine_port.h
+++ b/src/crocusmast/upkeep/machine_port.h
@@ -102,6 +102,10 @@
   virtual ~MachinePort() = default;
   /** @brief Asks for all machines; answered by MachinesListed. */
   virtual void List() = 0;
+  /** @brief Moves a machine to a pool; ends all that runs there. */
+  virtual void Move(core::FencingToken token,
+                    const core::MachineId& machine,
+                    const core::PoolId& pool) = 0;
   /** @brief Takes a machine down for its upkeep; ends all that runs there. */
   virtual void TakeDown(core::FencingToken token,
                         const core::MachineId& machine,
--- a/src/crocusmast/upkeep/upkeep.cc
+++ b/src/crocusmast/upkeep/upkeep.cc
@@ -93,7 +93,7 @@
   }
 }
 
-bool Upkeep::Round(bool is_sure) {
+bool Upkeep::Round(bool is_sure, const IsMoving& is_moving) {
   if (!m_is_active) {
     return false;
   }
@@ -108,7 +108,7 @@
   }
   for (auto& [number, plan] : m_plans) {
     if (is_sure && m_orders_from <= now && !m_machines.empty()) {
-      Advance(plan);
+      Advance(plan, is_moving);
     }
     if (is_sure) {
       Report(plan);
@@ -120,13 +120,25 @@
 void Upkeep::OpenPlans() {
   for (const auto& [number, request] : m_asked) {
     if (m_plans.count(number) == 0) {
-      m_plans.emplace(number,
-                      WavePlan(request, m_noted[number], m_ports.clock.Now()));
+      const core::TimePoint now = m_ports.clock.Now();
+      WavePlan plan(request, m_noted[number], now);
+      // The list may be older than the wave, and shows who lives where.
+      m_is_changed =
+          (!m_machines.empty() && plan.Update(m_machines, now)) || m_is_changed;
+      m_plans.emplace(number, std::move(plan));
     }
   }
 }
 
-void Upkeep::Advance(WavePlan& plan) {
+bool Upkeep::IsTaken(const core::MachineId& machine) const {
+  return std::any_of(
+      m_plans.begin(), m_plans.end(), [&machine](const auto& one) {
+        const std::optional<Stage> stage = one.second.StageOf(machine);
+        return stage && *stage != Stage::kWaiting && *stage != Stage::kBack;
+      });
+}
+
+void Upkeep::Advance(WavePlan& plan, const IsMoving& is_moving) {
   const core::TimePoint now = m_ports.clock.Now();
   WavePlan::ReadUsage usage;
   for (const core::MachineId& id : plan.At(Stage::kWaiting)) {
@@ -135,7 +147,13 @@
       usage[id] = m_ports.workers.UsageOf(machine->second.worker);
     }
   }
-  for (const core::MachineId& id : plan.ChooseNext(m_machines, usage, now)) {
+  std::map<core::MachineId, Machine> settled = m_machines;
+  for (auto& [id, machine] : settled) {
+    if (is_moving(id)) {
+      machine.state = MachineState::kMoving;
+    }
+  }
+  for (const core::MachineId& id : plan.ChooseNext(settled, usage, now)) {
     plan.Empty(id);
     Log(core::Severity::kInfo, "Machine " + id.Text() + " is emptied.",
         {{"event", "machine_emptied"},
--- a/src/crocusmast/upkeep/upkeep.h
+++ b/src/crocusmast/upkeep/upkeep.h
@@ -1,6 +1,7 @@
 #ifndef CROCUSMAST_UPKEEP_UPKEEP_H_
 #define CROCUSMAST_UPKEEP_UPKEEP_H_
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -59,20 +60,27 @@
   void Handle(const MachineReplied& replied);
   void Handle(const StatusWritten& written);
 
+  /** @brief Tells which machines to leave alone for now. */
+  using IsMoving = std::function<bool(const core::MachineId&)>;
+
   /**
    * @brief Does what is due.
    * @param is_sure The store surely still names this holder; no order is
    * given otherwise.
+   * @param is_moving Tells which machines are on their way between pools.
    * @return True if the notes have changed.
    */
-  bool Round(bool is_sure);
+  bool Round(bool is_sure, const IsMoving& is_moving);
+
+  /** @brief Tells whether a machine is set aside or down for a wave. */
+  bool IsTaken(const core::MachineId& machine) const;
 
   /** @brief Returns how far the waves are, for a successor. */
   std::vector<job::WaveNote> Notes() const;
 
  private:
   void OpenPlans();
-  void Advance(WavePlan& plan);
+  void Advance(WavePlan& plan, const IsMoving& is_moving);
   void Order(WavePlan& plan, const core::MachineId& machine);
   void Report(WavePlan& plan);
   void Log(core::Severity severity,
--- a/src/crocusmast/upkeep/wave_plan.cc
+++ b/src/crocusmast/upkeep/wave_plan.cc
@@ -40,11 +40,13 @@
       item.stage = Stage::kDown;
       item.was_seen_down = true;
     }
-    const bool is_back =
-        item.stage == Stage::kDown && item.has_begun &&
-        state == MachineState::kUp &&
-        (item.was_seen_down || machine->second.worker != item.worker ||
-         item.answered_at + kSurelyBack < now);
+    const bool has_new_worker = !item.worker.IsEmpty() &&
+                                !machine->second.worker.IsEmpty() &&
+                                machine->second.worker != item.worker;
+    const bool is_back = item.stage == Stage::kDown && item.has_begun &&
+                         state == MachineState::kUp &&
+                         (item.was_seen_down || has_new_worker ||
+                          item.answered_at + kSurelyBack < now);
     if (is_back) {
       item.stage = Stage::kBack;
     }
--- /dev/null
+++ b/test/capacity/balancer_test.cc
@@ -0,0 +1,203 @@
+#include "crocusmast/capacity/balancer.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <map>
+#include <set>
+
+#include "test/support/fake_clock.h"
+#include "test/support/job_fakes.h"
+#include "test/support/mocks.h"
+
+namespace {
+
+using namespace crocusmast;
+using capacity::Balancer;
+using capacity::PoolLoad;
+using test::MakeId;
+using upkeep::Machine;
+using upkeep::MachineOutcome;
+using upkeep::MachineState;
+
+const core::PoolId kShop = MakeId<core::PoolId>("shop");
+const core::PoolId kSpare = MakeId<core::PoolId>("spare");
+
+/** @brief Four machines in a pool and three on standby. */
+class Fleet final : public upkeep::MachinePort,
+                    public upkeep::WorkerKeeper,
+                    public capacity::LoadView {
+ public:
+  Fleet() {
+    for (int index = 0; index < 7; ++index) {
+      Machine machine;
+      machine.id = MakeId<core::MachineId>("m-" + std::to_string(index));
+      machine.pool = index < 4 ? kShop : kSpare;
+      machine.state = MachineState::kUp;
+      if (index < 4) {
+        machine.worker = MakeId<core::InstanceId>("w-" + std::to_string(index));
+      }
+      machines.emplace(machine.id, machine);
+    }
+    shop.pool = kShop;
+    shop.capacity_cores = 64;
+    spare.pool = kSpare;
+    spare.is_standby = true;
+  }
+
+  void List() override { is_asked = true; }
+  void Move(core::FencingToken,
+            const core::MachineId& machine,
+            const core::PoolId& pool) override {
+    moves.emplace_back(machine, pool);
+  }
+  void TakeDown(core::FencingToken,
+                const core::MachineId&,
+                core::WaveNumber) override {}
+  void WriteStatus(core::FencingToken, core::WaveNumber, bool) override {}
+  upkeep::Usage UsageOf(const core::InstanceId&) const override { return {}; }
+  void SetAside(const core::InstanceId& worker) override {
+    aside.insert(worker);
+  }
+  bool IsEmpty(const core::InstanceId& worker) const override {
+    return busy.count(worker) == 0;
+  }
+  std::vector<PoolLoad> PoolLoads() const override { return {shop, spare}; }
+
+  void CarryOut(const core::MachineId& id, const core::PoolId& pool) {
+    Machine& machine = machines[id];
+    machine.pool = pool;
+    shop.capacity_cores += pool == kShop ? 16 : -16;
+    machine.worker = pool == kSpare
+                         ? core::InstanceId()
+                         : MakeId<core::InstanceId>("new-" + id.Text());
+  }
+
+  std::map<core::MachineId, Machine> machines;
+  std::vector<std::pair<core::MachineId, core::PoolId>> moves;
+  std::set<core::InstanceId> aside;
+  std::set<core::InstanceId> busy;
+  PoolLoad shop;
+  PoolLoad spare;
+  bool is_asked = false;
+};
+
+class BalancerTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(BalancerTest);
+  CPPUNIT_TEST(ARushBorrowsFromStandby);
+  CPPUNIT_TEST(AShortBacklogBorrowsNothing);
+  CPPUNIT_TEST(IdleMachinesGoBackButNoMore);
+  CPPUNIT_TEST(BusyAndTakenMachinesStay);
+  CPPUNIT_TEST(ALostAnswerIsAskedAgain);
+  CPPUNIT_TEST(NothingMovesWhenUnsureOrTooSoon);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    m_clock.Advance(std::chrono::seconds(100));
+    m_balancer.Begin(core::FencingToken(5));
+  }
+
+  // A queue asks for five times its mean for some seconds.
+  void ARushBorrowsFromStandby() {
+    m_fleet.shop.running_cores = 64;
+    m_fleet.shop.waiting_cores = 80;
+    m_fleet.shop.waiting_core_seconds = 70;
+    Play(std::chrono::seconds(5));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_fleet.moves.size());
+    CPPUNIT_ASSERT(m_fleet.moves[0].second == kShop);
+  }
+
+  void AShortBacklogBorrowsNothing() {
+    m_fleet.shop.running_cores = 60;
+    m_fleet.shop.waiting_cores = 20;
+    m_fleet.shop.waiting_core_seconds = 20;
+    Play(std::chrono::seconds(10));
+    CPPUNIT_ASSERT(m_fleet.moves.empty());
+  }
+
+  void IdleMachinesGoBackButNoMore() {
+    ARushBorrowsFromStandby();
+    m_fleet.shop.running_cores = 2;
+    m_fleet.shop.waiting_cores = 0;
+    m_fleet.shop.waiting_core_seconds = 0;
+    Play(std::chrono::seconds(10));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{4}, m_fleet.moves.size());
+    CPPUNIT_ASSERT(m_fleet.moves[3].second == kSpare);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_fleet.aside.size());
+  }
+
+  void BusyAndTakenMachinesStay() {
+    ARushBorrowsFromStandby();
+    m_fleet.shop.running_cores = 2;
+    m_fleet.shop.waiting_cores = 0;
+    m_fleet.shop.waiting_core_seconds = 0;
+    for (const auto& [id, machine] : m_fleet.machines) {
+      m_fleet.busy.insert(machine.worker);
+    }
+    Play(std::chrono::seconds(10));
+    m_fleet.busy.clear();
+    m_are_taken = true;
+    Play(std::chrono::seconds(10));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_fleet.moves.size());
+  }
+
+  void ALostAnswerIsAskedAgain() {
+    m_outcome = MachineOutcome::kUnknown;
+    m_fleet.shop.running_cores = 64;
+    m_fleet.shop.waiting_core_seconds = 40;
+    Play(std::chrono::seconds(6));
+    CPPUNIT_ASSERT(m_fleet.moves.size() > 1);
+    for (const auto& [machine, pool] : m_fleet.moves) {
+      CPPUNIT_ASSERT(machine == m_fleet.moves[0].first && pool == kShop);
+    }
+  }
+
+  void NothingMovesWhenUnsureOrTooSoon() {
+    m_fleet.shop.running_cores = 64;
+    m_fleet.shop.waiting_core_seconds = 500;
+    Play(std::chrono::milliseconds(3400));
+    CPPUNIT_ASSERT(m_fleet.moves.empty());
+    m_is_sure = false;
+    Play(std::chrono::seconds(5));
+    CPPUNIT_ASSERT(m_fleet.moves.empty());
+  }
+
+ private:
+  void Play(core::Duration time) {
+    const core::TimePoint end = m_clock.Now() + time;
+    while (m_clock.Now() < end) {
+      m_balancer.Round(m_is_sure,
+                       [this](const core::MachineId&) { return m_are_taken; });
+      if (std::exchange(m_fleet.is_asked, false)) {
+        upkeep::MachinesListed listed;
+        listed.is_known = true;
+        for (const auto& [id, machine] : m_fleet.machines) {
+          listed.machines.push_back(machine);
+        }
+        m_balancer.Handle(listed);
+      }
+      while (m_answered < m_fleet.moves.size()) {
+        const auto [machine, pool] = m_fleet.moves[m_answered++];
+        if (m_outcome == MachineOutcome::kDone) {
+          m_fleet.CarryOut(machine, pool);
+        }
+        m_balancer.Handle(upkeep::MachineReplied{machine, m_outcome});
+      }
+      m_clock.Advance(std::chrono::milliseconds(100));
+    }
+  }
+
+  test::FakeClock m_clock;
+  test::SilentLogger m_logger;
+  Fleet m_fleet;
+  std::size_t m_answered = 0;
+  MachineOutcome m_outcome = MachineOutcome::kDone;
+  bool m_is_sure = true;
+  bool m_are_taken = false;
+  Balancer m_balancer{{m_fleet, m_fleet, m_fleet, m_clock, m_logger},
+                      std::chrono::milliseconds(3500)};
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(BalancerTest, "capacity");
+
+}  // namespace
--- a/test/support/job_fakes.h
+++ b/test/support/job_fakes.h
@@ -116,6 +116,11 @@
 class MockMachines : public upkeep::MachinePort {
  public:
   MAKE_MOCK0(List, void(), override);
+  MAKE_MOCK3(Move,
+             void(core::FencingToken,
+                  const core::MachineId&,
+                  const core::PoolId&),
+             override);
   MAKE_MOCK3(TakeDown,
              void(core::FencingToken, const core::MachineId&, core::WaveNumber),
              override);
--- a/test/upkeep/upkeep_test.cc
+++ b/test/upkeep/upkeep_test.cc
@@ -21,6 +21,7 @@
 constexpr std::uint32_t kMachines = 12;
 constexpr std::uint32_t kCap = 3;
 const core::WaveNumber kWave(4);
+const auto kNoneMoves = [](const core::MachineId&) { return false; };
 
 /** @brief Machines that go down on an order and come back two seconds later. */
 class MachineRoom final : public upkeep::MachinePort,
@@ -39,6 +40,9 @@
   }
 
   void List() override { is_asked = true; }
+  void Move(core::FencingToken,
+            const core::MachineId&,
+            const core::PoolId&) override {}
   void TakeDown(core::FencingToken,
                 const core::MachineId& id,
                 core::WaveNumber) override {
@@ -104,6 +108,7 @@
 class UpkeepTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(UpkeepTest);
   CPPUNIT_TEST(AWaveIsDoneWithinItsCap);
+  CPPUNIT_TEST(AnOldListDoesNotBringMachinesBack);
   CPPUNIT_TEST(LostAnswersCountAsDown);
   CPPUNIT_TEST(ABusyWorkerIsWaitedFor);
   CPPUNIT_TEST(NothingIsOrderedWhenUnsureOrTooSoon);
@@ -133,6 +138,30 @@
     CPPUNIT_ASSERT(m_room.statuses.back());
   }
 
+  // A list asked for before the orders shows every machine as up.
+  void AnOldListDoesNotBringMachinesBack() {
+    m_upkeep.Begin(core::FencingToken(11), {});
+    m_room.is_asked = true;
+    const auto before = m_room.machines;
+    Answer();
+    m_clock.Advance(std::chrono::seconds(4));
+    for (int count = 0; count < 10; ++count) {
+      m_upkeep.Round(true, kNoneMoves);
+      while (m_answered < m_room.ordered.size()) {
+        const core::MachineId id = m_room.ordered[m_answered++];
+        m_room.CarryOut(id);
+        m_upkeep.Handle(upkeep::MachineReplied{id, MachineOutcome::kDone});
+      }
+      upkeep::MachinesListed old;
+      old.is_known = true;
+      for (const auto& [id, machine] : before) {
+        old.machines.push_back(machine);
+      }
+      m_upkeep.Handle(std::move(old));
+    }
+    CPPUNIT_ASSERT(m_room.most_down <= kCap);
+  }
+
   void LostAnswersCountAsDown() {
     Play(std::chrono::seconds(60),
          [](std::size_t order) { return order % 3 == 0; });
@@ -150,15 +179,15 @@
 
   void NothingIsOrderedWhenUnsureOrTooSoon() {
     for (int count = 0; count < 100; ++count) {
-      m_upkeep.Round(false);
+      m_upkeep.Round(false, kNoneMoves);
       Answer();
       m_clock.Advance(std::chrono::milliseconds(100));
     }
     CPPUNIT_ASSERT(m_room.ordered.empty());
     m_upkeep.Begin(core::FencingToken(10), {});
-    m_upkeep.Round(true);
+    m_upkeep.Round(true, kNoneMoves);
     Answer();
-    m_upkeep.Round(true);
+    m_upkeep.Round(true, kNoneMoves);
     // The earlier holder may have given an order a moment ago.
     CPPUNIT_ASSERT(m_room.ordered.empty());
   }
@@ -199,7 +228,7 @@
     const core::TimePoint end = m_clock.Now() + time;
     while (m_clock.Now() < end) {
       m_room.Advance();
-      m_upkeep.Round(true);
+      m_upkeep.Round(true, kNoneMoves);
       Answer();
       while (m_answered < m_room.ordered.size()) {
         const core::MachineId id = m_room.ordered[m_answered];
