Count a failed run once, whoever sees its end

Ruled out: the worker (three failures listed), the stored progress (right). Change: progress keeps the attempts that failed in place of their number.

--- a/src/crocusmast/adapters/records/job_records.cc
+++ b/src/crocusmast/adapters/records/job_records.cc
@@ -104,11 +104,22 @@
 }
 
 Json EncodeTask(const job::TaskProgress& task) {
-  return {task.index, task.attempt.Count(), task.failures, task.checkpoint};
+  Json failed = Json::array();
+  for (const core::Attempt attempt : task.failed) {
+    failed.push_back(attempt.Count());
+  }
+  return {task.index, task.attempt.Count(), std::move(failed), task.checkpoint};
 }
 
 job::TaskProgress DecodeTask(const Json& json) {
-  return {json.at(0), core::Attempt(json.at(1)), json.at(2), json.at(3)};
+  job::TaskProgress task;
+  task.index = json.at(0);
+  task.attempt = core::Attempt(json.at(1).get<std::uint64_t>());
+  for (const Json& attempt : json.at(2)) {
+    task.failed.emplace_back(attempt.get<std::uint64_t>());
+  }
+  task.checkpoint = json.at(3);
+  return task;
 }
 
 Json EncodeStep(const job::StepProgress& step) {
--- a/src/crocusmast/job/job.cc
+++ b/src/crocusmast/job/job.cc
@@ -11,7 +11,7 @@
 }
 
 TaskProgress Remember(std::uint32_t index, const Task& task) {
-  return {index, task.attempt, task.failures, task.checkpoint};
+  return {index, task.attempt, task.failed, task.checkpoint};
 }
 
 StepProgress Remember(const StepState& state) {
@@ -37,7 +37,7 @@
     if (known_task.index < state.tasks.size()) {
       Task& task = state.tasks[known_task.index];
       task.attempt = known_task.attempt;
-      task.failures = known_task.failures;
+      task.failed = known_task.failed;
       task.checkpoint = known_task.checkpoint;
     }
   }
@@ -292,17 +292,16 @@
                        core::Attempt attempt,
                        std::uint32_t max_attempts) {
   StepState& state = m_open.at(key.occurrence).steps[key.step];
-  Task* counted = &state.tasks[key.index];
-  if (StepOf(key).gang) {
-    // Members that fail in one attempt count once, on the first member.
-    if (!(state.failed_attempt < attempt)) {
-      return;
-    }
-    state.failed_attempt = attempt;
-    counted = &state.tasks.front();
+  Task& counted =
+      StepOf(key).gang ? state.tasks.front() : state.tasks[key.index];
+  const bool is_counted =
+      std::find(counted.failed.begin(), counted.failed.end(), attempt) !=
+      counted.failed.end();
+  if (is_counted) {
+    return;
   }
-  ++counted->failures;
-  if (max_attempts > 0 && counted->failures >= max_attempts) {
+  counted.failed.push_back(attempt);
+  if (max_attempts > 0 && counted.failed.size() >= max_attempts) {
     m_state = JobState::kFailed;
   }
 }
--- a/src/crocusmast/job/job.h
+++ b/src/crocusmast/job/job.h
@@ -62,8 +62,13 @@
   bool is_done = false;
   /** @brief The highest attempt used. */
   core::Attempt attempt;
-  /** @brief How many runs have failed. */
-  std::uint32_t failures = 0;
+  /**
+   * @brief The attempts that failed; of a gang kept at its first member.
+   *
+   * A worker lists an end until it is told that it is recorded, so a successor
+   * may see the same end again.
+   */
+  std::vector<core::Attempt> failed;
   /** @brief The newest saved work; empty for none. */
   std::string checkpoint;
   /** @brief Runs that may be going on. */
@@ -76,8 +81,6 @@
   std::vector<Task> tasks;
   /** @brief How many are done. */
   std::uint32_t done = 0;
-  /** @brief The last attempt of the gang that failed. */
-  core::Attempt failed_attempt;
 
   /** @brief Tells whether every task is done. */
   bool IsDone() const { return done == tasks.size(); }
--- a/src/crocusmast/job/progress.h
+++ b/src/crocusmast/job/progress.h
@@ -48,8 +48,8 @@
   std::uint32_t index = 0;
   /** @brief The highest attempt used. */
   core::Attempt attempt;
-  /** @brief How many runs have failed. */
-  std::uint32_t failures = 0;
+  /** @brief The attempts that failed. */
+  std::vector<core::Attempt> failed;
   /** @brief The saved work of the last run; empty for none. */
   std::string checkpoint;
 };
--- a/test/adapters/job_records_test.cc
+++ b/test/adapters/job_records_test.cc
@@ -60,7 +60,9 @@
     progress.state = job::JobState::kRunning;
     progress.opened = 2;
     progress.open = {
-        {1, {{{true, false, true}, {{1, core::Attempt(7), 2, "saved"}}}}}};
+        {1,
+         {{{true, false, true},
+           {{1, core::Attempt(7), {core::Attempt(3)}, "saved"}}}}}};
     const std::string bytes = records::EncodeProgress(progress);
     const job::JobProgress read = records::DecodeProgress(bytes).value();
     CPPUNIT_ASSERT(read.open[0].steps[0].done ==
--- a/test/job/job_test.cc
+++ b/test/job/job_test.cc
@@ -56,6 +56,7 @@
   CPPUNIT_TEST(StepsComeInOrder);
   CPPUNIT_TEST(AttemptsRise);
   CPPUNIT_TEST(FailuresEndAJob);
+  CPPUNIT_TEST(AFailureSeenTwiceCountsOnce);
   CPPUNIT_TEST(OnlyFailuresCount);
   CPPUNIT_TEST(AGangEndsTogether);
   CPPUNIT_TEST(LongRunningTasksNeverEnd);
@@ -100,6 +101,21 @@
     CPPUNIT_ASSERT(Ready(job).empty());
   }
 
+  // A worker goes on listing an end until it is told that it is recorded, so
+  // each successor sees the same failure again.
+  void AFailureSeenTwiceCountsOnce() {
+    Job job = Open({MakeStep(1)});
+    const core::Attempt attempt = Begin(job, {0, 0, 0});
+    job.EndRun({0, 0, 0}, attempt, RunEnd::kFailed, "", kAttempts);
+    job::JobProgress stored = job.Progress();
+    for (int holders = 0; holders < 5; ++holders) {
+      Job successor = Open({MakeStep(1)}, &stored, core::Attempt(50));
+      successor.EndRun({0, 0, 0}, attempt, RunEnd::kFailed, "", kAttempts);
+      CPPUNIT_ASSERT(successor.State() == JobState::kRunning);
+      stored = successor.Progress();
+    }
+  }
+
   void OnlyFailuresCount() {
     Job job = Open({MakeStep(1)});
     for (const RunEnd end :
@@ -124,7 +140,7 @@
     job.EndRun({0, 0, 2}, attempt, RunEnd::kFailed, "", kAttempts);
     job.EndRun({0, 0, 0}, attempt, RunEnd::kBroken, "", kAttempts);
     // Two members failed in one attempt of the gang: that counts once.
-    CPPUNIT_ASSERT_EQUAL(1U, job.Find({0, 0, 0})->failures);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, job.Find({0, 0, 0})->failed.size());
     CPPUNIT_ASSERT_EQUAL(std::string("save"), job.CheckpointOf({0, 0, 0}));
     Begin(job, {0, 0, 2});
     job.EndRun({0, 0, 2}, job.Find({0, 0, 2})->attempt, RunEnd::kDone, "",
@@ -181,7 +197,8 @@
     Job successor = Open({MakeStep(2), MakeStep(1, 1000, {0})}, &stored,
                          core::Attempt(500));
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Ready(successor).size());
-    CPPUNIT_ASSERT_EQUAL(1U, successor.Find({0, 0, 0})->failures);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                         successor.Find({0, 0, 0})->failed.size());
     CPPUNIT_ASSERT_EQUAL(std::string("saved"),
                          successor.CheckpointOf({0, 0, 0}));
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{501},
