--- a/src/crocusmast/adapters/boost_logger.cc
+++ b/src/crocusmast/adapters/boost_logger.cc
@@ -76,13 +76,29 @@
       : format(chosen), duty("log", internal::kLogRing, internal::kLogTick) {}
 
   void Handle(internal::TimedRecord&& timed) override {
+    if (const std::uint64_t drops = duty.Ring().Drops(); drops > told_drops) {
+      Put({{core::Part::kDaemon,
+            core::Severity::kWarning,
+            std::to_string(drops - told_drops) + " log lines were dropped.",
+            {{"event", "log_dropped"},
+             {"lines", std::to_string(drops - told_drops)}}},
+           timed.at});
+      told_drops = drops;
+    }
+    Put(timed);
+  }
+  void Tick() override {}
+  // One write for all lines of a batch.
+  void Drained() override { frontend->flush(); }
+
+  void Put(const internal::TimedRecord& timed) {
     BOOST_LOG(source) << (format == LogFormat::kText
                               ? internal::FormatText(timed)
                               : internal::FormatJson(timed));
   }
-  void Tick() override {}
 
   const LogFormat format;
+  std::uint64_t told_drops = 0;
   core::SystemClock clock;
   boost::shared_ptr<internal::Frontend> frontend;
   boost::log::sources::logger source;
@@ -99,7 +115,6 @@
   auto backend = boost::make_shared<internal::Backend>();
   backend->add_stream(
       boost::shared_ptr<std::ostream>(&std::cout, boost::null_deleter()));
-  backend->auto_flush(true);
   m_writer->frontend = boost::make_shared<internal::Frontend>(backend);
   boost::log::core::get()->add_sink(m_writer->frontend);
   m_writer->duty.Start(*m_writer, m_writer->clock);
@@ -107,6 +122,7 @@
 
 BoostLogger::~BoostLogger() {
   m_writer->duty.Stop();
+  m_writer->frontend->flush();
   boost::log::core::get()->remove_sink(m_writer->frontend);
 }
 
--- a/src/crocusmast/adapters/boost_logger.h
+++ b/src/crocusmast/adapters/boost_logger.h
@@ -11,10 +11,10 @@
 enum class LogFormat { kText, kJson };
 
 /**
- * @brief Writes log records to standard error with Boost.Log.
+ * @brief Writes log records to standard output with Boost.Log.
  *
  * Records pass a bounded ring to the duty that formats and writes them; when it
- * is full they are dropped.
+ * is full they are dropped, and a line tells how many.
  */
 class BoostLogger final : public core::Logger {
  public:
--- a/src/crocusmast/execution/worker_clock.h
+++ b/src/crocusmast/execution/worker_clock.h
@@ -13,7 +13,8 @@
   using period = std::milli;
   using duration = std::chrono::duration<rep, period>;
   using time_point = std::chrono::time_point<WorkerClock>;
-  static constexpr bool is_steady = true;
+  // The standard names this member of a clock.
+  static constexpr bool is_steady = true;  // NOLINT
 };
 
 /** @brief A point of time on a worker's own clock. */
--- a/src/crocusmast/job/job_store.h
+++ b/src/crocusmast/job/job_store.h
@@ -137,6 +137,11 @@
   virtual void Write(Commit commit) = 0;
   /** @brief Gives the duty up together with the last notes; not answered. */
   virtual void HandOver(core::FencingToken token, const HolderNotes& notes) = 0;
+  /**
+   * @brief Sets how closely changes are followed: a holder starts what is
+   * new, others only show it.
+   */
+  virtual void SetHurry(bool is_hurried) = 0;
   /** @brief Reads all that is stored anew; answered by the whole list. */
   virtual void Refresh() = 0;
   /** @brief Removes what is stored of jobs; not answered. */
--- a/src/crocusmast/manager/manager.cc
+++ b/src/crocusmast/manager/manager.cc
@@ -197,6 +197,7 @@
       m_elector.MayAct() ? m_elector.Token() : core::FencingToken();
   if (m_scheduler.IsActive() && m_token != token) {
     m_scheduler.End();
+    m_ports.store.SetHurry(false);
     m_upkeep.End();
     m_balancer.End();
   }
@@ -204,6 +205,7 @@
       !m_scheduler.IsActive() && token != core::FencingToken() && m_directory;
   if (is_waiting && m_refreshed_for != token) {
     m_refreshed_for = token;
+    m_ports.store.SetHurry(true);
     m_ports.store.Refresh();
   }
   // All that an earlier holder stored lies before this holder's claim.
--- a/src/crocusmast/queue/directory.h
+++ b/src/crocusmast/queue/directory.h
@@ -54,8 +54,8 @@
 
 /** @brief The bounds of what callers may send. */
 struct CallerLimits {
-  core::Bytes header{16 * 1024};
-  core::Bytes body{256 * 1024};
+  core::Bytes header{std::uint64_t{16} * 1024};
+  core::Bytes body{std::uint64_t{256} * 1024};
   std::chrono::milliseconds header_timeout{3000};
   std::chrono::milliseconds idle_timeout{15000};
 };
--- a/test/support/job_fakes.h
+++ b/test/support/job_fakes.h
@@ -70,6 +70,7 @@
                 const job::HolderNotes& notes) override {
     last_notes = notes;
   }
+  void SetHurry(bool is_hurried) override {}
   void Refresh() override { ++refreshes; }
   void Remove(core::FencingToken token,
               const std::vector<core::JobId>& ids) override {
