Keep a wave's age over a change of the holder

Change: the plan counts from when this instance first read of the wave. Figures: the new test ordered nothing in 5 s before.

--- a/src/crocusmast/upkeep/upkeep.cc
+++ b/src/crocusmast/upkeep/upkeep.cc
@@ -40,7 +40,8 @@
         {{"event", "wave_asked"},
          {"wave", std::to_string(asked.wave.number.Count())}});
   }
-  m_asked[asked.wave.number] = asked.wave;
+  // Read again, the wave is as old as it was.
+  m_asked.emplace(asked.wave.number, Asked{asked.wave, m_ports.clock.Now()});
 }
 
 void Upkeep::Handle(const WaveRemoved& removed) {
@@ -118,10 +119,10 @@
 }
 
 void Upkeep::OpenPlans() {
-  for (const auto& [number, request] : m_asked) {
+  for (const auto& [number, asked] : m_asked) {
     if (m_plans.count(number) == 0) {
       const core::TimePoint now = m_ports.clock.Now();
-      WavePlan plan(request, m_noted[number], now);
+      WavePlan plan(asked.request, m_noted[number], asked.at);
       // The list may be older than the wave, and shows who lives where.
       m_is_changed =
           (!m_machines.empty() && plan.Update(m_machines, now)) || m_is_changed;
--- a/src/crocusmast/upkeep/upkeep.h
+++ b/src/crocusmast/upkeep/upkeep.h
@@ -95,7 +95,12 @@
   core::TimePoint m_orders_from;
   core::TimePoint m_list_at;
   bool m_is_listing = false;
-  std::map<core::WaveNumber, WaveRequest> m_asked;
+  /** @brief A wave and when this instance first read of it. */
+  struct Asked {
+    WaveRequest request;
+    core::TimePoint at;
+  };
+  std::map<core::WaveNumber, Asked> m_asked;
   std::map<core::WaveNumber, std::vector<core::MachineId>> m_noted;
   std::map<core::WaveNumber, WavePlan> m_plans;
   /** @brief What is stored of a wave, and when to write again. */
--- a/src/crocusmast/upkeep/wave_plan.cc
+++ b/src/crocusmast/upkeep/wave_plan.cc
@@ -7,8 +7,8 @@
 
 WavePlan::WavePlan(WaveRequest request,
                    const std::vector<core::MachineId>& begun,
-                   core::TimePoint now)
-    : m_request(std::move(request)), m_begun_at(now) {
+                   core::TimePoint asked_at)
+    : m_request(std::move(request)), m_asked_at(asked_at) {
   for (const core::MachineId& machine : m_request.machines) {
     m_items[machine];
   }
@@ -67,7 +67,7 @@
     core::TimePoint now) {
   const int passed_percent =
       m_request.time.count() > 0
-          ? static_cast<int>(100 * (now - m_begun_at) / m_request.time)
+          ? static_cast<int>(100 * (now - m_asked_at) / m_request.time)
           : kPressingPercent;
   std::map<core::PoolId, std::size_t> in_pool;
   std::map<core::PoolId, std::size_t> away;
--- a/src/crocusmast/upkeep/wave_plan.h
+++ b/src/crocusmast/upkeep/wave_plan.h
@@ -58,11 +58,11 @@
    * @brief Makes a plan.
    * @param request The wave.
    * @param begun Machines whose upkeep is known to have begun.
-   * @param now The time.
+   * @param asked_at When the wave was asked for.
    */
   WavePlan(WaveRequest request,
            const std::vector<core::MachineId>& begun,
-           core::TimePoint now);
+           core::TimePoint asked_at);
 
   /** @brief Returns the wave. */
   const WaveRequest& Request() const { return m_request; }
@@ -134,7 +134,7 @@
   bool MayEmpty(const Usage& usage, int passed_percent) const;
 
   WaveRequest m_request;
-  core::TimePoint m_begun_at;
+  core::TimePoint m_asked_at;
   std::map<core::MachineId, Item> m_items;
 };
 
--- a/test/upkeep/upkeep_test.cc
+++ b/test/upkeep/upkeep_test.cc
@@ -53,7 +53,9 @@
                    bool is_done) override {
     statuses.push_back(is_done);
   }
-  upkeep::Usage UsageOf(const core::InstanceId&) const override { return {}; }
+  upkeep::Usage UsageOf(const core::InstanceId&) const override {
+    return usage;
+  }
   void SetAside(const core::InstanceId& worker) override {
     aside.insert(worker);
   }
@@ -98,6 +100,7 @@
   std::set<core::InstanceId> aside;
   std::set<core::InstanceId> busy;
   std::size_t most_down = 0;
+  upkeep::Usage usage;
   bool is_asked = false;
 
  private:
@@ -113,6 +116,7 @@
   CPPUNIT_TEST(ABusyWorkerIsWaitedFor);
   CPPUNIT_TEST(NothingIsOrderedWhenUnsureOrTooSoon);
   CPPUNIT_TEST(ASuccessorGoesOn);
+  CPPUNIT_TEST(ASuccessorKnowsHowOldAWaveIs);
   CPPUNIT_TEST(AMachineThatLeftIsNotWaitedFor);
   CPPUNIT_TEST_SUITE_END();
 
@@ -204,6 +208,15 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{kMachines}, m_room.ordered.size());
   }
 
+  // Busy machines are taken late in a wave; a new hold does not begin anew.
+  void ASuccessorKnowsHowOldAWaveIs() {
+    m_room.usage.passing = 1;
+    m_clock.Advance(std::chrono::seconds(18));
+    m_upkeep.Begin(core::FencingToken(10), {});
+    Play(std::chrono::seconds(5), [](std::size_t) { return true; });
+    CPPUNIT_ASSERT(!m_room.ordered.empty());
+  }
+
   void AMachineThatLeftIsNotWaitedFor() {
     m_room.machines.erase(MakeId<core::MachineId>("m-3"));
     Play(std::chrono::seconds(30), [](std::size_t) { return true; });
