--- a/src/crocusmast/execution/worker.cc
+++ b/src/crocusmast/execution/worker.cc
@@ -107,6 +107,15 @@
   return true;
 }
 
+std::vector<RunKey> Worker::Keys() const {
+  std::vector<RunKey> keys;
+  keys.reserve(m_runs.size());
+  for (const auto& [key, run] : m_runs) {
+    keys.push_back(key);
+  }
+  return keys;
+}
+
 std::uint32_t Worker::CountStep(const job::TaskId& task) const {
   std::uint32_t count = 0;
   for (const auto& [key, run] : m_runs) {
--- a/src/crocusmast/execution/worker.h
+++ b/src/crocusmast/execution/worker.h
@@ -139,6 +139,9 @@
   /** @brief Returns the runs that may be going on. */
   const std::map<RunKey, HeldRun>& Runs() const { return m_runs; }
 
+  /** @brief Returns the names of these runs. */
+  std::vector<RunKey> Keys() const;
+
   /**
    * @brief Counts the tasks of a step here.
    * @param task A task of the step.
--- a/src/crocusmast/scheduling/scheduler_runs.cc
+++ b/src/crocusmast/scheduling/scheduler_runs.cc
@@ -3,32 +3,9 @@
 
 #include "crocusmast/scheduling/scheduler.h"
 
-// Answers of workers.
+// Starts and stops, and how runs end.
 
 namespace crocusmast::scheduling {
-namespace internal {
-
-/** @brief A tail above this share of its target slows fillers down. */
-constexpr std::int64_t kTailHighPercent = 80;
-/** @brief A tail below this share of its target lets fillers go on. */
-constexpr std::int64_t kTailLowPercent = 55;
-/** @brief How much faster fillers may work after each calm look, per cent. */
-constexpr std::uint64_t kPaceStep = 10;
-/** @brief Fillers that would work slower than this stand still, per cent. */
-constexpr std::uint64_t kLeastPace = 15;
-constexpr std::uint64_t kFullPace = 100;
-
-std::vector<execution::RunKey> KeysOf(const execution::Worker& worker) {
-  std::vector<execution::RunKey> keys;
-  keys.reserve(worker.Runs().size());
-  for (const auto& [key, run] : worker.Runs()) {
-    keys.push_back(key);
-  }
-  return keys;
-}
-
-}  // namespace internal
-
 using execution::CallOutcome;
 using execution::HeldRun;
 using execution::RunKey;
@@ -44,7 +21,7 @@
          {"evidence", evidence},
          {"runs", std::to_string(worker.Runs().size())}});
   }
-  for (const RunKey& key : internal::KeysOf(worker)) {
+  for (const RunKey& key : worker.Keys()) {
     EndRun(worker, key, job::RunEnd::kLost, "");
   }
   Settle(id, evidence);
@@ -104,7 +81,7 @@
 
 void Scheduler::StopAll(ActiveJob& active) {
   for (const auto& [id, worker] : m_workers) {
-    for (const RunKey& key : internal::KeysOf(*worker)) {
+    for (const RunKey& key : worker->Keys()) {
       if (key.task.job == active.job.Id()) {
         SendStop(*worker, key);
       }
@@ -218,217 +195,10 @@
   }
 }
 
-void Scheduler::Handle(const execution::LookReply& reply) {
-  Worker* worker = FindWorker(reply.worker);
-  if (!m_is_active || worker == nullptr || !worker->is_looking ||
-      worker->look_sequence != reply.sequence ||
-      worker->Record().incarnation != reply.incarnation) {
-    return;
-  }
-  const core::TimePoint now = m_ports.clock.Now();
-  worker->is_looking = false;
-  if (reply.outcome == CallOutcome::kFenced) {
-    m_was_fenced = true;
-    return;
-  }
-  const bool is_other_life =
-      reply.outcome == CallOutcome::kOtherIncarnation ||
-      (reply.answered_by && *reply.answered_by != reply.incarnation);
-  if (is_other_life) {
-    EndLife(*worker, "another life answered at its address");
-    worker->Unlist();
-    return;
-  }
-  if (reply.outcome != CallOutcome::kDone) {
-    ++worker->failed_looks;
-    worker->look_not_before = now + kLookRetry;
-    worker->avoided_until = now + kAvoidance;
-    if (worker->failed_looks == 1) {
-      Log(core::Severity::kWarning,
-          "Worker " + reply.worker.Text() + " did not answer a look: " +
-              std::string(OutcomeName(reply.outcome)) + ".",
-          {{"event", "worker_silent"}, {"worker", reply.worker.Text()}});
-    }
-    return;
-  }
-  if (worker->failed_looks > 0) {
-    Log(core::Severity::kInfo,
-        "Worker " + reply.worker.Text() + " answers again.",
-        {{"event", "worker_answers"}, {"worker", reply.worker.Text()}});
-  }
-  worker->failed_looks = 0;
-  worker->acknowledged = worker->acknowledging;
-  worker->look_not_before = now;
-  if (reply.clock) {
-    worker->ReadClock(*reply.clock, now);
-  }
-  TakeEnds(*worker, reply);
-  TakeRuns(*worker, reply);
-  DropAbsent(*worker, reply);
-  PaceFillers(*worker, reply);
-  if (!worker->is_adopted) {
-    worker->is_adopted = true;
-    Settle(reply.worker, "it was looked at");
-  }
-}
-
-void Scheduler::TakeEnds(Worker& worker, const execution::LookReply& reply) {
-  const core::EndNumber before = worker.taken;
-  for (const execution::EndReport& end : reply.ended) {
-    if (!(worker.taken < end.number)) {
-      continue;
-    }
-    worker.taken = end.number;
-    ScoreEnd(worker, end.end);
-    EndRun(worker, {end.task, end.attempt}, end.end, end.checkpoint);
-  }
-  if (worker.taken == before) {
-    if (worker.recorded < worker.taken) {
-      worker.look_not_before = m_ports.clock.Now() + kUnrecordedPause;
-    }
-    return;
-  }
-  if (m_committer.HasPending()) {
-    m_committer.AddEnds(worker.Record().id, worker.taken);
-    worker.look_not_before = m_ports.clock.Now() + kUnrecordedPause;
-  } else {
-    worker.recorded = worker.taken;
-  }
-}
-
-void Scheduler::ScoreEnd(Worker& worker, job::RunEnd end) {
-  if (end == job::RunEnd::kDone) {
-    worker.failed_runs = 0;
-  }
-  if (end != job::RunEnd::kFailed) {
-    return;
-  }
-  ++worker.failed_runs;
-  if (worker.failed_runs >= kFailuresToAvoid) {
-    worker.avoided_until =
-        m_ports.clock.Now() + kFailureAvoidance * worker.failed_runs;
-    Log(core::Severity::kWarning,
-        "Worker " + worker.Record().id.Text() + " is avoided: " +
-            std::to_string(worker.failed_runs) + " runs in a row failed.",
-        {{"event", "worker_avoided"},
-         {"worker", worker.Record().id.Text()},
-         {"failed", std::to_string(worker.failed_runs)}});
-  }
-}
-
-void Scheduler::TakeRuns(Worker& worker, const execution::LookReply& reply) {
-  const core::TimePoint now = m_ports.clock.Now();
-  for (const execution::RunReport& report : reply.running) {
-    const RunKey key{report.task, report.attempt};
-    HeldRun* run = worker.Find(key);
-    if (run == nullptr) {
-      Adopt(worker, report);
-    } else if (!run->is_confirmed) {
-      run->is_confirmed = true;
-      run->confirmed_after = reply.sequence;
-    }
-    if (ActiveJob* active = FindJob(report.task.job); active != nullptr) {
-      active->job.ReportRun(report.task.key, report.attempt, report.percent,
-                            report.checkpoint, now);
-    }
-  }
-}
-
-void Scheduler::Adopt(Worker& worker, const execution::RunReport& report) {
-  const RunKey key{report.task, report.attempt};
-  ActiveJob* active = FindJob(report.task.job);
-  const job::Task* task =
-      active == nullptr ? nullptr : active->job.Find(report.task.key);
-  HeldRun run;
-  if (task != nullptr) {
-    run = Hold(active->job.StepOf(report.task.key));
-  }
-  run.is_confirmed = true;
-  run.confirmed_after = worker.look_sequence;
-  run.ordered_at = m_ports.clock.Now();
-  const bool is_wanted =
-      task != nullptr && !job::IsFinal(active->job.State()) && !task->is_done &&
-      (task->runs.empty() || active->job.StepOf(report.task.key).speculative);
-  worker.Add(key, run);
-  Log(core::Severity::kInfo,
-      "Task " + Describe(report.task) + " was found running on " +
-          worker.Record().id.Text() + (is_wanted ? "." : "; stopping it."),
-      {{"event", is_wanted ? "run_adopted" : "run_unwanted"},
-       {"job", report.task.job.Text()},
-       {"task", Describe(report.task)},
-       {"attempt", std::to_string(report.attempt.Count())},
-       {"worker", worker.Record().id.Text()}});
-  if (!is_wanted) {
-    SendStop(worker, key);
-    return;
-  }
-  job::Run begun;
-  begun.worker = worker.Record().id;
-  begun.attempt = report.attempt;
-  begun.ordered_at = m_ports.clock.Now();
-  active->job.BeginRun(report.task.key, std::move(begun));
-}
-
-void Scheduler::DropAbsent(Worker& worker, const execution::LookReply& reply) {
-  for (const RunKey& key : internal::KeysOf(worker)) {
-    const HeldRun* run = worker.Find(key);
-    if (!run->is_confirmed || run->confirmed_after >= reply.sequence) {
-      continue;
-    }
-    const bool is_named = std::any_of(
-        reply.running.begin(), reply.running.end(),
-        [&key](const execution::RunReport& report) {
-          return report.attempt == key.attempt && report.task == key.task;
-        });
-    if (!is_named) {
-      EndRun(worker, key,
-             run->is_stopping ? job::RunEnd::kStopped : job::RunEnd::kLost, "");
-    }
-  }
-}
-
-void Scheduler::PaceFillers(Worker& worker, const execution::LookReply& reply) {
-  bool is_over = false;
-  bool is_calm = true;
-  for (const execution::RunReport& report : reply.running) {
-    const ActiveJob* active = FindJob(report.task.job);
-    if (active == nullptr || active->job.Find(report.task.key) == nullptr) {
-      continue;
-    }
-    const core::Duration target =
-        active->job.StepOf(report.task.key).latency_target;
-    if (target <= core::Duration::zero()) {
-      continue;
-    }
-    is_over =
-        is_over || report.tail * 100 > target * internal::kTailHighPercent;
-    is_calm = is_calm && report.tail * 100 < target * internal::kTailLowPercent;
-  }
-  const std::uint64_t before = worker.filler_share.Count();
-  std::uint64_t share = before;
-  if (is_over) {
-    share = before / 2 < internal::kLeastPace ? 0 : before / 2;
-  } else if (is_calm) {
-    share = std::min(internal::kFullPace, before + internal::kPaceStep);
-  }
-  worker.filler_share = core::Percent(share);
-  if (share == before && share == internal::kFullPace) {
-    return;
-  }
-  for (const auto& [key, run] : worker.Runs()) {
-    if (run.is_filler && !run.is_stopping &&
-        (share != before || !run.is_paced)) {
-      worker.Find(key)->is_paced = true;
-      m_ports.workers.Pace(
-          {Address(worker), key.task, key.attempt, worker.filler_share});
-    }
-  }
-}
-
 void Scheduler::Retry() {
   const core::TimePoint now = m_ports.clock.Now();
   for (const auto& [id, worker] : m_workers) {
-    for (const RunKey& key : internal::KeysOf(*worker)) {
+    for (const RunKey& key : worker->Keys()) {
       const HeldRun* run = worker->Find(key);
       if (run == nullptr || run->is_asked || run->is_stop_taken) {
         continue;
--- /dev/null
+++ b/test/scheduling/scheduler_bench.h
@@ -0,0 +1,110 @@
+#ifndef TEST_SCHEDULING_SCHEDULER_BENCH_H_
+#define TEST_SCHEDULING_SCHEDULER_BENCH_H_
+
+#include <memory>
+#include <utility>
+#include <vector>
+
+#include "crocusmast/scheduling/scheduler.h"
+#include "test/support/fake_clock.h"
+#include "test/support/job_fakes.h"
+#include "test/support/mocks.h"
+
+namespace test {
+
+/** @brief A scheduler among fakes, and short words for what they do. */
+class SchedulerBench {
+ public:
+  SchedulerBench() {
+    clock.Advance(std::chrono::seconds(1000));
+    scheduler.SetDirectory(MakeDirectory());
+  }
+
+  void Begin(std::uint64_t token = 10, const job::HolderNotes& notes = {}) {
+    scheduler.Begin({core::FencingToken(token), std::chrono::seconds(5)}, book,
+                    notes);
+  }
+
+  void List(std::vector<execution::WorkerRecord> workers) {
+    scheduler.Handle(scheduling::WorkersListed{std::move(workers)});
+    Round();
+  }
+
+  /** @brief Rounds until nothing more is to be stored. */
+  void Round() {
+    scheduler.Round(clock.Now());
+    while (answered < store.commits.size()) {
+      Commit(job::StoreOutcome::kDone);
+      scheduler.Round(clock.Now());
+    }
+  }
+
+  void Commit(job::StoreOutcome outcome) {
+    const job::Commit& commit = store.commits[answered++];
+    job::CommitReply reply;
+    reply.sequence = commit.sequence;
+    reply.outcome = outcome;
+    reply.revision = core::Revision(++revision);
+    scheduler.Handle(reply);
+    clock.Advance(std::chrono::milliseconds(20));
+  }
+
+  void Reply(const execution::StartOrder& order,
+             execution::CallOutcome outcome) {
+    scheduler.HandleStart(Answer(order, outcome));
+  }
+
+  template <typename Order>
+  execution::CallReply Answer(const Order& order,
+                              execution::CallOutcome outcome) const {
+    return {order.to.worker, order.to.incarnation, order.task, order.attempt,
+            outcome,         std::nullopt};
+  }
+
+  execution::LookReply Look(std::vector<execution::RunReport> running,
+                            std::vector<execution::EndReport> ended) {
+    const execution::LookOrder& order = orders.looks.back();
+    execution::LookReply reply;
+    reply.worker = order.to.worker;
+    reply.incarnation = order.to.incarnation;
+    reply.sequence = order.sequence;
+    reply.outcome = execution::CallOutcome::kDone;
+    reply.running = std::move(running);
+    reply.ended = std::move(ended);
+    scheduler.Handle(reply);
+    return reply;
+  }
+
+  static execution::EndReport End(const execution::StartOrder& order,
+                                  std::uint64_t number,
+                                  job::RunEnd end) {
+    return {core::EndNumber(number), order.task, order.attempt, end, ""};
+  }
+
+  static execution::RunReport Run(const execution::StartOrder& order,
+                                  std::uint32_t percent = 50) {
+    return {order.task, order.attempt, "", percent, {}};
+  }
+
+  FakeClock clock;
+  OrderBook orders;
+  StoreBook store;
+  SilentLogger logger;
+  CountingMeter meter;
+  trompeloeil::sequence sequence;
+  MockFeed feed;
+  std::unique_ptr<trompeloeil::expectation> follows =
+      NAMED_ALLOW_CALL(feed, Follow());
+  std::unique_ptr<trompeloeil::expectation> leaves =
+      NAMED_ALLOW_CALL(feed, Leave());
+  job::JobBook book;
+  TicketDesk desk;
+  scheduling::Scheduler scheduler{
+      {orders, store, feed, desk, clock, logger, meter}};
+  std::size_t answered = 0;
+  std::uint64_t revision = 100;
+};
+
+}  // namespace test
+
+#endif  // TEST_SCHEDULING_SCHEDULER_BENCH_H_
