Satisfy the linter in the job modules

Cause: copies of parameters, a narrowing, a captured binding. Ruled out: a change of behaviour. Change: as the linter asks; the waiting work of a job has a function.

--- a/src/crocusmast/adapters/async/http_client.cc
+++ b/src/crocusmast/adapters/async/http_client.cc
@@ -270,7 +270,7 @@
   }
   HttpReply reply;
   reply.result = CallResult::kAnswered;
-  reply.status = message.result_int();
+  reply.status = static_cast<int>(message.result_int());
   reply.body = std::move(message.body());
   Next(key);
   pending.take(std::move(reply));
--- a/src/crocusmast/execution/worker.cc
+++ b/src/crocusmast/execution/worker.cc
@@ -85,10 +85,9 @@
   return m_record.capacity - m_used;
 }
 
-void Worker::Add(const RunKey& key, HeldRun run) {
-  const job::Room room = run.room;
-  if (m_runs.emplace(key, std::move(run)).second) {
-    m_used = m_used + room;
+void Worker::Add(const RunKey& key, const HeldRun& run) {
+  if (m_runs.emplace(key, run).second) {
+    m_used = m_used + run.room;
   }
 }
 
--- a/src/crocusmast/execution/worker.h
+++ b/src/crocusmast/execution/worker.h
@@ -120,7 +120,7 @@
    * @param key The run.
    * @param run What it takes.
    */
-  void Add(const RunKey& key, HeldRun run);
+  void Add(const RunKey& key, const HeldRun& run);
 
   /**
    * @brief Returns a run.
--- a/src/crocusmast/job/job_book.cc
+++ b/src/crocusmast/job/job_book.cc
@@ -30,8 +30,7 @@
 }
 
 void JobBook::Apply(JobEvent event, core::TimePoint now) {
-  std::visit([this, now](auto&& one) { Take(std::move(one), now); },
-             std::move(event));
+  std::visit([this, now](auto& one) { Take(std::move(one), now); }, event);
 }
 
 void JobBook::Take(JobStored&& event, core::TimePoint now) {
--- a/src/crocusmast/scheduling/scheduler.h
+++ b/src/crocusmast/scheduling/scheduler.h
@@ -227,6 +227,7 @@
              execution::Worker& worker,
              const job::TaskId& task,
              core::Attempt attempt);
+  void AddWaiting(const job::Job& job, capacity::PoolLoad& load) const;
   static execution::HeldRun Hold(const job::Step& step);
   core::Duration RemainingChain(const ActiveJob& active) const;
 
--- a/src/crocusmast/scheduling/scheduler_upkeep.cc
+++ b/src/crocusmast/scheduling/scheduler_upkeep.cc
@@ -13,6 +13,10 @@
 /** @brief Thousandths of a core in a core. */
 constexpr double kMilliCores = 1000;
 
+double ToCores(core::MilliCores processor) {
+  return static_cast<double>(processor.Count()) / kMilliCores;
+}
+
 }  // namespace internal
 
 using execution::RunKey;
@@ -76,41 +80,42 @@
   }
 }
 
+void Scheduler::AddWaiting(const job::Job& job,
+                           capacity::PoolLoad& load) const {
+  job.ForEachReady([&](const job::TaskKey&, const job::Step& step) {
+    if (step.is_filler) {
+      return;
+    }
+    const double cores = internal::ToCores(step.room.processor);
+    const core::Duration time =
+        m_run_times.Correct(job.Accepted().queue, step.estimate);
+    load.waiting_cores += cores;
+    load.waiting_core_seconds +=
+        cores * std::chrono::duration<double>(time).count();
+  });
+}
+
 std::vector<capacity::PoolLoad> Scheduler::PoolLoads() const {
   std::map<core::PoolId, capacity::PoolLoad> loads;
   for (const auto& [id, pool] : m_pools) {
     loads[id].pool = id;
     loads[id].is_standby = pool.is_standby;
   }
-  const auto cores = [](core::MilliCores processor) {
-    return static_cast<double>(processor.Count()) / internal::kMilliCores;
-  };
   for (const auto& [id, worker] : m_workers) {
     const auto load = loads.find(worker->Record().pool);
     if (load == loads.end() || !IsUsable(*worker)) {
       continue;
     }
     const core::MilliCores all = worker->Record().capacity.processor;
-    load->second.capacity_cores += cores(all);
-    load->second.running_cores += cores(all) - cores(worker->Free().processor);
+    load->second.capacity_cores += internal::ToCores(all);
+    load->second.running_cores +=
+        internal::ToCores(all) - internal::ToCores(worker->Free().processor);
   }
   for (const auto& [id, active] : m_jobs) {
     const auto load = loads.find(active.pool);
-    if (load == loads.end() || !active.may_be_ready) {
-      continue;
+    if (load != loads.end() && active.may_be_ready) {
+      AddWaiting(active.job, load->second);
     }
-    active.job.ForEachReady([&](const job::TaskKey&, const job::Step& step) {
-      if (step.is_filler) {
-        return;
-      }
-      const double need = cores(step.room.processor);
-      load->second.waiting_cores += need;
-      load->second.waiting_core_seconds +=
-          need *
-          std::chrono::duration<double>(
-              m_run_times.Correct(active.job.Accepted().queue, step.estimate))
-              .count();
-    });
   }
   std::vector<capacity::PoolLoad> all;
   all.reserve(loads.size());
