Work a pool's cores out from the load at hand

Cause: each look at the loads worked all of them out again for every pool, over all open jobs. Ruled out: a change of behaviour: the same load, taken a moment earlier. Change: the balancer passes the load on that it already has.

--- a/src/crocusmast/capacity/balancer.cc
+++ b/src/crocusmast/capacity/balancer.cc
@@ -84,18 +84,16 @@
       [&pool](const auto& one) { return one.second.to == pool; }));
 }
 
-double Balancer::CoresOf(const core::PoolId& pool) const {
+double Balancer::CoresOf(const PoolLoad& load) const {
   constexpr double kUsualCores = 16;
   const auto machines = static_cast<double>(std::count_if(
-      m_machines.begin(), m_machines.end(), [&pool](const auto& one) {
-        return one.second.pool == pool && one.second.state == MachineState::kUp;
+      m_machines.begin(), m_machines.end(), [&load](const auto& one) {
+        return one.second.pool == load.pool &&
+               one.second.state == MachineState::kUp;
       }));
-  for (const PoolLoad& load : m_ports.loads.PoolLoads()) {
-    if (load.pool == pool && machines > 0 && load.capacity_cores > 0) {
-      return load.capacity_cores / machines;
-    }
-  }
-  return kUsualCores;
+  return machines > 0 && load.capacity_cores > 0
+             ? load.capacity_cores / machines
+             : kUsualCores;
 }
 
 void Balancer::Round(bool is_sure, const IsTaken& is_taken) {
@@ -136,7 +134,7 @@
 void Balancer::Lend(const PoolLoad& load, const IsTaken& is_taken) {
   const double wanted_cores =
       load.waiting_core_seconds / kBacklogSeconds + load.running_cores;
-  const double cores = CoresOf(load.pool);
+  const double cores = CoresOf(load);
   const double missing = wanted_cores - load.capacity_cores -
                          cores * static_cast<double>(CountIncoming(load.pool));
   auto count = static_cast<std::int64_t>(std::floor(missing / cores));
--- a/src/crocusmast/capacity/balancer.h
+++ b/src/crocusmast/capacity/balancer.h
@@ -101,7 +101,7 @@
   void Return(const PoolLoad& load, const IsTaken& is_taken);
   void Order(const core::MachineId& machine, const core::PoolId& to);
   std::size_t CountIncoming(const core::PoolId& pool) const;
-  double CoresOf(const core::PoolId& pool) const;
+  double CoresOf(const PoolLoad& load) const;
   void Log(std::string sentence, std::vector<core::LogField> fields) const;
 
   BalancerPorts m_ports;
