Store progress as one chain of commits, and only the end of jobs that are over

Cause: a commit held 14 jobs at most (a condition and a write each), took jobs by id, and ends were recorded only when no job had changes left. In a rush more jobs change than that, so ends were never recorded and looks fell back to each 300 ms.

Change: one key numbers the holder's commits; each commit expects the revision of the one before it, so a late one fails without a condition a job (28 jobs a commit). Jobs are stored in the order in which they changed; ends are recorded once what came before them is stored. A job that is over is replaced by a short record. The holder's notes (some 16 KB, written at each change of membership) are no longer watched by everybody but read by a new holder.

--- a/src/crocusmast/adapters/records/job_records.cc
+++ b/src/crocusmast/adapters/records/job_records.cc
@@ -235,6 +235,39 @@
       });
 }
 
+std::string EncodeEnd(const core::QueueId& queue, job::JobState state) {
+  // An array, so that it is told apart from a job by its first byte, and short:
+  // most of what the store holds are ended jobs.
+  return internal::ToBytes(
+      {internal::kLayout, static_cast<int>(state), queue.Text()});
+}
+
+bool IsEnd(std::string_view bytes) {
+  constexpr int kMajorTypeShift = 5;
+  constexpr int kArray = 4;
+  return !bytes.empty() &&
+         static_cast<unsigned char>(bytes.front()) >> kMajorTypeShift == kArray;
+}
+
+core::Result<job::JobEnded> DecodeEnd(std::string_view bytes) {
+  try {
+    const Json json = Json::from_cbor(bytes.begin(), bytes.end());
+    job::JobEnded end;
+    const int state = json.at(1);
+    if (json.at(0) != internal::kLayout || state < 0 ||
+        state > internal::kLastState) {
+      return core::Fail(core::Step::kDecodeMessage, "end record",
+                        "unknown layout or state");
+    }
+    end.state = static_cast<job::JobState>(state);
+    BOOST_LEAF_ASSIGN(end.queue,
+                      core::QueueId::Create(json.at(2).get<std::string>()));
+    return end;
+  } catch (const Json::exception& problem) {
+    return core::Fail(core::Step::kDecodeMessage, "end record", problem.what());
+  }
+}
+
 std::string EncodeNotes(const job::HolderNotes& notes) {
   Json workers = Json::array();
   for (const job::GrantedWorker& grant : notes.workers) {
--- a/src/crocusmast/adapters/records/job_records.h
+++ b/src/crocusmast/adapters/records/job_records.h
@@ -29,6 +29,14 @@
 /** @brief Decodes a job's progress; an error names what is wrong. */
 core::Result<job::JobProgress> DecodeProgress(std::string_view bytes);
 
+/** @brief Encodes the end of a job; its id is not part of the record. */
+std::string EncodeEnd(const core::QueueId& queue, job::JobState state);
+/** @brief Tells whether a record is of a job's end, not of the whole job. */
+bool IsEnd(std::string_view bytes);
+/** @brief Decodes the end of a job, without its id; an error names what is
+ * wrong. */
+core::Result<job::JobEnded> DecodeEnd(std::string_view bytes);
+
 /** @brief Encodes a holder's notes. */
 std::string EncodeNotes(const job::HolderNotes& notes);
 /** @brief Decodes a holder's notes. */
--- a/src/crocusmast/job/job_book.cc
+++ b/src/crocusmast/job/job_book.cc
@@ -55,6 +55,19 @@
   Settle(entry, now);
 }
 
+void JobBook::Take(JobEnded&& event, core::TimePoint now) {
+  JobEntry& entry = m_entries[event.id];
+  const bool was_final = entry.progress && IsFinal(entry.progress->state);
+  entry.job.id = event.id;
+  entry.job.queue = event.queue;
+  entry.progress.emplace();
+  entry.progress->state = event.state;
+  entry.revision = event.revision;
+  if (!was_final) {
+    Settle(entry, now);
+  }
+}
+
 void JobBook::Take(JobRemoved&& event, core::TimePoint now) {
   m_entries.erase(event.id);
 }
--- a/src/crocusmast/job/job_book.h
+++ b/src/crocusmast/job/job_book.h
@@ -30,6 +30,14 @@
   /** @brief The store's revision of this progress. */
   core::Revision revision;
 };
+/** @brief The store holds that a job is over, and nothing else of it. */
+struct JobEnded {
+  core::JobId id;
+  core::QueueId queue;
+  JobState state = JobState::kSucceeded;
+  /** @brief The store's revision of this record. */
+  core::Revision revision;
+};
 /** @brief The store no longer holds a job. */
 struct JobRemoved {
   core::JobId id;
@@ -37,7 +45,7 @@
 
 /** @brief What the store says of jobs. */
 using JobEvent =
-    std::variant<JobStored, CancelStored, ProgressStored, JobRemoved>;
+    std::variant<JobStored, CancelStored, ProgressStored, JobEnded, JobRemoved>;
 
 /**
  * @brief Returns the job that an event is about.
@@ -100,6 +108,7 @@
   void Take(JobStored&& event, core::TimePoint now);
   void Take(CancelStored&& event, core::TimePoint now);
   void Take(ProgressStored&& event, core::TimePoint now);
+  void Take(JobEnded&& event, core::TimePoint now);
   void Take(JobRemoved&& event, core::TimePoint now);
   static void Settle(JobEntry& entry, core::TimePoint now);
 
--- a/src/crocusmast/job/job_store.h
+++ b/src/crocusmast/job/job_store.h
@@ -88,15 +88,21 @@
   std::vector<WaveNote> waves;
 };
 
-/** @brief The store holds the notes of a holder. */
-struct NotesStored {
+/** @brief What a new holder finds of the earlier one. */
+struct HolderRecord {
   HolderNotes notes;
+  /** @brief The store's revision of the last commit; 0 for none. */
+  core::Revision last_commit;
 };
 
-/** @brief Progress to store, if the store's has the revision expected. */
+/**
+ * @brief Progress of a job to store.
+ *
+ * Of a job in a final state only the state is kept.
+ */
 struct ProgressWrite {
   core::JobId id;
-  core::Revision expected;
+  core::QueueId queue;
   JobProgress progress;
 };
 
@@ -106,6 +112,9 @@
   std::uint64_t sequence = 0;
   /** @brief The holder's claim; a deposed holder's commit fails. */
   core::FencingToken token;
+  /** @brief The revision of the last commit; one that others have overtaken
+   * fails. */
+  core::Revision after;
   std::vector<ProgressWrite> progress;
   /** @brief The holder's notes; absent: as they are. */
   std::optional<HolderNotes> notes;
@@ -115,12 +124,11 @@
 struct CommitReply {
   std::uint64_t sequence = 0;
   StoreOutcome outcome = StoreOutcome::kUnknown;
-  /** @brief The store's revision of what was written. */
+  /** @brief The store's revision of the last commit; after a conflict, of the
+   * one that was found. */
   core::Revision revision;
   /** @brief After a conflict: the holder's claim still stands. */
   bool is_still_holder = true;
-  /** @brief After a conflict: the revisions that the store has. */
-  std::vector<std::pair<core::JobId, core::Revision>> found;
 };
 
 /** @brief Keeps jobs in the store; answers come back as messages. */
@@ -142,7 +150,8 @@
    * new, others only show it.
    */
   virtual void SetHurry(bool is_hurried) = 0;
-  /** @brief Reads all that is stored anew; answered by the whole list. */
+  /** @brief Reads all that is stored anew; answered by the whole list with
+   * the holder's record. */
   virtual void Refresh() = 0;
   /** @brief Removes what is stored of jobs; not answered. */
   virtual void Remove(core::FencingToken token,
--- a/src/crocusmast/leadership/elector.cc
+++ b/src/crocusmast/leadership/elector.cc
@@ -5,14 +5,18 @@
 namespace crocusmast::leadership {
 
 Elector::Elector(Holder self,
+                 std::chrono::milliseconds patience,
                  LeasePort& port,
                  const core::Clock& clock,
                  core::Logger& logger)
-    : m_self(std::move(self)), m_port(port), m_clock(clock), m_logger(logger) {}
+    : m_self(std::move(self)),
+      m_patience(patience),
+      m_port(port),
+      m_clock(clock),
+      m_logger(logger) {}
 
 void Elector::Handle(const DutyStored& stored) {
-  m_is_known = true;
-  m_known = stored;
+  m_vacant_since.reset();
   if (m_phase == Phase::kHolding && m_token.Count() < stored.revision.Count()) {
     Lose("the store names " + stored.holder.instance + " at revision " +
          std::to_string(stored.revision.Count()));
@@ -34,8 +38,9 @@
 }
 
 void Elector::Handle(const DutyVacant& vacant) {
-  m_is_known = true;
-  m_known.reset();
+  if (!m_vacant_since) {
+    m_vacant_since = m_clock.Now();
+  }
   if (m_phase == Phase::kHolding && m_token.Count() < vacant.revision.Count()) {
     Lose("the store has removed the claim at revision " +
          std::to_string(vacant.revision.Count()));
@@ -44,12 +49,14 @@
 }
 
 void Elector::Try() {
-  if (m_phase != Phase::kWatching || !m_is_known || m_known ||
-      m_clock.Now() < m_try_at) {
+  const core::TimePoint now = m_clock.Now();
+  const bool may_try = m_phase == Phase::kWatching && m_vacant_since &&
+                       *m_vacant_since + m_patience <= now && m_try_at <= now;
+  if (!may_try) {
     return;
   }
   m_phase = Phase::kAsking;
-  m_try_at = m_clock.Now() + kClaimRetry;
+  m_try_at = now + kClaimRetry;
   m_port.Grant(kSchedulingLease.length);
 }
 
@@ -86,7 +93,7 @@
 void Elector::Hold(core::Revision revision) {
   m_phase = Phase::kHolding;
   m_token = core::FencingToken(revision.Count());
-  m_known = DutyStored{m_self, revision};
+  m_vacant_since.reset();
   m_lease.Extend(m_lease_asked_at);
   Log(core::Severity::kInfo,
       "This instance holds the scheduling duty with token " +
--- a/src/crocusmast/leadership/elector.h
+++ b/src/crocusmast/leadership/elector.h
@@ -35,11 +35,13 @@
   /**
    * @brief Makes an elector that does not hold the duty.
    * @param self This life of this instance.
+   * @param patience How long a vacant duty is left to others first.
    * @param port Reaches the store; outlives the elector.
    * @param clock Tells the time, suspends included; outlives the elector.
    * @param logger Takes what changes; outlives the elector.
    */
   Elector(Holder self,
+          std::chrono::milliseconds patience,
           LeasePort& port,
           const core::Clock& clock,
           core::Logger& logger);
@@ -72,9 +74,6 @@
   /** @brief Returns the token of the hold; 0 without one. */
   core::FencingToken Token() const { return m_token; }
 
-  /** @brief Returns who has the duty, as far as is known. */
-  const std::optional<DutyStored>& Known() const { return m_known; }
-
  private:
   enum class Phase { kWatching, kAsking, kClaiming, kHolding, kResigned };
 
@@ -84,12 +83,13 @@
   void Log(core::Severity severity, std::string sentence) const;
 
   const Holder m_self;
+  const std::chrono::milliseconds m_patience;
   LeasePort& m_port;
   const core::Clock& m_clock;
   core::Logger& m_logger;
   Phase m_phase = Phase::kWatching;
-  bool m_is_known = false;
-  std::optional<DutyStored> m_known;
+  /** @brief Since when the duty is known to be vacant; empty if it is not. */
+  std::optional<core::TimePoint> m_vacant_since;
   DutyLease m_lease{kSchedulingLease};
   LeaseId m_lease_id;
   core::TimePoint m_lease_asked_at;
--- a/src/crocusmast/manager/manager.cc
+++ b/src/crocusmast/manager/manager.cc
@@ -18,7 +18,11 @@
 Manager::Manager(ManagerSettings settings, const ManagerPorts& ports)
     : m_settings(std::move(settings)),
       m_ports(ports),
-      m_elector(m_settings.self, ports.leases, ports.clock, ports.logger),
+      m_elector(m_settings.self,
+                m_settings.patience,
+                ports.leases,
+                ports.clock,
+                ports.logger),
       m_scheduler({ports.workers, ports.store, ports.feed, ports.tickets,
                    ports.clock, ports.logger, ports.meter}),
       m_upkeep({ports.machines, m_scheduler, ports.clock, ports.logger},
@@ -137,7 +141,6 @@
 }
 
 void Manager::Take(StoreListed&& listed) {
-  m_notes = {};
   bool has_duty = false;
   std::unordered_set<core::JobId> named;
   for (StoreEvent& event : listed.events) {
@@ -152,7 +155,10 @@
     m_elector.Handle(leadership::DutyVacant{listed.revision});
   }
   m_book.Retain(named);
-  m_listed_revision = listed.revision;
+  if (listed.holder) {
+    m_holder = std::move(*listed.holder);
+    m_holder_revision = listed.revision;
+  }
   BookIsCurrent();
 }
 
@@ -166,8 +172,6 @@
 void Manager::Apply(StoreEvent&& event) {
   if (auto* job = std::get_if<job::JobEvent>(&event)) {
     ApplyJob(std::move(*job));
-  } else if (auto* notes = std::get_if<job::NotesStored>(&event)) {
-    m_notes = std::move(notes->notes);
   } else if (const auto* duty = std::get_if<leadership::DutyStored>(&event)) {
     m_elector.Handle(*duty);
   } else {
@@ -215,14 +219,14 @@
   }
   // All that an earlier holder stored lies before this holder's claim.
   const bool may_begin =
-      is_waiting && token.Count() <= m_listed_revision.Count();
+      is_waiting && token.Count() <= m_holder_revision.Count();
   if (may_begin) {
     m_token = token;
     m_scheduler.SetDirectory(*m_directory);
     m_scheduler.Begin({token, leadership::kSchedulingLease.acting -
                                   leadership::kSchedulingLease.length},
-                      m_book, m_notes);
-    m_upkeep.Begin(token, m_notes.waves);
+                      m_book, m_holder);
+    m_upkeep.Begin(token, m_holder.notes.waves);
     m_balancer.Begin(token);
   }
 }
--- a/src/crocusmast/manager/manager.h
+++ b/src/crocusmast/manager/manager.h
@@ -48,6 +48,8 @@
 /** @brief Who the manager is, and what bounds it. */
 struct ManagerSettings {
   leadership::Holder self;
+  /** @brief How long a vacant duty is left to others first. */
+  std::chrono::milliseconds patience{};
   /** @brief Two holders give a machine orders at least this far apart. */
   std::chrono::milliseconds machine_order_gap{};
 };
@@ -98,9 +100,9 @@
   ManagerSettings m_settings;
   ManagerPorts m_ports;
   job::JobBook m_book;
-  job::HolderNotes m_notes;
-  /** @brief The revision of the newest whole list. */
-  core::Revision m_listed_revision;
+  job::HolderRecord m_holder;
+  /** @brief The revision of the newest whole list with the holder's record. */
+  core::Revision m_holder_revision;
   core::TimePoint m_book_current_at;
   core::TimePoint m_remove_at;
   std::shared_ptr<const queue::Directory> m_directory;
--- a/src/crocusmast/manager/messages.h
+++ b/src/crocusmast/manager/messages.h
@@ -20,15 +20,16 @@
 namespace crocusmast::manager {
 
 /** @brief One change of what the store holds for this system. */
-using StoreEvent = std::variant<job::JobEvent,
-                                job::NotesStored,
-                                leadership::DutyStored,
-                                leadership::DutyVacant>;
+using StoreEvent =
+    std::variant<job::JobEvent, leadership::DutyStored, leadership::DutyVacant>;
 
 /** @brief All that the store holds for this system. */
 struct StoreListed {
   std::vector<StoreEvent> events;
   core::Revision revision;
+  /** @brief What the last holder left; read before the list, and only when
+   * that was asked for. */
+  std::optional<job::HolderRecord> holder;
 };
 /** @brief What has changed in the store; may be nothing. */
 struct StoreChanged {
--- a/src/crocusmast/scheduling/committer.cc
+++ b/src/crocusmast/scheduling/committer.cc
@@ -6,29 +6,30 @@
 namespace crocusmast::scheduling {
 
 void Committer::Reset() {
+  Begin({});
+}
+
+void Committer::Begin(core::Revision last_commit) {
   ++m_sequence;
   m_is_in_flight = false;
+  m_last_commit = last_commit;
   m_next_at = {};
-  m_revisions.clear();
   m_changed.clear();
-  m_in_flight_jobs.clear();
+  m_places.clear();
+  m_in_flight.clear();
   m_ends.clear();
-  m_in_flight_ends.clear();
   m_notes.reset();
   m_in_flight_notes.reset();
 }
 
-void Committer::SetRevision(const core::JobId& id, core::Revision revision) {
-  m_revisions[id] = revision;
-}
-
 void Committer::MarkChanged(const core::JobId& id) {
-  m_changed.insert(id);
+  if (m_places.emplace(id, m_last_place + 1).second) {
+    m_changed.emplace_back(++m_last_place, id);
+  }
 }
 
 void Committer::AddEnds(const core::InstanceId& worker, core::EndNumber taken) {
-  core::EndNumber& known = m_ends[worker];
-  known = std::max(known, taken);
+  m_ends.push_back({m_last_place, worker, taken});
 }
 
 void Committer::SetNotes(job::HolderNotes notes) {
@@ -49,18 +50,20 @@
   job::Commit commit;
   commit.sequence = ++m_sequence;
   commit.token = token;
-  while (!m_changed.empty() && commit.progress.size() < kMaxCommitJobs) {
-    const core::JobId id = *m_changed.begin();
-    m_changed.erase(m_changed.begin());
-    if (std::optional<job::JobProgress> progress = read(id); progress) {
-      commit.progress.push_back({id, m_revisions[id], std::move(*progress)});
-      m_in_flight_jobs.insert(id);
+  commit.after = m_last_commit;
+  std::size_t entries = 0;
+  while (!m_changed.empty() && entries + kEndEntries <= kMaxCommitEntries) {
+    const auto [place, id] = std::move(m_changed.front());
+    m_changed.pop_front();
+    m_places.erase(id);
+    if (std::optional<job::ProgressWrite> write = read(id); write) {
+      entries +=
+          job::IsFinal(write->progress.state) ? kEndEntries : kProgressEntries;
+      commit.progress.push_back(std::move(*write));
+      m_in_flight.emplace(id, place);
     }
   }
-  // Ends are recorded once every change that came before them is stored.
-  if (m_changed.empty()) {
-    m_in_flight_ends = std::exchange(m_ends, {});
-  }
+  m_is_full = !m_changed.empty();
   m_in_flight_notes = std::exchange(m_notes, std::nullopt);
   commit.notes = m_in_flight_notes;
   m_is_in_flight = true;
@@ -75,15 +78,11 @@
   }
   m_is_in_flight = false;
   if (reply.outcome == job::StoreOutcome::kDone) {
-    m_next_at = now + kCommitPause;
-    for (const core::JobId& id : m_in_flight_jobs) {
-      m_revisions[id] = reply.revision;
-    }
-    m_in_flight_jobs.clear();
+    m_next_at = m_is_full ? now : now + kCommitPause;
+    m_last_commit = reply.revision;
+    m_in_flight.clear();
     m_in_flight_notes.reset();
-    for (const auto& [worker, number] : std::exchange(m_in_flight_ends, {})) {
-      take(worker, number);
-    }
+    TellRecorded(take);
     return true;
   }
   PutBack();
@@ -91,28 +90,40 @@
   if (reply.outcome != job::StoreOutcome::kConflict) {
     return true;
   }
-  for (const auto& [id, revision] : reply.found) {
-    m_revisions[id] = revision;
-  }
+  // An earlier commit without an answer was done after all.
+  m_last_commit = reply.revision;
   m_next_at = now;
   return reply.is_still_holder;
 }
 
+void Committer::TellRecorded(const TakeRecorded& take) {
+  const Place stored =
+      m_changed.empty() ? m_last_place : m_changed.front().first - 1;
+  while (!m_ends.empty() && m_ends.front().after <= stored) {
+    take(m_ends.front().worker, m_ends.front().taken);
+    m_ends.pop_front();
+  }
+}
+
 void Committer::PutBack() {
-  m_changed.insert(m_in_flight_jobs.begin(), m_in_flight_jobs.end());
-  m_in_flight_jobs.clear();
-  for (const auto& [worker, number] : m_in_flight_ends) {
-    AddEnds(worker, number);
+  std::vector<std::pair<Place, core::JobId>> jobs;
+  for (const auto& [id, place] : m_in_flight) {
+    // Changed again since: it waits at the place of its first change.
+    m_places[id] = place;
+    jobs.emplace_back(place, id);
   }
-  m_in_flight_ends.clear();
+  m_changed.erase(std::remove_if(m_changed.begin(), m_changed.end(),
+                                 [this](const auto& one) {
+                                   return m_in_flight.count(one.second) > 0;
+                                 }),
+                  m_changed.end());
+  std::sort(jobs.begin(), jobs.end());
+  m_changed.insert(m_changed.begin(), jobs.begin(), jobs.end());
+  m_in_flight.clear();
   if (!m_notes) {
     m_notes = std::move(m_in_flight_notes);
   }
   m_in_flight_notes.reset();
 }
 
-void Committer::Forget(const core::JobId& id) {
-  m_revisions.erase(id);
-}
-
 }  // namespace crocusmast::scheduling
--- a/src/crocusmast/scheduling/committer.h
+++ b/src/crocusmast/scheduling/committer.h
@@ -3,11 +3,11 @@
 
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <functional>
-#include <map>
 #include <optional>
-#include <set>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "crocusmast/core/clock.h"
@@ -15,9 +15,17 @@
 
 namespace crocusmast::scheduling {
 
-/** @brief The most jobs in one commit; the store takes 32 conditions and
- * writes together, and each job has one of either. */
-inline constexpr std::size_t kMaxCommitJobs = 14;
+/**
+ * @brief How much of a commit the jobs may take.
+ *
+ * The store takes 32 conditions, writes and removals together; the claim, the
+ * last commit's number as condition and write, and the notes take four.
+ */
+inline constexpr std::size_t kMaxCommitEntries = 28;
+/** @brief What a job takes of it: one write, or for one that is over the write
+ * of its end and the removal of two parts. */
+inline constexpr std::size_t kProgressEntries = 1;
+inline constexpr std::size_t kEndEntries = 3;
 /** @brief The pause between two commits, so that changes are batched. */
 inline constexpr std::chrono::milliseconds kCommitPause{15};
 /** @brief A commit without an answer is sent again after this. */
@@ -27,24 +35,23 @@
  * @brief Stores the progress of jobs, and knows which ends are recorded.
  *
  * One commit is under way at a time. A commit without an answer may still be
- * done, even later: each write expects the revision that it was based on, so
- * that an old one can't undo a newer one.
+ * done, even later: each expects the revision of the one before it, so an old
+ * one can't undo a newer one.
  */
 class Committer {
  public:
   /** @brief Returns the progress of a job that the holder still knows. */
   using ReadProgress =
-      std::function<std::optional<job::JobProgress>(const core::JobId&)>;
+      std::function<std::optional<job::ProgressWrite>(const core::JobId&)>;
 
-  /** @brief Forgets everything, when a hold begins or ends. */
+  /** @brief Forgets everything, when a hold ends. */
   void Reset();
 
   /**
-   * @brief Sets what the store holds of a job's progress.
-   * @param id The job.
-   * @param revision The store's revision; 0 for nothing.
+   * @brief Forgets everything and begins a hold.
+   * @param last_commit The store's revision of the last commit; 0 for none.
    */
-  void SetRevision(const core::JobId& id, core::Revision revision);
+  void Begin(core::Revision last_commit);
 
   /**
    * @brief Takes in that a job's progress has changed.
@@ -92,12 +99,6 @@
               core::TimePoint now,
               const TakeRecorded& take);
 
-  /**
-   * @brief Forgets a job that is stored in its final state.
-   * @param id The job.
-   */
-  void Forget(const core::JobId& id);
-
   /** @brief Tells whether something is not stored yet. */
   bool HasPending() const {
     return m_is_in_flight || !m_changed.empty() || !m_ends.empty();
@@ -105,20 +106,34 @@
 
   /** @brief Tells whether a job has changes that are not stored. */
   bool IsChanged(const core::JobId& id) const {
-    return m_changed.count(id) > 0 || m_in_flight_jobs.count(id) > 0;
+    return m_places.count(id) > 0 || m_in_flight.count(id) > 0;
   }
 
  private:
+  /** @brief The place of a change in the order in which they came. */
+  using Place = std::uint64_t;
+  /** @brief Ends that are recorded once all changes before them are stored. */
+  struct WaitingEnds {
+    Place after = 0;
+    core::InstanceId worker;
+    core::EndNumber taken;
+  };
+
   void PutBack();
+  void TellRecorded(const TakeRecorded& take);
 
   std::uint64_t m_sequence = 0;
   bool m_is_in_flight = false;
+  /** @brief The last commit left changes behind for want of entries. */
+  bool m_is_full = false;
+  core::Revision m_last_commit;
   core::TimePoint m_next_at;
-  std::unordered_map<core::JobId, core::Revision> m_revisions;
-  std::set<core::JobId> m_changed;
-  std::set<core::JobId> m_in_flight_jobs;
-  std::map<core::InstanceId, core::EndNumber> m_ends;
-  std::map<core::InstanceId, core::EndNumber> m_in_flight_ends;
+  Place m_last_place = 0;
+  /** @brief Changed jobs, the longest waiting first. */
+  std::deque<std::pair<Place, core::JobId>> m_changed;
+  std::unordered_map<core::JobId, Place> m_places;
+  std::unordered_map<core::JobId, Place> m_in_flight;
+  std::deque<WaitingEnds> m_ends;
   std::optional<job::HolderNotes> m_notes;
   std::optional<job::HolderNotes> m_in_flight_notes;
 };
--- a/src/crocusmast/scheduling/scheduler.cc
+++ b/src/crocusmast/scheduling/scheduler.cc
@@ -23,12 +23,14 @@
 
 void Scheduler::Begin(const Reign& reign,
                       const job::JobBook& book,
-                      const job::HolderNotes& notes) {
+                      const job::HolderRecord& record) {
   End();
+  const job::HolderNotes& notes = record.notes;
   m_is_active = true;
   m_reign = reign;
   const core::TimePoint now = m_ports.clock.Now();
   m_wave_notes = notes.waves;
+  m_committer.Begin(record.last_commit);
   for (const job::GrantedWorker& grant : notes.workers) {
     m_unsettled[grant.worker] = {grant.incarnation, grant.pool,
                                  now + grant.lease_left};
@@ -46,7 +48,6 @@
     const auto age = std::clamp<core::Duration>(wall - entry.job.accepted_at,
                                                 core::Duration::zero(),
                                                 internal::kOldestAge);
-    m_committer.SetRevision(id, entry.revision);
     ActiveJob& active = Insert(
         job::Job::Create(entry.job, entry.progress ? &*entry.progress : nullptr,
                          core::Attempt(reign.token.Count())),
@@ -194,8 +195,10 @@
   SendLooks();
   const auto read = [this](const core::JobId& id) {
     const ActiveJob* active = FindJob(id);
-    return active == nullptr ? std::nullopt
-                             : std::optional(active->job.Progress());
+    return active == nullptr
+               ? std::nullopt
+               : std::optional(job::ProgressWrite{
+                     id, active->job.Accepted().queue, active->job.Progress()});
   };
   std::optional<job::Commit> commit =
       m_committer.Next(m_reign.token, m_ports.clock.Now(), read);
@@ -268,7 +271,6 @@
       ++next;
       continue;
     }
-    m_committer.Forget(id);
     m_tickets.Forget(id);
     m_ended.insert(id);
     m_timed.erase(id);
--- a/src/crocusmast/scheduling/scheduler.h
+++ b/src/crocusmast/scheduling/scheduler.h
@@ -96,11 +96,11 @@
    * @brief Begins a hold.
    * @param reign The hold.
    * @param book All jobs, up to the claim at least.
-   * @param notes The notes of the earlier holder.
+   * @param record What the earlier holder left.
    */
   void Begin(const Reign& reign,
              const job::JobBook& book,
-             const job::HolderNotes& notes);
+             const job::HolderRecord& record);
 
   /** @brief Ends the hold; what runs goes on under its leases. */
   void End();
--- a/test/adapters/job_records_test.cc
+++ b/test/adapters/job_records_test.cc
@@ -17,6 +17,7 @@
   CPPUNIT_TEST_SUITE(JobRecordsTest);
   CPPUNIT_TEST(JobsComeBackWhole);
   CPPUNIT_TEST(ProgressComesBackWhole);
+  CPPUNIT_TEST(AnEndIsToldFromAJob);
   CPPUNIT_TEST(NotesComeBackWhole);
   CPPUNIT_TEST(DamageIsAnError);
   CPPUNIT_TEST_SUITE_END();
@@ -55,6 +56,19 @@
     CPPUNIT_ASSERT(records::EncodeJob(read) == bytes);
   }
 
+  void AnEndIsToldFromAJob() {
+    const auto queue = MakeId<core::QueueId>("queue");
+    const std::string bytes = records::EncodeEnd(queue, job::JobState::kFailed);
+    CPPUNIT_ASSERT(records::IsEnd(bytes));
+    CPPUNIT_ASSERT(!records::IsEnd(records::EncodeJob(Whole())));
+    CPPUNIT_ASSERT(!records::IsEnd(""));
+    const job::JobEnded end = records::DecodeEnd(bytes).value();
+    CPPUNIT_ASSERT(end.queue == queue);
+    CPPUNIT_ASSERT(end.state == job::JobState::kFailed);
+    CPPUNIT_ASSERT(!records::DecodeEnd("\x83\x01\x09\x61q"));
+    CPPUNIT_ASSERT(!records::DecodeEnd(bytes.substr(0, bytes.size() - 2)));
+  }
+
   void ProgressComesBackWhole() {
     job::JobProgress progress;
     progress.state = job::JobState::kRunning;
--- a/test/leadership/elector_test.cc
+++ b/test/leadership/elector_test.cc
@@ -34,6 +34,7 @@
   CPPUNIT_TEST(ASuccessorsClaimEndsTheHold);
   CPPUNIT_TEST(AnEarlierLifeIsDeposed);
   CPPUNIT_TEST(ResigningReleases);
+  CPPUNIT_TEST(APatientInstanceLeavesAVacantDutyToOthersFirst);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -114,6 +115,25 @@
     CPPUNIT_ASSERT(!m_elector.MayAct());
   }
 
+  void APatientInstanceLeavesAVacantDutyToOthersFirst() {
+    const std::chrono::milliseconds patience(700);
+    Elector patient{kSelf, patience, m_leases, m_clock, m_logger};
+    {
+      FORBID_CALL(m_leases, Grant(_));
+      patient.Handle(DutyVacant{core::Revision(3)});
+      m_clock.Advance(patience / 2);
+      patient.Tick();
+      // Somebody else took it meanwhile, and lost it again.
+      patient.Handle(DutyStored{kOther, core::Revision(4)});
+      patient.Handle(DutyVacant{core::Revision(5)});
+      m_clock.Advance(patience / 2);
+      patient.Tick();
+    }
+    REQUIRE_CALL(m_leases, Grant(_));
+    m_clock.Advance(patience / 2);
+    patient.Tick();
+  }
+
  private:
   void Ask() {
     REQUIRE_CALL(m_leases, Grant(leadership::kSchedulingLease.length));
@@ -132,7 +152,8 @@
   test::FakeClock m_clock;
   test::SilentLogger m_logger;
   test::MockLeases m_leases;
-  Elector m_elector{kSelf, m_leases, m_clock, m_logger};
+  Elector m_elector{kSelf, std::chrono::milliseconds(0), m_leases, m_clock,
+                    m_logger};
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(ElectorTest, "leadership");
--- a/test/scheduling/scheduler_bench.h
+++ b/test/scheduling/scheduler_bench.h
@@ -22,7 +22,7 @@
 
   void Begin(std::uint64_t token = 10, const job::HolderNotes& notes = {}) {
     scheduler.Begin({core::FencingToken(token), std::chrono::seconds(5)}, book,
-                    notes);
+                    {notes, core::Revision(revision)});
   }
 
   void List(std::vector<execution::WorkerRecord> workers) {
--- a/test/soak/load.py
+++ b/test/soak/load.py
@@ -11,26 +11,30 @@
 from daemons import Daemon, make_folder
 from world import World
 
-POOLS = [("a", 20, False), ("b", 20, False), ("spare", 4, True)]
+def make_pools(workers):
+    """Returns two pools and the spare one: (name, workers, is_standby)."""
+    return [("a", workers // 2, False), ("b", workers // 2, False),
+            ("spare", 4, True)]
 
 
-def configuration():
+def configuration(pools):
     """Returns lists with one queue a pool."""
     return {"version": 2, "routes": [
         {"name": "q-" + pool, "host": pool + ".example", "prefix": "/j/",
          "kind": "unsafe", "timeout_ms": 3000, "target_runtime_ms": 600,
          "priority": 0, "service": pool, "max_attempts": 4,
-         "slack_factor": 1.6} for pool, _, standby in POOLS if not standby],
+         "slack_factor": 1.6} for pool, _, standby in pools if not standby],
         "services": [{"name": pool, "enforce_capacity": True,
                       **({"standby": True} if standby else {})}
-                     for pool, _, standby in POOLS],
+                     for pool, _, standby in pools],
         "limits": {}}
 
 
 async def main(arguments):
     world = World(arguments.seed)
-    await world.start(POOLS, ["z1", "z2"])
-    world.write("op/config", configuration())
+    pools = make_pools(arguments.workers)
+    await world.start(pools, ["z1", "z2"])
+    world.write("op/config", configuration(pools))
     folder = make_folder()
     daemons = [Daemon(number + 1, "z%d" % (number + 1), arguments.program,
                       folder, {"store": world.store_address,
@@ -76,6 +80,7 @@
     parser.add_argument("--prefix", default="", help="a tool to run the first "
                         "daemon under")
     parser.add_argument("--daemons", type=int, default=1)
+    parser.add_argument("--workers", type=int, default=40)
     parser.add_argument("--tasks", type=float, default=300, help="a second")
     parser.add_argument("--seconds", type=float, default=10)
     parser.add_argument("--settle", type=float, default=4)
