Spare processor time on the way to workers and back

A call to a worker set timers and erased the type of its executor on each step, an answer to a look was parsed twice, each start built a tree of JSON.

--- a/src/crocusmast/adapters/async/http_client.cc
+++ b/src/crocusmast/adapters/async/http_client.cc
@@ -7,11 +7,11 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <utility>
 
 namespace crocusmast::adapters::async {
@@ -20,8 +20,14 @@
 namespace beast = boost::beast;
 namespace http = beast::http;
 using Tcp = boost::asio::ip::tcp;
+/** @brief With the executor's own type, which spares its type erasure. */
+using Socket =
+    boost::asio::basic_stream_socket<Tcp,
+                                     boost::asio::io_context::executor_type>;
 using SteadyTime = std::chrono::steady_clock::time_point;
 
+/** @brief How often calls are looked through for those whose time is up. */
+constexpr std::chrono::milliseconds kExpiryPause{50};
 /** @brief A connection idle for longer is checked before it is used again. */
 constexpr std::chrono::milliseconds kTrustedIdle{1000};
 /** @brief A connection idle for longer is closed: servers close theirs. */
@@ -41,23 +47,26 @@
 /** @brief One kept connection and the call that it carries. */
 struct Connection {
   Connection(boost::asio::io_context& context, Peer& owner)
-      : stream(context), peer(owner) {}
+      : socket(context), peer(owner) {}
 
   /** @brief Tells whether the peer has closed or sent what nobody asked for. */
   bool IsStale() {
     char byte = 0;
-    const ssize_t got = ::recv(stream.socket().native_handle(), &byte, 1,
-                               MSG_PEEK | MSG_DONTWAIT);
+    const ssize_t got =
+        ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
     return got >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
   }
 
-  beast::tcp_stream stream;
+  Socket socket;
   Peer& peer;
   beast::flat_buffer buffer;
   Pending pending;
   std::string request;
   std::optional<http::response_parser<http::string_body>> parser;
   SteadyTime used_at;
+  /** @brief When the step under way has to be over. */
+  SteadyTime expires_at;
+  bool is_expired = false;
 };
 
 using ConnectionPtr = std::shared_ptr<Connection>;
@@ -118,12 +127,19 @@
   void Send(ConnectionPtr connection);
   void Receive(ConnectionPtr connection);
   void Finish(const ConnectionPtr& connection);
-  void Fail(const ConnectionPtr& connection, HttpReply reply);
+  void Fail(const ConnectionPtr& connection,
+            CallResult result,
+            const boost::system::error_code& error);
+  void Begin(const ConnectionPtr& connection, internal::SteadyTime expires_at);
+  void Expire();
   static ConnectionPtr TakeIdle(Peer& peer);
 
   IoDuty& io;
   const ClientLimits limits;
   std::map<PeerKey, Peer> peers;
+  /** @brief The connections with a call under way. */
+  std::set<ConnectionPtr> busy;
+  bool is_expiring = false;
   std::uint64_t opened = 0;
 };
 
@@ -189,33 +205,63 @@
   }
 }
 
+void HttpClient::State::Begin(const ConnectionPtr& connection,
+                              internal::SteadyTime expires_at) {
+  connection->expires_at = expires_at;
+  busy.insert(connection);
+  if (!is_expiring) {
+    is_expiring = true;
+    io.After(internal::kExpiryPause, [weak = weak_from_this()] {
+      if (const auto self = weak.lock(); self) {
+        self->Expire();
+      }
+    });
+  }
+}
+
+void HttpClient::State::Expire() {
+  is_expiring = false;
+  const auto now = std::chrono::steady_clock::now();
+  for (const ConnectionPtr& connection : busy) {
+    if (connection->expires_at <= now && !connection->is_expired) {
+      connection->is_expired = true;
+      boost::system::error_code failed;
+      // Ends the step under way; its handler sees the error.
+      connection->socket.close(failed);
+    }
+  }
+  if (!busy.empty()) {
+    is_expiring = true;
+    io.After(internal::kExpiryPause,
+             [self = shared_from_this()] { self->Expire(); });
+  }
+}
+
 void HttpClient::State::Connect(Peer& peer, Pending pending) {
   auto connection = std::make_shared<internal::Connection>(io.Context(), peer);
   connection->pending = std::move(pending);
   boost::system::error_code failed;
   const auto address = boost::asio::ip::make_address(peer.address.host, failed);
   if (failed) {
-    Fail(connection, internal::Failure(CallResult::kNotSent, failed.message()));
+    Fail(connection, CallResult::kNotSent, failed);
     return;
   }
   ++opened;
-  internal::beast::tcp_stream& stream = connection->stream;
-  stream.expires_after(limits.connect_timeout);
-  stream.async_connect(
+  Begin(connection, std::chrono::steady_clock::now() + limits.connect_timeout);
+  internal::Socket& socket = connection->socket;
+  socket.async_connect(
       internal::Tcp::endpoint(address, peer.address.port),
       [self = shared_from_this(), connection = std::move(connection)](
           const boost::system::error_code& error) mutable {
         if (error) {
-          self->Fail(connection,
-                     internal::Failure(CallResult::kNotSent, error.message()));
+          self->Fail(connection, CallResult::kNotSent, error);
           return;
         }
-        internal::Tcp::socket& socket = connection->stream.socket();
         boost::system::error_code unset;
-        socket.set_option(internal::Tcp::no_delay(true), unset);
+        connection->socket.set_option(internal::Tcp::no_delay(true), unset);
         // Options of the socket that are not set leave only the time-outs.
-        ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
-                     &internal::kUserTimeoutMs,
+        ::setsockopt(connection->socket.native_handle(), IPPROTO_TCP,
+                     TCP_USER_TIMEOUT, &internal::kUserTimeoutMs,
                      sizeof internal::kUserTimeoutMs);
         self->Send(std::move(connection));
       });
@@ -223,16 +269,15 @@
 
 void HttpClient::State::Send(ConnectionPtr connection) {
   internal::Connection& used = *connection;
+  Begin(connection, used.pending.expires_at);
   used.request = internal::Write(used.pending.call);
-  used.stream.expires_at(used.pending.expires_at);
   boost::asio::async_write(
-      used.stream, boost::asio::buffer(used.request),
+      used.socket, boost::asio::buffer(used.request),
       [self = shared_from_this(), connection = std::move(connection)](
           const boost::system::error_code& error,
           std::size_t /*sent*/) mutable {
         if (error) {
-          self->Fail(connection,
-                     internal::Failure(CallResult::kUnknown, error.message()));
+          self->Fail(connection, CallResult::kUnknown, error);
           return;
         }
         self->Receive(std::move(connection));
@@ -244,13 +289,12 @@
   used.parser.emplace();
   used.parser->body_limit(limits.answer_bytes);
   internal::http::async_read(
-      used.stream, used.buffer, *used.parser,
+      used.socket, used.buffer, *used.parser,
       [self = shared_from_this(), connection = std::move(connection)](
           const boost::system::error_code& error,
           std::size_t /*read*/) mutable {
         if (error) {
-          self->Fail(connection,
-                     internal::Failure(CallResult::kUnknown, error.message()));
+          self->Fail(connection, CallResult::kUnknown, error);
           return;
         }
         self->Finish(connection);
@@ -260,11 +304,11 @@
 void HttpClient::State::Finish(const ConnectionPtr& connection) {
   auto message = connection->parser->release();
   connection->parser.reset();
+  busy.erase(connection);
   Peer& peer = connection->peer;
   --peer.busy;
   const HttpClient::TakeReply take = std::move(connection->pending.take);
-  if (message.keep_alive()) {
-    connection->stream.expires_never();
+  if (message.keep_alive() && !connection->is_expired) {
     connection->used_at = std::chrono::steady_clock::now();
     peer.idle.push_back(connection);
   }
@@ -276,12 +320,16 @@
   take(std::move(reply));
 }
 
-void HttpClient::State::Fail(const ConnectionPtr& connection, HttpReply reply) {
+void HttpClient::State::Fail(const ConnectionPtr& connection,
+                             CallResult result,
+                             const boost::system::error_code& error) {
+  busy.erase(connection);
   Peer& peer = connection->peer;
   --peer.busy;
   const HttpClient::TakeReply take = std::move(connection->pending.take);
   Next(peer);
-  take(std::move(reply));
+  take(internal::Failure(
+      result, connection->is_expired ? "timed out" : error.message()));
 }
 
 }  // namespace crocusmast::adapters::async
--- a/src/crocusmast/scheduling/committer.cc
+++ b/src/crocusmast/scheduling/committer.cc
@@ -78,7 +78,7 @@
   }
   m_is_in_flight = false;
   if (reply.outcome == job::StoreOutcome::kDone) {
-    m_next_at = m_is_full ? now : now + kCommitPause;
+    m_next_at = now + PauseAfterCommit();
     m_last_commit = reply.revision;
     m_in_flight.clear();
     m_in_flight_notes.reset();
@@ -96,6 +96,13 @@
   return reply.is_still_holder;
 }
 
+std::chrono::milliseconds Committer::PauseAfterCommit() const {
+  if (m_is_full) {
+    return std::chrono::milliseconds(0);
+  }
+  return m_in_flight.size() < kBusyCommitJobs ? kCommitPause : kBusyCommitPause;
+}
+
 void Committer::TellRecorded(const TakeRecorded& take) {
   const Place stored =
       m_changed.empty() ? m_last_place : m_changed.front().first - 1;
--- a/src/crocusmast/scheduling/committer.h
+++ b/src/crocusmast/scheduling/committer.h
@@ -28,6 +28,10 @@
 inline constexpr std::size_t kEndEntries = 3;
 /** @brief The pause between two commits, so that changes are batched. */
 inline constexpr std::chrono::milliseconds kCommitPause{15};
+/** @brief The pause in a rush, when commits have at least kBusyCommitJobs jobs:
+ * more ends add up to one commit and one look, for a tenth of a job's slack. */
+inline constexpr std::chrono::milliseconds kBusyCommitPause{45};
+inline constexpr std::size_t kBusyCommitJobs = 10;
 /** @brief A commit without an answer is sent again after this. */
 inline constexpr std::chrono::milliseconds kCommitRetry{100};
 
@@ -120,6 +124,7 @@
   };
 
   void PutBack();
+  std::chrono::milliseconds PauseAfterCommit() const;
   void TellRecorded(const TakeRecorded& take);
 
   std::uint64_t m_sequence = 0;
--- a/src/crocusmast/scheduling/scheduler_placement.cc
+++ b/src/crocusmast/scheduling/scheduler_placement.cc
@@ -260,9 +260,11 @@
     }
     const bool is_near =
         !step.near_rack.empty() && record.Rack() == step.near_rack;
+    // The tightest fit keeps whole workers free: for large tasks, for upkeep,
+    // and to be given back.
     const bool is_better = best == nullptr || (is_near && !is_best_near) ||
                            (is_near == is_best_near &&
-                            best->Free().processor < worker->Free().processor);
+                            worker->Free().processor < best->Free().processor);
     if (is_better) {
       best = worker;
       is_best_near = is_near;
--- a/test/platform/codec_test.cc
+++ b/test/platform/codec_test.cc
@@ -157,7 +157,7 @@
 
   void ReadsALook() {
     execution::LookReply reply;
-    CPPUNIT_ASSERT(!IsError(DecodeLook(kLook, reply)));
+    CPPUNIT_ASSERT(!IsError(DecodeLook(200, kLook, reply)));
     CPPUNIT_ASSERT_EQUAL(41U, reply.running[0].percent);
     CPPUNIT_ASSERT(reply.running[0].tail == std::chrono::milliseconds(12));
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{58}, reply.ended[0].number.Count());
@@ -174,8 +174,17 @@
     order.payload = "text";
     order.until = execution::WorkerTime(std::chrono::milliseconds(486000));
     CPPUNIT_ASSERT_EQUAL(
-        std::string(R"({"attempt":2,"fencing_token":7,"spec":"text",)"
-                    R"("task":"5c0e7a21d94b36f8.0.1.17","until_ms":486000})"),
+        std::string(R"({"task":"5c0e7a21d94b36f8.0.1.17","attempt":2,)"
+                    R"("fencing_token":7,"until_ms":486000,"spec":"text"})"),
+        EncodeStart(order));
+    order.payload = "a \"text\"\n";
+    order.checkpoint = "saved";
+    order.ticket = "t-1";
+    CPPUNIT_ASSERT_EQUAL(
+        std::string(R"({"task":"5c0e7a21d94b36f8.0.1.17","attempt":2,)"
+                    R"("fencing_token":7,"until_ms":486000,)"
+                    R"("spec":"a \"text\"\n","checkpoint":"saved",)"
+                    R"("ticket":"t-1"})"),
         EncodeStart(order));
     execution::LookOrder look;
     look.to.token = core::FencingToken(7);
@@ -287,7 +296,7 @@
             {kLook,
              [](auto& t) {
                execution::LookReply reply;
-               return IsError(DecodeLook(t, reply));
+               return IsError(DecodeLook(200, t, reply));
              }},
             {kWorker, [&id](auto& t) { return IsError(DecodeWorker(id, t)); }},
             {kConfiguration,
