Move machines by what arrives, between pools too, and know the pools' sizes over holders

Change: the work that arrives is measured over half a second and a second, and decides with what waits; idle machines of pools with slack go straight to a pool that misses them; the sizes of pools are part of the holder's notes.

--- a/src/crocusmast/adapters/records/job_records.cc
+++ b/src/crocusmast/adapters/records/job_records.cc
@@ -275,16 +275,21 @@
                        grant.pool.Text(), grant.lease_left.count()});
   }
   Json waves = Json::array();
-  for (const job::WaveNote& note : notes.waves) {
+  for (const job::WaveNote& note : notes.fleet.waves) {
     Json begun = Json::array();
     for (const core::MachineId& machine : note.begun) {
       begun.push_back(machine.Text());
     }
     waves.push_back({note.wave.Count(), std::move(begun)});
   }
+  Json pools = Json::array();
+  for (const job::PoolNote& note : notes.fleet.pools) {
+    pools.push_back({note.pool.Text(), note.machines});
+  }
   return internal::ToBytes({{"v", internal::kLayout},
                             {"workers", std::move(workers)},
-                            {"waves", std::move(waves)}});
+                            {"waves", std::move(waves)},
+                            {"pools", std::move(pools)}});
 }
 
 namespace internal {
@@ -323,7 +328,13 @@
         }
         for (const Json& row : json.at("waves")) {
           BOOST_LEAF_AUTO(note, internal::DecodeWave(row));
-          notes.waves.push_back(std::move(note));
+          notes.fleet.waves.push_back(std::move(note));
+        }
+        for (const Json& row : json.at("pools")) {
+          BOOST_LEAF_AUTO(pool,
+                          core::PoolId::Create(row.at(0).get<std::string>()));
+          notes.fleet.pools.push_back(
+              {std::move(pool), row.at(1).get<std::uint32_t>()});
         }
         return notes;
       });
--- a/src/crocusmast/capacity/balancer.cc
+++ b/src/crocusmast/capacity/balancer.cc
@@ -14,19 +14,23 @@
                    std::chrono::milliseconds order_gap)
     : m_ports(ports), m_order_gap(order_gap) {}
 
-void Balancer::Begin(core::FencingToken token) {
+void Balancer::Begin(core::FencingToken token,
+                     const std::vector<job::PoolNote>& pools) {
   End();
   m_is_active = true;
   m_token = token;
   m_orders_from = m_ports.clock.Now() + m_order_gap;
+  for (const job::PoolNote& note : pools) {
+    m_own[note.pool] = note.machines;
+  }
 }
 
 void Balancer::End() {
   m_is_active = false;
+  m_is_changed = false;
   m_look_at = {};
   m_listed_at = {};
   m_list_asked_at = {};
-  m_standby = {};
   m_machines.clear();
   m_own.clear();
   m_moves.clear();
@@ -47,9 +51,18 @@
       ++m_own[machine.pool];
     }
   }
+  m_is_changed = m_is_changed || is_first;
   Settle();
 }
 
+std::vector<job::PoolNote> Balancer::Notes() const {
+  std::vector<job::PoolNote> notes;
+  for (const auto& [pool, machines] : m_own) {
+    notes.push_back({pool, static_cast<std::uint32_t>(machines)});
+  }
+  return notes;
+}
+
 void Balancer::Settle() {
   for (auto move = m_moves.begin(); move != m_moves.end();) {
     const auto machine = m_machines.find(move->first);
@@ -78,128 +91,193 @@
   }
 }
 
-std::size_t Balancer::CountIncoming(const core::PoolId& pool) const {
-  return static_cast<std::size_t>(std::count_if(
-      m_moves.begin(), m_moves.end(),
-      [&pool](const auto& one) { return one.second.to == pool; }));
-}
-
-double Balancer::CoresOf(const PoolLoad& load) const {
-  constexpr double kUsualCores = 16;
-  const auto machines = static_cast<double>(std::count_if(
-      m_machines.begin(), m_machines.end(), [&load](const auto& one) {
-        return one.second.pool == load.pool &&
-               one.second.state == MachineState::kUp;
-      }));
-  return machines > 0 && load.capacity_cores > 0
-             ? load.capacity_cores / machines
-             : kUsualCores;
-}
-
-void Balancer::Round(bool is_sure, const IsTaken& is_taken) {
+bool Balancer::Round(bool is_sure, const IsTaken& is_taken) {
   const core::TimePoint now = m_ports.clock.Now();
   if (!m_is_active || now < m_look_at) {
-    return;
+    return false;
   }
   m_look_at = now + kLookPause;
-  const std::vector<PoolLoad> loads = m_ports.loads.PoolLoads();
-  const auto standby =
-      std::find_if(loads.begin(), loads.end(),
-                   [](const PoolLoad& load) { return load.is_standby; });
-  if (standby == loads.end()) {
-    return;
+  std::map<core::PoolId, PoolView> views = LookAtPools(is_taken);
+  const bool has_standby =
+      std::any_of(views.begin(), views.end(),
+                  [](const auto& one) { return one.second.load.is_standby; });
+  if (!has_standby) {
+    return std::exchange(m_is_changed, false);
   }
-  m_standby = standby->pool;
   const auto age = m_moves.empty() ? kCalmListAge : kListAge;
   if (m_listed_at + age <= now && m_list_asked_at + kListAge <= now) {
     m_list_asked_at = now;
     m_ports.machines.List();
   }
-  if (!is_sure || now < m_orders_from || m_machines.empty()) {
-    return;
-  }
-  for (const auto& [machine, move] : m_moves) {
-    if (!move.is_done && move.order_at + kMoveRetry <= now) {
-      Order(machine, move.to);
+  if (is_sure && m_orders_from <= now && !m_machines.empty()) {
+    for (const auto& [machine, move] : m_moves) {
+      if (!move.is_done && move.order_at + kMoveRetry <= now) {
+        Order(machine, move.to);
+      }
     }
-  }
-  for (const PoolLoad& load : loads) {
-    if (!load.is_standby) {
-      Lend(load, is_taken);
-      Return(load, is_taken);
+    for (auto& [pool, view] : views) {
+      Borrow(view, views);
+    }
+    for (auto& [pool, view] : views) {
+      Return(view, views);
     }
   }
+  return std::exchange(m_is_changed, false);
 }
 
-void Balancer::Lend(const PoolLoad& load, const IsTaken& is_taken) {
-  const double wanted_cores =
-      load.waiting_core_seconds / kBacklogSeconds + load.running_cores;
-  const double cores = CoresOf(load);
-  const double missing = wanted_cores - load.capacity_cores -
-                         cores * static_cast<double>(CountIncoming(load.pool));
-  auto count = static_cast<std::int64_t>(std::floor(missing / cores));
-  for (const auto& [id, machine] : m_machines) {
-    if (count <= 0) {
-      return;
-    }
-    const auto avoided = m_avoided_until.find(id);
-    const bool is_free = machine.pool == m_standby &&
-                         machine.state == MachineState::kUp && !IsMoving(id) &&
-                         !is_taken(id) &&
-                         (avoided == m_avoided_until.end() ||
-                          avoided->second <= m_ports.clock.Now());
-    if (!is_free) {
-      continue;
-    }
-    --count;
-    Log("Machine " + id.Text() + " goes to pool " + load.pool.Text() +
-            ": its backlog is " +
-            std::to_string(
-                static_cast<std::int64_t>(load.waiting_core_seconds)) +
-            " core-seconds.",
-        {{"event", "machine_lent"},
-         {"machine", id.Text()},
-         {"pool", load.pool.Text()},
-         {"waiting_core_seconds", std::to_string(load.waiting_core_seconds)},
-         {"running_cores", std::to_string(load.running_cores)},
-         {"capacity_cores", std::to_string(load.capacity_cores)}});
-    Order(id, load.pool);
-  }
-}
-
-void Balancer::Return(const PoolLoad& load, const IsTaken& is_taken) {
-  const core::TimePoint now = m_ports.clock.Now();
-  std::size_t machines = 0;
+std::map<core::PoolId, Balancer::PoolView> Balancer::LookAtPools(
+    const IsTaken& is_taken) {
+  constexpr double kUsualCores = 16;
+  std::map<core::PoolId, PoolView> views;
+  for (PoolLoad& load : m_ports.loads.PoolLoads()) {
+    const core::PoolId pool = load.pool;
+    views[pool].load = std::move(load);
+  }
+  std::map<core::PoolId, std::size_t> up;
   for (const auto& [id, machine] : m_machines) {
-    machines += machine.pool == load.pool && !IsMoving(id) ? 1 : 0;
+    const auto move = m_moves.find(id);
+    const core::PoolId& pool =
+        move == m_moves.end() ? machine.pool : move->second.to;
+    ++views[pool].machines;
+    up[machine.pool] +=
+        move == m_moves.end() && machine.state == MachineState::kUp ? 1 : 0;
+  }
+  for (auto& [pool, view] : views) {
+    const PoolLoad& load = view.load;
+    view.load.pool = pool;
+    view.machine_cores =
+        up[pool] > 0 && load.capacity_cores > 0
+            ? load.capacity_cores / static_cast<double>(up[pool])
+            : kUsualCores;
+    const double wanted = load.waiting_core_seconds / kBacklogSeconds +
+                          std::max(load.running_cores, load.arriving_cores);
+    const auto coming =
+        static_cast<double>(view.machines - std::min(view.machines, up[pool]));
+    view.missing = (wanted - load.capacity_cores) / view.machine_cores - coming;
+    FindIdle(view, is_taken);
   }
-  const bool has_slack = load.waiting_cores <= 0 &&
-                         load.running_cores < kSlackShare * load.capacity_cores;
+  return views;
+}
+
+void Balancer::FindIdle(PoolView& view, const IsTaken& is_taken) {
+  const core::TimePoint now = m_ports.clock.Now();
   for (const auto& [id, machine] : m_machines) {
-    if (machine.pool != load.pool) {
+    if (machine.pool != view.load.pool) {
       continue;
     }
-    const bool is_idle = has_slack && machine.state == MachineState::kUp &&
-                         !machine.worker.IsEmpty() && !IsMoving(id) &&
-                         !is_taken(id) &&
-                         m_ports.workers.IsEmpty(machine.worker);
-    if (!is_idle) {
+    const auto avoided = m_avoided_until.find(id);
+    const bool may_go =
+        machine.state == MachineState::kUp && !IsMoving(id) && !is_taken(id) &&
+        (avoided == m_avoided_until.end() || avoided->second <= now);
+    const bool is_idle = may_go && (view.load.is_standby ||
+                                    (!machine.worker.IsEmpty() &&
+                                     m_ports.workers.IsEmpty(machine.worker)));
+    if (is_idle) {
+      m_idle_since.emplace(id, now);
+      view.idle.push_back(id);
+    } else {
       m_idle_since.erase(id);
-      continue;
     }
-    const core::TimePoint since = m_idle_since.emplace(id, now).first->second;
-    if (machines <= m_own[load.pool] || now < since + kIdleBeforeReturn) {
+  }
+  std::stable_sort(view.idle.begin(), view.idle.end(),
+                   [this](const auto& left, const auto& right) {
+                     return m_idle_since[right] < m_idle_since[left];
+                   });
+}
+
+std::size_t Balancer::OwnOf(const core::PoolId& pool) const {
+  const auto own = m_own.find(pool);
+  return own == m_own.end() ? 0 : own->second;
+}
+
+bool Balancer::HasSlack(const PoolView& view) const {
+  const PoolLoad& load = view.load;
+  return load.waiting_cores <= 0 &&
+         std::max(load.running_cores, load.arriving_cores) <
+             kSlackShare * load.capacity_cores;
+}
+
+void Balancer::Borrow(PoolView& view, std::map<core::PoolId, PoolView>& views) {
+  if (view.load.is_standby) {
+    return;
+  }
+  while (view.missing >= kLeastMissing) {
+    PoolView* lender = FindLender(view, views);
+    if (lender == nullptr) {
+      return;
+    }
+    Send(*lender, view, "it misses capacity");
+  }
+}
+
+Balancer::PoolView* Balancer::FindLender(
+    const PoolView& borrower,
+    std::map<core::PoolId, PoolView>& views) {
+  PoolView* best = nullptr;
+  for (auto& [pool, view] : views) {
+    if (&view == &borrower || view.idle.empty()) {
       continue;
     }
-    --machines;
-    m_ports.workers.SetAside(machine.worker);
-    Log("Machine " + id.Text() + " goes back to standby: it was idle in pool " +
-            load.pool.Text() + ".",
-        {{"event", "machine_returned"},
-         {"machine", id.Text()},
-         {"pool", load.pool.Text()}});
-    Order(id, m_standby);
+    if (view.load.is_standby) {
+      return &view;
+    }
+    const auto kept = static_cast<std::size_t>(
+        std::ceil(kKeptShare * static_cast<double>(OwnOf(pool))));
+    const bool may_lend =
+        HasSlack(view) && view.missing < -1 && kept < view.machines;
+    if (may_lend && (best == nullptr || view.missing < best->missing)) {
+      best = &view;
+    }
+  }
+  return best;
+}
+
+void Balancer::Return(PoolView& view, std::map<core::PoolId, PoolView>& views) {
+  const core::PoolId& pool = view.load.pool;
+  const core::TimePoint now = m_ports.clock.Now();
+  while (!view.load.is_standby && OwnOf(pool) < view.machines &&
+         HasSlack(view) && !view.idle.empty() &&
+         m_idle_since[view.idle.back()] + kIdleBeforeReturn <= now) {
+    PoolView* to = nullptr;
+    for (auto& [other, candidate] : views) {
+      const bool is_short = candidate.machines < OwnOf(other);
+      if (&candidate != &view && (is_short || candidate.load.is_standby) &&
+          (to == nullptr || !candidate.load.is_standby)) {
+        to = &candidate;
+      }
+    }
+    if (to == nullptr) {
+      return;
+    }
+    Send(view, *to, "it was idle");
+  }
+}
+
+void Balancer::Send(PoolView& from, PoolView& to, const char* reason) {
+  const core::MachineId id = from.idle.back();
+  from.idle.pop_back();
+  --from.machines;
+  ++to.machines;
+  from.missing += 1;
+  to.missing -= 1;
+  m_idle_since.erase(id);
+  if (const core::InstanceId& worker = m_machines[id].worker;
+      !worker.IsEmpty()) {
+    m_ports.workers.SetAside(worker);
   }
+  const PoolLoad& load = to.load;
+  Log("Machine " + id.Text() + " goes from pool " + from.load.pool.Text() +
+          " to " + load.pool.Text() + ": " + reason + ".",
+      {{"event", "machine_sent"},
+       {"machine", id.Text()},
+       {"from", from.load.pool.Text()},
+       {"to", load.pool.Text()},
+       {"reason", reason},
+       {"waiting_core_seconds", std::to_string(load.waiting_core_seconds)},
+       {"arriving_cores", std::to_string(load.arriving_cores)},
+       {"running_cores", std::to_string(load.running_cores)},
+       {"capacity_cores", std::to_string(load.capacity_cores)}});
+  Order(id, to.load.pool);
 }
 
 void Balancer::Order(const core::MachineId& machine, const core::PoolId& to) {
--- a/src/crocusmast/capacity/balancer.h
+++ b/src/crocusmast/capacity/balancer.h
@@ -9,21 +9,26 @@
 #include "crocusmast/capacity/pool_load.h"
 #include "crocusmast/core/clock.h"
 #include "crocusmast/core/logger.h"
+#include "crocusmast/job/job_store.h"
 #include "crocusmast/upkeep/machine_port.h"
 #include "crocusmast/upkeep/worker_keeper.h"
 
 namespace crocusmast::capacity {
 
 /** @brief How often loads are looked at. */
-inline constexpr std::chrono::milliseconds kLookPause{200};
+inline constexpr std::chrono::milliseconds kLookPause{100};
 /** @brief A backlog that is gone within this time needs no machine: a move
  * takes 1.5 s, and its worker then has to join. */
 inline constexpr double kBacklogSeconds = 2.0;
+/** @brief A machine is worth its move if this much of it is missing. */
+inline constexpr double kLeastMissing = 0.4;
 /** @brief A borrowed machine that was idle for this long goes back. */
-inline constexpr std::chrono::milliseconds kIdleBeforeReturn{1500};
+inline constexpr std::chrono::milliseconds kIdleBeforeReturn{1000};
 /** @brief Below this share of its capacity in use a pool gives machines back.
  */
 inline constexpr double kSlackShare = 0.6;
+/** @brief The share of its own machines that a pool keeps when it lends. */
+inline constexpr double kKeptShare = 0.6;
 /** @brief How old the list of machines may be while machines move. */
 inline constexpr std::chrono::milliseconds kListAge{1000};
 /** @brief How old it may be otherwise. */
@@ -43,12 +48,13 @@
 };
 
 /**
- * @brief Lends machines of the standby pool to pools in a rush.
+ * @brief Lends machines to pools in a rush.
  *
- * One rule: a pool whose backlog lasts longer than a move borrows as many
- * machines as the backlog needs; a borrowed machine that stands idle in a pool
- * with slack goes back. A pool never gives up the machines that it began with,
- * and only machines on which surely nothing runs are moved.
+ * One rule: a pool that misses capacity for what arrives and waits borrows as
+ * many machines as that needs, from standby first, then idle ones of pools with
+ * slack; an idle machine of a pool with slack that has more than its own goes
+ * to a pool that has less, or to standby. Only machines on which surely nothing
+ * runs are moved.
  */
 class Balancer {
  public:
@@ -62,8 +68,9 @@
   /**
    * @brief Begins a hold of the duty.
    * @param token The hold's token.
+   * @param pools The earlier holder's notes; empty: as the pools are listed.
    */
-  void Begin(core::FencingToken token);
+  void Begin(core::FencingToken token, const std::vector<job::PoolNote>& pools);
   /** @brief Ends the hold. */
   void End();
 
@@ -79,8 +86,12 @@
    * @param is_sure The store surely still names this holder; no order is
    * given otherwise.
    * @param is_taken Tells which machines to leave alone.
+   * @return True if there is something new to note for a successor.
    */
-  void Round(bool is_sure, const IsTaken& is_taken);
+  bool Round(bool is_sure, const IsTaken& is_taken);
+
+  /** @brief Returns what a successor has to know. */
+  std::vector<job::PoolNote> Notes() const;
 
   /** @brief Tells whether a machine is on its way to another pool. */
   bool IsMoving(const core::MachineId& machine) const {
@@ -96,25 +107,43 @@
     bool is_done = false;
   };
 
+  /** @brief A pool as this round sees it. */
+  struct PoolView {
+    PoolLoad load;
+    /** @brief Machines in it or on their way to it. */
+    std::size_t machines = 0;
+    /** @brief The cores of one of its machines. */
+    double machine_cores = 0;
+    /** @brief Machines that it misses; below 0 those that it can spare. */
+    double missing = 0;
+    /** @brief Machines that are idle and may go, the longest idle last. */
+    std::vector<core::MachineId> idle;
+  };
+
   void Settle();
-  void Lend(const PoolLoad& load, const IsTaken& is_taken);
-  void Return(const PoolLoad& load, const IsTaken& is_taken);
+  std::map<core::PoolId, PoolView> LookAtPools(const IsTaken& is_taken);
+  void FindIdle(PoolView& view, const IsTaken& is_taken);
+  void Borrow(PoolView& view, std::map<core::PoolId, PoolView>& views);
+  PoolView* FindLender(const PoolView& borrower,
+                       std::map<core::PoolId, PoolView>& views);
+  void Return(PoolView& view, std::map<core::PoolId, PoolView>& views);
+  void Send(PoolView& from, PoolView& to, const char* reason);
   void Order(const core::MachineId& machine, const core::PoolId& to);
-  std::size_t CountIncoming(const core::PoolId& pool) const;
-  double CoresOf(const PoolLoad& load) const;
+  bool HasSlack(const PoolView& view) const;
+  std::size_t OwnOf(const core::PoolId& pool) const;
   void Log(std::string sentence, std::vector<core::LogField> fields) const;
 
   BalancerPorts m_ports;
   const std::chrono::milliseconds m_order_gap;
   bool m_is_active = false;
+  bool m_is_changed = false;
   core::FencingToken m_token;
   core::TimePoint m_orders_from;
   core::TimePoint m_look_at;
   core::TimePoint m_listed_at;
   core::TimePoint m_list_asked_at;
-  core::PoolId m_standby;
   std::map<core::MachineId, upkeep::Machine> m_machines;
-  /** @brief How many machines each pool began with. */
+  /** @brief How many machines each pool has when none is lent. */
   std::map<core::PoolId, std::size_t> m_own;
   std::map<core::MachineId, Move> m_moves;
   std::map<core::MachineId, core::TimePoint> m_idle_since;
--- /dev/null
+++ b/src/crocusmast/capacity/demand_meter.cc
@@ -0,0 +1,39 @@
+#include "crocusmast/capacity/demand_meter.h"
+
+#include <algorithm>
+
+namespace crocusmast::capacity {
+namespace internal {
+
+double ToSeconds(core::Duration time) {
+  return std::chrono::duration<double>(time).count();
+}
+
+}  // namespace internal
+
+void DemandMeter::Add(const core::PoolId& pool,
+                      double core_seconds,
+                      core::TimePoint now) {
+  auto& arrivals = m_arrivals[pool];
+  arrivals.emplace_back(now, core_seconds);
+  while (arrivals.front().first + kLongWindow < now) {
+    arrivals.pop_front();
+  }
+}
+
+double DemandMeter::Rate(const core::PoolId& pool, core::TimePoint now) const {
+  const auto arrivals = m_arrivals.find(pool);
+  if (arrivals == m_arrivals.end()) {
+    return 0;
+  }
+  double in_short = 0;
+  double in_long = 0;
+  for (const auto& [at, core_seconds] : arrivals->second) {
+    in_long += now < at + kLongWindow ? core_seconds : 0;
+    in_short += now < at + kShortWindow ? core_seconds : 0;
+  }
+  return std::max(in_short / internal::ToSeconds(kShortWindow),
+                  in_long / internal::ToSeconds(kLongWindow));
+}
+
+}  // namespace crocusmast::capacity
--- a/src/crocusmast/capacity/pool_load.h
+++ b/src/crocusmast/capacity/pool_load.h
@@ -16,6 +16,8 @@
   double capacity_cores = 0;
   /** @brief What is taken by what runs. */
   double running_cores = 0;
+  /** @brief What the latest arrivals will keep busy. */
+  double arriving_cores = 0;
   /** @brief What could start now, if there were room. */
   double waiting_cores = 0;
   /** @brief The work of what could start now. */
--- a/src/crocusmast/job/job_store.h
+++ b/src/crocusmast/job/job_store.h
@@ -80,12 +80,25 @@
   std::vector<core::MachineId> begun;
 };
 
+/** @brief How many machines a pool has when none is lent. */
+struct PoolNote {
+  core::PoolId pool;
+  std::uint32_t machines = 0;
+};
+
+/** @brief What a successor has to know of machines. */
+struct FleetNotes {
+  /** @brief The waves that are under way. */
+  std::vector<WaveNote> waves;
+  /** @brief The pools; empty before they were first listed. */
+  std::vector<PoolNote> pools;
+};
+
 /** @brief What a successor has to know besides the jobs. */
 struct HolderNotes {
   /** @brief The workers that may hold leases. */
   std::vector<GrantedWorker> workers;
-  /** @brief The waves that are under way. */
-  std::vector<WaveNote> waves;
+  FleetNotes fleet;
 };
 
 /** @brief What a new holder finds of the earlier one. */
--- a/src/crocusmast/manager/manager.cc
+++ b/src/crocusmast/manager/manager.cc
@@ -57,15 +57,16 @@
 
 void Manager::RunMachines() {
   const bool is_sure = m_elector.IsSure();
-  m_balancer.Round(is_sure, [this](const core::MachineId& machine) {
-    return m_upkeep.IsTaken(machine);
-  });
-  const bool has_news =
+  const bool has_pools =
+      m_balancer.Round(is_sure, [this](const core::MachineId& machine) {
+        return m_upkeep.IsTaken(machine);
+      });
+  const bool has_waves =
       m_upkeep.Round(is_sure, [this](const core::MachineId& machine) {
         return m_balancer.IsMoving(machine);
       });
-  if (has_news) {
-    m_scheduler.SetWaveNotes(m_upkeep.Notes());
+  if (has_pools || has_waves) {
+    m_scheduler.SetFleetNotes({m_upkeep.Notes(), m_balancer.Notes()});
   }
 }
 
@@ -226,8 +227,8 @@
     m_scheduler.Begin({token, leadership::kSchedulingLease.acting -
                                   leadership::kSchedulingLease.length},
                       m_book, m_holder);
-    m_upkeep.Begin(token, m_holder.notes.waves);
-    m_balancer.Begin(token);
+    m_upkeep.Begin(token, m_holder.notes.fleet.waves);
+    m_balancer.Begin(token, m_holder.notes.fleet.pools);
   }
 }
 
--- a/src/crocusmast/scheduling/scheduler.cc
+++ b/src/crocusmast/scheduling/scheduler.cc
@@ -29,7 +29,7 @@
   m_is_active = true;
   m_reign = reign;
   const core::TimePoint now = m_ports.clock.Now();
-  m_wave_notes = notes.waves;
+  m_fleet_notes = notes.fleet;
   m_committer.Begin(record.last_commit);
   for (const job::GrantedWorker& grant : notes.workers) {
     m_unsettled[grant.worker] = {grant.incarnation, grant.pool,
@@ -86,6 +86,7 @@
   m_place_at = {};
   m_ended.clear();
   m_tickets.Clear();
+  m_demand.Clear();
   m_by_pool.clear();
   m_workers.clear();
   m_unsettled.clear();
@@ -161,7 +162,9 @@
   const auto age = std::clamp<core::Duration>(
       m_ports.clock.WallNow() - accepted.accepted_at, core::Duration::zero(),
       std::chrono::seconds(1));
-  Insert(job::Job::Create(accepted, nullptr, core::Attempt(0)), now - age);
+  const ActiveJob& active =
+      Insert(job::Job::Create(accepted, nullptr, core::Attempt(0)), now - age);
+  m_demand.Add(active.pool, WorkOf(accepted), now);
 }
 
 void Scheduler::CancelJob(const core::JobId& id) {
--- a/src/crocusmast/scheduling/scheduler.h
+++ b/src/crocusmast/scheduling/scheduler.h
@@ -12,6 +12,7 @@
 #include <utility>
 #include <vector>
 
+#include "crocusmast/capacity/demand_meter.h"
 #include "crocusmast/capacity/pool_load.h"
 #include "crocusmast/core/clock.h"
 #include "crocusmast/core/logger.h"
@@ -132,10 +133,10 @@
   void Handle(const TicketsAnswered& answer);
 
   /**
-   * @brief Sets how far waves of upkeep are, to be noted for a successor.
-   * @param waves The waves under way.
+   * @brief Sets what a successor has to know of machines.
+   * @param notes The notes.
    */
-  void SetWaveNotes(std::vector<job::WaveNote> waves);
+  void SetFleetNotes(job::FleetNotes notes);
 
   upkeep::Usage UsageOf(const core::InstanceId& worker) const override;
   void SetAside(const core::InstanceId& worker) override;
@@ -248,6 +249,7 @@
                      core::Attempt attempt,
                      const execution::Worker& worker);
   void LogPlacements(const ActiveJob& active);
+  double WorkOf(const job::AcceptedJob& job) const;
   void AddWaiting(const job::Job& job, capacity::PoolLoad& load) const;
   static execution::HeldRun Hold(const job::Step& step);
   core::Duration RemainingChain(ActiveJob& active) const;
@@ -282,8 +284,9 @@
   std::unordered_set<core::JobId> m_ended;
   Committer m_committer;
   RunTimes m_run_times;
+  capacity::DemandMeter m_demand;
   TicketBook m_tickets;
-  std::vector<job::WaveNote> m_wave_notes;
+  job::FleetNotes m_fleet_notes;
   /** @brief For the log: the tasks of a job that were placed just now, each as
    * TASK#ATTEMPT@WORKER/FREE with what is then free, in thousandths of a core.
    */
--- a/src/crocusmast/scheduling/scheduler_members.cc
+++ b/src/crocusmast/scheduling/scheduler_members.cc
@@ -99,7 +99,7 @@
       m_reign.deposed_acting +
       kHold * (100 + execution::kSlowClockPercent + 1) / 100;
   job::HolderNotes notes;
-  notes.waves = m_wave_notes;
+  notes.fleet = m_fleet_notes;
   for (const auto& [id, worker] : m_workers) {
     if (!worker->IsListed() && worker->Runs().empty()) {
       continue;
@@ -144,8 +144,8 @@
   }
 }
 
-void Scheduler::SetWaveNotes(std::vector<job::WaveNote> waves) {
-  m_wave_notes = std::move(waves);
+void Scheduler::SetFleetNotes(job::FleetNotes notes) {
+  m_fleet_notes = std::move(notes);
   if (m_is_active && m_has_members) {
     StoreNotes();
   }
--- a/src/crocusmast/scheduling/scheduler_upkeep.cc
+++ b/src/crocusmast/scheduling/scheduler_upkeep.cc
@@ -80,6 +80,22 @@
   }
 }
 
+double Scheduler::WorkOf(const job::AcceptedJob& job) const {
+  double core_seconds = 0;
+  // Occurrences come later, with time.
+  if (job.spec.schedule.times > 0) {
+    return core_seconds;
+  }
+  for (const job::Step& step : job.spec.steps) {
+    if (!step.is_filler && !step.long_running) {
+      const core::Duration time = m_run_times.Correct(job.queue, step.estimate);
+      core_seconds += step.count * internal::ToCores(step.room.processor) *
+                      std::chrono::duration<double>(time).count();
+    }
+  }
+  return core_seconds;
+}
+
 void Scheduler::AddWaiting(const job::Job& job,
                            capacity::PoolLoad& load) const {
   job.ForEachReady([&](const job::TaskKey&, const job::Step& step) {
@@ -100,6 +116,7 @@
   for (const auto& [id, pool] : m_pools) {
     loads[id].pool = id;
     loads[id].is_standby = pool.is_standby;
+    loads[id].arriving_cores = m_demand.Rate(id, m_ports.clock.Now());
   }
   for (const auto& [id, worker] : m_workers) {
     const auto load = loads.find(worker->Record().pool);
--- a/test/adapters/job_records_test.cc
+++ b/test/adapters/job_records_test.cc
@@ -91,12 +91,15 @@
     notes.workers = {{MakeId<core::InstanceId>("w-1"), core::Incarnation(5),
                       MakeId<core::PoolId>("pool"),
                       std::chrono::milliseconds(4321)}};
-    notes.waves = {{core::WaveNumber(3), {MakeId<core::MachineId>("m-1")}}};
+    notes.fleet.waves = {
+        {core::WaveNumber(3), {MakeId<core::MachineId>("m-1")}}};
+    notes.fleet.pools = {{MakeId<core::PoolId>("pool"), 9}};
     const job::HolderNotes read =
         records::DecodeNotes(records::EncodeNotes(notes)).value();
     CPPUNIT_ASSERT(read.workers[0].lease_left ==
                    std::chrono::milliseconds(4321));
-    CPPUNIT_ASSERT(read.waves[0].begun == notes.waves[0].begun);
+    CPPUNIT_ASSERT(read.fleet.waves[0].begun == notes.fleet.waves[0].begun);
+    CPPUNIT_ASSERT_EQUAL(9U, read.fleet.pools[0].machines);
     const leadership::Holder holder{"instance", "life"};
     CPPUNIT_ASSERT(
         records::DecodeHolder(records::EncodeHolder(holder)).value() == holder);
--- a/test/capacity/balancer_test.cc
+++ b/test/capacity/balancer_test.cc
@@ -94,7 +94,7 @@
  public:
   void setUp() override {
     m_clock.Advance(std::chrono::seconds(100));
-    m_balancer.Begin(core::FencingToken(5));
+    m_balancer.Begin(core::FencingToken(5), {});
   }
 
   // A queue asks for five times its mean for some seconds.
