Let a successor order machines at once after a planned hand-over

Change: a holder that hands over notes which machines it ordered lately, and only these wait; a new holder orders nothing before notes of its own are stored, as the old ones say nothing of its orders. Waves take busy machines a little earlier, and machines on standby without a bound but the cap.

--- a/src/crocusmast/adapters/records/job_records.cc
+++ b/src/crocusmast/adapters/records/job_records.cc
@@ -286,10 +286,17 @@
   for (const job::PoolNote& note : notes.fleet.pools) {
     pools.push_back({note.pool.Text(), note.machines});
   }
-  return internal::ToBytes({{"v", internal::kLayout},
-                            {"workers", std::move(workers)},
-                            {"waves", std::move(waves)},
-                            {"pools", std::move(pools)}});
+  Json json{{"v", internal::kLayout},
+            {"workers", std::move(workers)},
+            {"waves", std::move(waves)},
+            {"pools", std::move(pools)}};
+  if (notes.fleet.last_orders) {
+    Json& orders = json["orders"] = Json::array();
+    for (const job::OrderNote& order : *notes.fleet.last_orders) {
+      orders.push_back({order.machine.Text(), order.closed_for.count()});
+    }
+  }
+  return internal::ToBytes(json);
 }
 
 namespace internal {
@@ -330,6 +337,16 @@
           BOOST_LEAF_AUTO(note, internal::DecodeWave(row));
           notes.fleet.waves.push_back(std::move(note));
         }
+        if (json.contains("orders")) {
+          notes.fleet.last_orders.emplace();
+          for (const Json& row : json.at("orders")) {
+            BOOST_LEAF_AUTO(
+                machine, core::MachineId::Create(row.at(0).get<std::string>()));
+            notes.fleet.last_orders->push_back(
+                {std::move(machine),
+                 std::chrono::milliseconds(row.at(1).get<std::int64_t>())});
+          }
+        }
         for (const Json& row : json.at("pools")) {
           BOOST_LEAF_AUTO(pool,
                           core::PoolId::Create(row.at(0).get<std::string>()));
--- a/src/crocusmast/capacity/balancer.cc
+++ b/src/crocusmast/capacity/balancer.cc
@@ -10,16 +10,13 @@
 using upkeep::MachineOutcome;
 using upkeep::MachineState;
 
-Balancer::Balancer(const BalancerPorts& ports,
-                   std::chrono::milliseconds order_gap)
-    : m_ports(ports), m_order_gap(order_gap) {}
+Balancer::Balancer(const BalancerPorts& ports) : m_ports(ports) {}
 
 void Balancer::Begin(core::FencingToken token,
                      const std::vector<job::PoolNote>& pools) {
   End();
   m_is_active = true;
   m_token = token;
-  m_orders_from = m_ports.clock.Now() + m_order_gap;
   for (const job::PoolNote& note : pools) {
     m_own[note.pool] = note.machines;
   }
@@ -109,7 +106,7 @@
     m_list_asked_at = now;
     m_ports.machines.List();
   }
-  if (is_sure && m_orders_from <= now && !m_machines.empty()) {
+  if (is_sure && !m_machines.empty()) {
     for (const auto& [machine, move] : m_moves) {
       if (!move.is_done && move.order_at + kMoveRetry <= now) {
         Order(machine, move.to);
@@ -168,6 +165,7 @@
     const auto avoided = m_avoided_until.find(id);
     const bool may_go =
         machine.state == MachineState::kUp && !IsMoving(id) && !is_taken(id) &&
+        m_ports.machines.IsOpen(id) &&
         (avoided == m_avoided_until.end() || avoided->second <= now);
     const bool is_idle = may_go && (view.load.is_standby ||
                                     (!machine.worker.IsEmpty() &&
--- a/src/crocusmast/capacity/balancer.h
+++ b/src/crocusmast/capacity/balancer.h
@@ -10,7 +10,7 @@
 #include "crocusmast/core/clock.h"
 #include "crocusmast/core/logger.h"
 #include "crocusmast/job/job_store.h"
-#include "crocusmast/upkeep/machine_port.h"
+#include "crocusmast/upkeep/order_gate.h"
 #include "crocusmast/upkeep/worker_keeper.h"
 
 namespace crocusmast::capacity {
@@ -40,7 +40,7 @@
 
 /** @brief What the balancer uses; all outlive it. */
 struct BalancerPorts {
-  upkeep::MachinePort& machines;
+  upkeep::OrderGate& machines;
   upkeep::WorkerKeeper& workers;
   LoadView& loads;
   const core::Clock& clock;
@@ -61,9 +61,8 @@
   /**
    * @brief Makes a balancer without the duty.
    * @param ports What it uses.
-   * @param order_gap How far apart the orders of two holders must be.
    */
-  Balancer(const BalancerPorts& ports, std::chrono::milliseconds order_gap);
+  explicit Balancer(const BalancerPorts& ports);
 
   /**
    * @brief Begins a hold of the duty.
@@ -134,11 +133,9 @@
   void Log(std::string sentence, std::vector<core::LogField> fields) const;
 
   BalancerPorts m_ports;
-  const std::chrono::milliseconds m_order_gap;
   bool m_is_active = false;
   bool m_is_changed = false;
   core::FencingToken m_token;
-  core::TimePoint m_orders_from;
   core::TimePoint m_look_at;
   core::TimePoint m_listed_at;
   core::TimePoint m_list_asked_at;
--- a/src/crocusmast/job/job_store.h
+++ b/src/crocusmast/job/job_store.h
@@ -86,12 +86,20 @@
   std::uint32_t machines = 0;
 };
 
+/** @brief A machine that another holder must not order yet. */
+struct OrderNote {
+  core::MachineId machine;
+  std::chrono::milliseconds closed_for{};
+};
+
 /** @brief What a successor has to know of machines. */
 struct FleetNotes {
   /** @brief The waves that are under way. */
   std::vector<WaveNote> waves;
   /** @brief The pools; empty before they were first listed. */
   std::vector<PoolNote> pools;
+  /** @brief The last orders; absent unless the holder gave the duty up. */
+  std::optional<std::vector<OrderNote>> last_orders;
 };
 
 /** @brief What a successor has to know besides the jobs. */
--- a/src/crocusmast/manager/manager.cc
+++ b/src/crocusmast/manager/manager.cc
@@ -25,11 +25,10 @@
                 ports.logger),
       m_scheduler({ports.workers, ports.store, ports.feed, ports.tickets,
                    ports.clock, ports.logger, ports.meter}),
-      m_upkeep({ports.machines, m_scheduler, ports.clock, ports.logger},
-               m_settings.machine_order_gap),
+      m_machines(ports.machines, ports.clock, m_settings.machine_order_gap),
+      m_upkeep({m_machines, m_scheduler, ports.clock, ports.logger}),
       m_balancer(
-          {ports.machines, m_scheduler, m_scheduler, ports.clock, ports.logger},
-          m_settings.machine_order_gap),
+          {m_machines, m_scheduler, m_scheduler, ports.clock, ports.logger}),
       m_intake(
           {ports.store, ports.answers, ports.clock, ports.logger, ports.meter},
           m_book) {}
@@ -56,6 +55,9 @@
 }
 
 void Manager::RunMachines() {
+  if (m_scheduler.HasStoredNotes()) {
+    m_machines.Open();
+  }
   const bool is_sure = m_elector.IsSure();
   const bool has_pools =
       m_balancer.Round(is_sure, [this](const core::MachineId& machine) {
@@ -66,7 +68,8 @@
         return m_balancer.IsMoving(machine);
       });
   if (has_pools || has_waves) {
-    m_scheduler.SetFleetNotes({m_upkeep.Notes(), m_balancer.Notes()});
+    m_scheduler.SetFleetNotes(
+        {m_upkeep.Notes(), m_balancer.Notes(), std::nullopt});
   }
 }
 
@@ -112,7 +115,9 @@
   m_is_stopping = true;
   UpdateReadiness();
   if (m_scheduler.IsActive()) {
-    m_ports.store.HandOver(m_token, m_scheduler.LastNotes());
+    job::HolderNotes notes = m_scheduler.LastNotes();
+    notes.fleet.last_orders = m_machines.LastOrders();
+    m_ports.store.HandOver(m_token, notes);
   }
   m_elector.Resign();
   FollowLeadership();
@@ -227,6 +232,7 @@
     m_scheduler.Begin({token, leadership::kSchedulingLease.acting -
                                   leadership::kSchedulingLease.length},
                       m_book, m_holder);
+    m_machines.Begin(m_holder.notes.fleet.last_orders);
     m_upkeep.Begin(token, m_holder.notes.fleet.waves);
     m_balancer.Begin(token, m_holder.notes.fleet.pools);
   }
--- a/src/crocusmast/manager/manager.h
+++ b/src/crocusmast/manager/manager.h
@@ -108,6 +108,7 @@
   std::shared_ptr<const queue::Directory> m_directory;
   leadership::Elector m_elector;
   scheduling::Scheduler m_scheduler;
+  upkeep::OrderGate m_machines;
   upkeep::Upkeep m_upkeep;
   capacity::Balancer m_balancer;
   intake::Intake m_intake;
--- a/src/crocusmast/scheduling/scheduler.cc
+++ b/src/crocusmast/scheduling/scheduler.cc
@@ -30,6 +30,7 @@
   m_reign = reign;
   const core::TimePoint now = m_ports.clock.Now();
   m_fleet_notes = notes.fleet;
+  m_fleet_notes.last_orders.reset();
   m_committer.Begin(record.last_commit);
   for (const job::GrantedWorker& grant : notes.workers) {
     m_unsettled[grant.worker] = {grant.incarnation, grant.pool,
@@ -76,6 +77,7 @@
   }
   m_is_active = false;
   m_has_members = false;
+  m_has_stored_notes = false;
   m_was_fenced = false;
   m_jobs_by_pool.clear();
   m_jobs.clear();
--- a/src/crocusmast/scheduling/scheduler.h
+++ b/src/crocusmast/scheduling/scheduler.h
@@ -143,6 +143,9 @@
   bool IsEmpty(const core::InstanceId& worker) const override;
   std::vector<capacity::PoolLoad> PoolLoads() const override;
 
+  /** @brief Tells whether the store has notes of this hold. */
+  bool HasStoredNotes() const { return m_has_stored_notes; }
+
   /** @brief Tells whether a worker refused this holder's token. */
   bool WasFenced() const { return m_was_fenced; }
 
@@ -262,6 +265,7 @@
   SchedulerPorts m_ports;
   bool m_is_active = false;
   bool m_has_members = false;
+  bool m_has_stored_notes = false;
   bool m_was_fenced = false;
   Reign m_reign;
   std::map<core::QueueId, queue::Queue> m_queues;
--- a/src/crocusmast/scheduling/scheduler_members.cc
+++ b/src/crocusmast/scheduling/scheduler_members.cc
@@ -133,6 +133,7 @@
 }
 
 void Scheduler::TakeNotesStored() {
+  m_has_stored_notes = m_has_stored_notes || !m_noted_workers.empty();
   for (const job::GrantedWorker& noted : std::exchange(m_noted_workers, {})) {
     Worker* worker = FindWorker(noted.worker);
     if (worker != nullptr &&
--- a/src/crocusmast/upkeep/upkeep.cc
+++ b/src/crocusmast/upkeep/upkeep.cc
@@ -5,15 +5,13 @@
 
 namespace crocusmast::upkeep {
 
-Upkeep::Upkeep(const UpkeepPorts& ports, std::chrono::milliseconds order_gap)
-    : m_ports(ports), m_order_gap(order_gap) {}
+Upkeep::Upkeep(const UpkeepPorts& ports) : m_ports(ports) {}
 
 void Upkeep::Begin(core::FencingToken token,
                    const std::vector<job::WaveNote>& notes) {
   End();
   m_is_active = true;
   m_token = token;
-  m_orders_from = m_ports.clock.Now() + m_order_gap;
   for (const job::WaveNote& note : notes) {
     m_noted[note.wave] = note.begun;
   }
@@ -108,7 +106,7 @@
     m_ports.machines.List();
   }
   for (auto& [number, plan] : m_plans) {
-    if (is_sure && m_orders_from <= now && !m_machines.empty()) {
+    if (is_sure && !m_machines.empty()) {
       Advance(plan, is_moving);
     }
     if (is_sure) {
@@ -178,7 +176,7 @@
 void Upkeep::Order(WavePlan& plan, const core::MachineId& machine) {
   const core::TimePoint now = m_ports.clock.Now();
   core::TimePoint& order_at = m_order_at[machine];
-  if (now < order_at) {
+  if (now < order_at || !m_ports.machines.IsOpen(machine)) {
     return;
   }
   order_at = now + kOrderRetry;
--- a/src/crocusmast/upkeep/upkeep.h
+++ b/src/crocusmast/upkeep/upkeep.h
@@ -11,6 +11,7 @@
 #include "crocusmast/core/logger.h"
 #include "crocusmast/job/job_store.h"
 #include "crocusmast/upkeep/machine_port.h"
+#include "crocusmast/upkeep/order_gate.h"
 #include "crocusmast/upkeep/wave_plan.h"
 #include "crocusmast/upkeep/worker_keeper.h"
 
@@ -27,7 +28,7 @@
 
 /** @brief What the upkeep uses; all outlive it. */
 struct UpkeepPorts {
-  MachinePort& machines;
+  OrderGate& machines;
   WorkerKeeper& workers;
   const core::Clock& clock;
   core::Logger& logger;
@@ -39,9 +40,8 @@
   /**
    * @brief Makes an upkeep without the duty.
    * @param ports What it uses.
-   * @param order_gap How far apart the orders of two holders must be.
    */
-  Upkeep(const UpkeepPorts& ports, std::chrono::milliseconds order_gap);
+  explicit Upkeep(const UpkeepPorts& ports);
 
   /**
    * @brief Begins a hold of the duty.
@@ -88,11 +88,9 @@
            std::vector<core::LogField> fields) const;
 
   UpkeepPorts m_ports;
-  const std::chrono::milliseconds m_order_gap;
   bool m_is_active = false;
   bool m_is_changed = false;
   core::FencingToken m_token;
-  core::TimePoint m_orders_from;
   core::TimePoint m_list_at;
   bool m_is_listing = false;
   /** @brief A wave and when this instance first read of it. */
--- a/src/crocusmast/upkeep/wave_plan.cc
+++ b/src/crocusmast/upkeep/wave_plan.cc
@@ -102,8 +102,9 @@
   for (const auto& [used, machine] : waiting) {
     const std::size_t share = std::max<std::size_t>(
         1, in_pool[machine->pool] * kPoolSharePercent / 100);
-    const bool fits =
-        passed_percent >= kPressingPercent || away[machine->pool] < share;
+    // A machine without a worker, as on standby, is missed by nobody.
+    const bool fits = passed_percent >= kPressingPercent ||
+                      machine->worker.IsEmpty() || away[machine->pool] < share;
     if (open >= m_request.cap || !fits || !MayEmpty(used, passed_percent)) {
       continue;
     }
--- a/src/crocusmast/upkeep/wave_plan.h
+++ b/src/crocusmast/upkeep/wave_plan.h
@@ -16,9 +16,9 @@
  * per cent; a pool's rush asks for all of it, so only little is. */
 inline constexpr std::size_t kPoolSharePercent = 25;
 /** @brief After this share of a wave's time, busy machines are taken too. */
-inline constexpr int kCalmPercent = 45;
+inline constexpr int kCalmPercent = 40;
 /** @brief After this share of a wave's time, only the cap bounds it. */
-inline constexpr int kPressingPercent = 65;
+inline constexpr int kPressingPercent = 55;
 
 /** @brief A machine that is listed as up this long after its order is back,
  * though it was never listed as down; an upkeep takes about two seconds. */
--- a/test/capacity/balancer_test.cc
+++ b/test/capacity/balancer_test.cc
@@ -94,6 +94,8 @@
  public:
   void setUp() override {
     m_clock.Advance(std::chrono::seconds(100));
+    m_gate.Begin(std::nullopt);
+    m_gate.Open();
     m_balancer.Begin(core::FencingToken(5), {});
   }
 
@@ -194,8 +196,8 @@
   MachineOutcome m_outcome = MachineOutcome::kDone;
   bool m_is_sure = true;
   bool m_are_taken = false;
-  Balancer m_balancer{{m_fleet, m_fleet, m_fleet, m_clock, m_logger},
-                      std::chrono::milliseconds(3500)};
+  upkeep::OrderGate m_gate{m_fleet, m_clock, std::chrono::milliseconds(3500)};
+  Balancer m_balancer{{m_gate, m_fleet, m_fleet, m_clock, m_logger}};
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(BalancerTest, "capacity");
--- a/test/upkeep/upkeep_test.cc
+++ b/test/upkeep/upkeep_test.cc
@@ -123,6 +123,8 @@
  public:
   void setUp() override {
     m_clock.Advance(std::chrono::seconds(100));
+    m_gate.Begin(std::nullopt);
+    m_gate.Open();
     m_upkeep.Begin(core::FencingToken(9), {});
     upkeep::WaveRequest wave;
     wave.number = kWave;
@@ -144,6 +146,8 @@
 
   // A list asked for before the orders shows every machine as up.
   void AnOldListDoesNotBringMachinesBack() {
+    m_gate.Begin(std::nullopt);
+    m_gate.Open();
     m_upkeep.Begin(core::FencingToken(11), {});
     m_room.is_asked = true;
     const auto before = m_room.machines;
@@ -188,6 +192,8 @@
       m_clock.Advance(std::chrono::milliseconds(100));
     }
     CPPUNIT_ASSERT(m_room.ordered.empty());
+    m_gate.Begin(std::nullopt);
+    m_gate.Open();
     m_upkeep.Begin(core::FencingToken(10), {});
     m_upkeep.Round(true, kNoneMoves);
     Answer();
@@ -201,6 +207,8 @@
     const std::size_t orders = m_room.ordered.size();
     CPPUNIT_ASSERT(orders > 0);
     const std::vector<job::WaveNote> notes = m_upkeep.Notes();
+    m_gate.Begin(std::nullopt);
+    m_gate.Open();
     m_upkeep.Begin(core::FencingToken(10), notes);
     Play(std::chrono::seconds(40), [](std::size_t) { return true; });
     CPPUNIT_ASSERT_EQUAL(std::size_t{kMachines}, m_room.begun.size());
@@ -212,6 +220,8 @@
   void ASuccessorKnowsHowOldAWaveIs() {
     m_room.usage.passing = 1;
     m_clock.Advance(std::chrono::seconds(18));
+    m_gate.Begin(std::nullopt);
+    m_gate.Open();
     m_upkeep.Begin(core::FencingToken(10), {});
     Play(std::chrono::seconds(5), [](std::size_t) { return true; });
     CPPUNIT_ASSERT(!m_room.ordered.empty());
@@ -263,8 +273,8 @@
   test::SilentLogger m_logger;
   MachineRoom m_room{m_clock};
   std::size_t m_answered = 0;
-  Upkeep m_upkeep{{m_room, m_room, m_clock, m_logger},
-                  std::chrono::milliseconds(3500)};
+  upkeep::OrderGate m_gate{m_room, m_clock, std::chrono::milliseconds(3500)};
+  Upkeep m_upkeep{{m_gate, m_room, m_clock, m_logger}};
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(UpkeepTest, "upkeep");
