Record a job's first start before it is sent

Workers whose machines had moved were among them: they could never answer.

Ruled out: the order gap (3.5 s) and the takeover itself (0.1 s).

Change: a job's first start waits for the commit that shows it as running, so a job that is stored as queued has surely not started and waits for nobody; workers that were emptied for a move or upkeep are left out of the notes. Pools take machines of other pools by the steadier of two rates of arrival. The balancer logs the loads each second.

Two tests of a successor now store the job as running, as a holder does before the first start; their assertions stay.

--- a/src/crocusmast/capacity/balancer.cc
+++ b/src/crocusmast/capacity/balancer.cc
@@ -26,6 +26,7 @@
   m_is_active = false;
   m_is_changed = false;
   m_look_at = {};
+  m_log_at = {};
   m_listed_at = {};
   m_list_asked_at = {};
   m_machines.clear();
@@ -106,6 +107,7 @@
     m_list_asked_at = now;
     m_ports.machines.List();
   }
+  LogLoads(views);
   if (is_sure && !m_machines.empty()) {
     for (const auto& [machine, move] : m_moves) {
       if (!move.is_done && move.order_at + kMoveRetry <= now) {
@@ -139,18 +141,24 @@
     up[machine.pool] +=
         move == m_moves.end() && machine.state == MachineState::kUp ? 1 : 0;
   }
-  for (auto& [pool, view] : views) {
+  for (auto& one : views) {
+    const core::PoolId& pool = one.first;
+    PoolView& view = one.second;
     const PoolLoad& load = view.load;
     view.load.pool = pool;
     view.machine_cores =
         up[pool] > 0 && load.capacity_cores > 0
             ? load.capacity_cores / static_cast<double>(up[pool])
             : kUsualCores;
-    const double wanted = load.waiting_core_seconds / kBacklogSeconds +
-                          std::max(load.running_cores, load.arriving_cores);
+    const double backlog = load.waiting_core_seconds / kBacklogSeconds;
     const auto coming =
         static_cast<double>(view.machines - std::min(view.machines, up[pool]));
-    view.missing = (wanted - load.capacity_cores) / view.machine_cores - coming;
+    const auto missing = [&](double arriving) {
+      const double wanted = backlog + std::max(load.running_cores, arriving);
+      return (wanted - load.capacity_cores) / view.machine_cores - coming;
+    };
+    view.missing = missing(load.arriving_cores);
+    view.surely_missing = missing(load.steady_cores);
     FindIdle(view, is_taken);
   }
   return views;
@@ -188,6 +196,30 @@
   return own == m_own.end() ? 0 : own->second;
 }
 
+void Balancer::LogLoads(const std::map<core::PoolId, PoolView>& views) {
+  const core::TimePoint now = m_ports.clock.Now();
+  if (now < m_log_at) {
+    return;
+  }
+  m_log_at = now + kLogPause;
+  const auto whole = [](double value) {
+    return std::to_string(static_cast<std::int64_t>(std::llround(value)));
+  };
+  std::vector<core::LogField> fields{{"event", "pool_loads"}};
+  for (const auto& [pool, view] : views) {
+    const PoolLoad& load = view.load;
+    fields.push_back({pool.Text(), std::to_string(view.machines) + " " +
+                                       std::to_string(view.idle.size()) + " " +
+                                       whole(load.capacity_cores) + " " +
+                                       whole(load.running_cores) + " " +
+                                       whole(load.waiting_cores) + " " +
+                                       whole(load.arriving_cores)});
+  }
+  Log("Loads of the pools: machines, idle ones, cores, cores in use, cores "
+      "that waiting tasks need, cores that arrivals will need.",
+      std::move(fields));
+}
+
 bool Balancer::HasSlack(const PoolView& view) const {
   const PoolLoad& load = view.load;
   return load.waiting_cores <= 0 &&
@@ -221,8 +253,9 @@
     }
     const auto kept = static_cast<std::size_t>(
         std::ceil(kKeptShare * static_cast<double>(OwnOf(pool))));
-    const bool may_lend =
-        HasSlack(view) && view.missing < -1 && kept < view.machines;
+    const bool may_lend = borrower.surely_missing >= kLeastMissing &&
+                          HasSlack(view) && view.missing < -1 &&
+                          kept < view.machines;
     if (may_lend && (best == nullptr || view.missing < best->missing)) {
       best = &view;
     }
@@ -257,7 +290,9 @@
   --from.machines;
   ++to.machines;
   from.missing += 1;
+  from.surely_missing += 1;
   to.missing -= 1;
+  to.surely_missing -= 1;
   m_idle_since.erase(id);
   if (const core::InstanceId& worker = m_machines[id].worker;
       !worker.IsEmpty()) {
--- a/src/crocusmast/capacity/balancer.h
+++ b/src/crocusmast/capacity/balancer.h
@@ -33,6 +33,8 @@
 inline constexpr std::chrono::milliseconds kListAge{1000};
 /** @brief How old it may be otherwise. */
 inline constexpr std::chrono::milliseconds kCalmListAge{5000};
+/** @brief How often the loads are logged. */
+inline constexpr std::chrono::milliseconds kLogPause{1000};
 /** @brief An order without an answer is repeated after this. */
 inline constexpr std::chrono::milliseconds kMoveRetry{700};
 /** @brief A machine that could not be moved is left alone for this long. */
@@ -115,6 +117,8 @@
     double machine_cores = 0;
     /** @brief Machines that it misses; below 0 those that it can spare. */
     double missing = 0;
+    /** @brief The same by steady arrivals: enough to take from other pools. */
+    double surely_missing = 0;
     /** @brief Machines that are idle and may go, the longest idle last. */
     std::vector<core::MachineId> idle;
   };
@@ -128,6 +132,7 @@
   void Return(PoolView& view, std::map<core::PoolId, PoolView>& views);
   void Send(PoolView& from, PoolView& to, const char* reason);
   void Order(const core::MachineId& machine, const core::PoolId& to);
+  void LogLoads(const std::map<core::PoolId, PoolView>& views);
   bool HasSlack(const PoolView& view) const;
   std::size_t OwnOf(const core::PoolId& pool) const;
   void Log(std::string sentence, std::vector<core::LogField> fields) const;
@@ -137,6 +142,7 @@
   bool m_is_changed = false;
   core::FencingToken m_token;
   core::TimePoint m_look_at;
+  core::TimePoint m_log_at;
   core::TimePoint m_listed_at;
   core::TimePoint m_list_asked_at;
   std::map<core::MachineId, upkeep::Machine> m_machines;
--- a/src/crocusmast/capacity/demand_meter.cc
+++ b/src/crocusmast/capacity/demand_meter.cc
@@ -21,10 +21,11 @@
   }
 }
 
-double DemandMeter::Rate(const core::PoolId& pool, core::TimePoint now) const {
+DemandMeter::Rates DemandMeter::RatesOf(const core::PoolId& pool,
+                                        core::TimePoint now) const {
   const auto arrivals = m_arrivals.find(pool);
   if (arrivals == m_arrivals.end()) {
-    return 0;
+    return {};
   }
   double in_short = 0;
   double in_long = 0;
@@ -32,8 +33,9 @@
     in_long += now < at + kLongWindow ? core_seconds : 0;
     in_short += now < at + kShortWindow ? core_seconds : 0;
   }
-  return std::max(in_short / internal::ToSeconds(kShortWindow),
-                  in_long / internal::ToSeconds(kLongWindow));
+  const double steady = in_long / internal::ToSeconds(kLongWindow);
+  return {std::max(in_short / internal::ToSeconds(kShortWindow), steady),
+          steady};
 }
 
 }  // namespace crocusmast::capacity
--- a/src/crocusmast/capacity/demand_meter.h
+++ b/src/crocusmast/capacity/demand_meter.h
@@ -26,12 +26,20 @@
    */
   void Add(const core::PoolId& pool, double core_seconds, core::TimePoint now);
 
+  /** @brief The cores that the latest arrivals keep busy. */
+  struct Rates {
+    /** @brief By the window that shows more. */
+    double latest = 0;
+    /** @brief By the long window. */
+    double steady = 0;
+  };
+
   /**
-   * @brief Returns the cores that the latest arrivals keep busy.
+   * @brief Returns what the latest arrivals keep busy.
    * @param pool The pool.
    * @param now The time.
    */
-  double Rate(const core::PoolId& pool, core::TimePoint now) const;
+  Rates RatesOf(const core::PoolId& pool, core::TimePoint now) const;
 
   /** @brief Forgets everything. */
   void Clear() { m_arrivals.clear(); }
--- a/src/crocusmast/capacity/pool_load.h
+++ b/src/crocusmast/capacity/pool_load.h
@@ -18,6 +18,8 @@
   double running_cores = 0;
   /** @brief What the latest arrivals will keep busy. */
   double arriving_cores = 0;
+  /** @brief The same over a longer time, which few large jobs sway less. */
+  double steady_cores = 0;
   /** @brief What could start now, if there were room. */
   double waiting_cores = 0;
   /** @brief The work of what could start now. */
--- a/src/crocusmast/scheduling/committer.cc
+++ b/src/crocusmast/scheduling/committer.cc
@@ -59,8 +59,8 @@
     if (std::optional<job::ProgressWrite> write = read(id); write) {
       entries +=
           job::IsFinal(write->progress.state) ? kEndEntries : kProgressEntries;
+      m_in_flight.emplace(id, InFlight{place, write->progress.state});
       commit.progress.push_back(std::move(*write));
-      m_in_flight.emplace(id, place);
     }
   }
   m_is_full = !m_changed.empty();
@@ -72,7 +72,8 @@
 
 bool Committer::Handle(const job::CommitReply& reply,
                        core::TimePoint now,
-                       const TakeRecorded& take) {
+                       const TakeStored& take_stored,
+                       const TakeRecorded& take_recorded) {
   if (!m_is_in_flight || reply.sequence != m_sequence) {
     return true;
   }
@@ -80,9 +81,11 @@
   if (reply.outcome == job::StoreOutcome::kDone) {
     m_next_at = now + PauseAfterCommit();
     m_last_commit = reply.revision;
-    m_in_flight.clear();
     m_in_flight_notes.reset();
-    TellRecorded(take);
+    for (const auto& [id, stored] : std::exchange(m_in_flight, {})) {
+      take_stored(id, stored.state);
+    }
+    TellRecorded(take_recorded);
     return true;
   }
   PutBack();
@@ -114,10 +117,10 @@
 
 void Committer::PutBack() {
   std::vector<std::pair<Place, core::JobId>> jobs;
-  for (const auto& [id, place] : m_in_flight) {
+  for (const auto& [id, job] : m_in_flight) {
     // Changed again since: it waits at the place of its first change.
-    m_places[id] = place;
-    jobs.emplace_back(place, id);
+    m_places[id] = job.place;
+    jobs.emplace_back(job.place, id);
   }
   m_changed.erase(std::remove_if(m_changed.begin(), m_changed.end(),
                                  [this](const auto& one) {
--- a/src/crocusmast/scheduling/committer.h
+++ b/src/crocusmast/scheduling/committer.h
@@ -29,8 +29,9 @@
 /** @brief The pause between two commits, so that changes are batched. */
 inline constexpr std::chrono::milliseconds kCommitPause{15};
 /** @brief The pause in a rush, when commits have at least kBusyCommitJobs jobs:
- * more ends add up to one commit and one look, for a tenth of a job's slack. */
-inline constexpr std::chrono::milliseconds kBusyCommitPause{45};
+ * more ends add up to one commit and one look, for a twentieth of a job's
+ * slack. */
+inline constexpr std::chrono::milliseconds kBusyCommitPause{30};
 inline constexpr std::size_t kBusyCommitJobs = 10;
 /** @brief A commit without an answer is sent again after this. */
 inline constexpr std::chrono::milliseconds kCommitRetry{100};
@@ -89,6 +90,8 @@
                                   core::TimePoint now,
                                   const ReadProgress& read);
 
+  /** @brief Takes a job whose progress was stored, and the state in it. */
+  using TakeStored = std::function<void(const core::JobId&, job::JobState)>;
   /** @brief Takes a worker whose ends are recorded up to a number. */
   using TakeRecorded =
       std::function<void(const core::InstanceId&, core::EndNumber)>;
@@ -96,12 +99,14 @@
    * @brief Takes in the answer to a commit.
    * @param reply The answer.
    * @param now The time.
-   * @param take Called for each worker whose ends are now recorded.
+   * @param take_stored Called for each job of the commit, if it was done.
+   * @param take_recorded Called for each worker whose ends are now recorded.
    * @return False if the claim no longer stands.
    */
   bool Handle(const job::CommitReply& reply,
               core::TimePoint now,
-              const TakeRecorded& take);
+              const TakeStored& take_stored,
+              const TakeRecorded& take_recorded);
 
   /** @brief Tells whether something is not stored yet. */
   bool HasPending() const {
@@ -116,6 +121,11 @@
  private:
   /** @brief The place of a change in the order in which they came. */
   using Place = std::uint64_t;
+  /** @brief A job of the commit under way. */
+  struct InFlight {
+    Place place = 0;
+    job::JobState state = job::JobState::kQueued;
+  };
   /** @brief Ends that are recorded once all changes before them are stored. */
   struct WaitingEnds {
     Place after = 0;
@@ -137,7 +147,7 @@
   /** @brief Changed jobs, the longest waiting first. */
   std::deque<std::pair<Place, core::JobId>> m_changed;
   std::unordered_map<core::JobId, Place> m_places;
-  std::unordered_map<core::JobId, Place> m_in_flight;
+  std::unordered_map<core::JobId, InFlight> m_in_flight;
   std::deque<WaitingEnds> m_ends;
   std::optional<job::HolderNotes> m_notes;
   std::optional<job::HolderNotes> m_in_flight_notes;
--- a/src/crocusmast/scheduling/scheduler.cc
+++ b/src/crocusmast/scheduling/scheduler.cc
@@ -53,7 +53,9 @@
         job::Job::Create(entry.job, entry.progress ? &*entry.progress : nullptr,
                          core::Attempt(reign.token.Count())),
         now - age);
-    active.is_inherited = true;
+    active.is_start_recorded =
+        entry.progress && entry.progress->state != job::JobState::kQueued;
+    active.is_inherited = active.is_start_recorded;
     if (entry.is_cancelled) {
       active.job.Cancel();
       m_committer.MarkChanged(id);
@@ -243,6 +245,13 @@
   const core::TimePoint now = m_ports.clock.Now();
   const bool is_holder = m_committer.Handle(
       reply, now,
+      [this](const core::JobId& id, job::JobState state) {
+        ActiveJob* active = FindJob(id);
+        if (active != nullptr && state == job::JobState::kRunning &&
+            !std::exchange(active->is_start_recorded, true)) {
+          SendHeldStarts(*active);
+        }
+      },
       [this, now](const core::InstanceId& id, core::EndNumber number) {
         Worker* worker = FindWorker(id);
         if (worker != nullptr && worker->recorded < number &&
--- a/src/crocusmast/scheduling/scheduler.h
+++ b/src/crocusmast/scheduling/scheduler.h
@@ -169,8 +169,11 @@
     bool needs_tickets = false;
     /** @brief When it has to be done to meet its objective. */
     core::TimePoint deadline;
-    /** @brief An earlier holder may have started tasks of it. */
+    /** @brief An earlier holder may have started tasks that are not known. */
     bool is_inherited = false;
+    /** @brief The store shows that it has started: a successor has to look for
+     * its runs. Nothing of it is started before. */
+    bool is_start_recorded = false;
     /** @brief It may have tasks to start. */
     bool may_be_ready = true;
     /** @brief The least room that a task to start needs; empty if unknown. */
@@ -223,6 +226,7 @@
   void Retry();
   bool RepeatOrders(execution::Worker& worker);
   void SendStart(execution::Worker& worker, const execution::RunKey& key);
+  void SendHeldStarts(ActiveJob& active);
   void SendStop(execution::Worker& worker, const execution::RunKey& key);
   void StopAll(ActiveJob& active);
   void ForgetEnded();
--- a/src/crocusmast/scheduling/scheduler_members.cc
+++ b/src/crocusmast/scheduling/scheduler_members.cc
@@ -101,7 +101,9 @@
   job::HolderNotes notes;
   notes.fleet = m_fleet_notes;
   for (const auto& [id, worker] : m_workers) {
-    if (!worker->IsListed() && worker->Runs().empty()) {
+    // Nothing runs on a worker that was emptied for good, nor will.
+    const bool is_empty = worker->Runs().empty() && m_unsettled.count(id) == 0;
+    if (is_empty && (worker->is_cordoned || !worker->IsListed())) {
       continue;
     }
     const auto unsettled = m_unsettled.find(id);
--- a/src/crocusmast/scheduling/scheduler_placement.cc
+++ b/src/crocusmast/scheduling/scheduler_placement.cc
@@ -293,7 +293,24 @@
   active.job.BeginRun(task.key, std::move(run));
   worker.ExtendLease(kHold, now);
   NotePlacement(task, attempt, worker);
-  SendStart(worker, {task, attempt});
+  if (active.is_start_recorded) {
+    SendStart(worker, {task, attempt});
+  }
+}
+
+void Scheduler::SendHeldStarts(ActiveJob& active) {
+  std::vector<std::pair<core::InstanceId, RunKey>> held;
+  active.job.ForEachRun([&](const job::TaskKey& key, const job::Run& run) {
+    held.emplace_back(run.worker, RunKey{{active.job.Id(), key}, run.attempt});
+  });
+  for (const auto& [id, key] : held) {
+    Worker* worker = FindWorker(id);
+    const execution::HeldRun* run =
+        worker == nullptr ? nullptr : worker->Find(key);
+    if (run != nullptr && !run->is_stopping) {
+      SendStart(*worker, key);
+    }
+  }
 }
 
 void Scheduler::NotePlacement(const job::TaskId& task,
--- a/src/crocusmast/scheduling/scheduler_upkeep.cc
+++ b/src/crocusmast/scheduling/scheduler_upkeep.cc
@@ -51,7 +51,11 @@
   if (worker == nullptr) {
     return;
   }
-  worker->is_cordoned = true;
+  const bool was_cordoned = std::exchange(worker->is_cordoned, true);
+  if (!was_cordoned && IsEmpty(id)) {
+    // A successor need not look for it.
+    StoreNotes();
+  }
   MoveLasting(*worker);
 }
 
@@ -116,7 +120,9 @@
   for (const auto& [id, pool] : m_pools) {
     loads[id].pool = id;
     loads[id].is_standby = pool.is_standby;
-    loads[id].arriving_cores = m_demand.Rate(id, m_ports.clock.Now());
+    const auto rates = m_demand.RatesOf(id, m_ports.clock.Now());
+    loads[id].arriving_cores = rates.latest;
+    loads[id].steady_cores = rates.steady;
   }
   for (const auto& [id, worker] : m_workers) {
     const auto load = loads.find(worker->Record().pool);
--- a/test/scheduling/committer_test.cc
+++ b/test/scheduling/committer_test.cc
@@ -58,7 +58,7 @@
     reply.outcome = outcome;
     reply.revision = core::Revision(revision);
     return committer.Handle(
-        reply, clock.Now(),
+        reply, clock.Now(), [](const core::JobId&, job::JobState) {},
         [this](const core::InstanceId& worker, core::EndNumber number) {
           recorded[worker] = number;
         });
@@ -153,7 +153,8 @@
     reply.outcome = StoreOutcome::kConflict;
     reply.is_still_holder = false;
     CPPUNIT_ASSERT(!committer.Handle(
-        reply, clock.Now(), [](const core::InstanceId&, core::EndNumber) {}));
+        reply, clock.Now(), [](const core::JobId&, job::JobState) {},
+        [](const core::InstanceId&, core::EndNumber) {}));
   }
 
  private:
--- a/test/scheduling/scheduler_recovery_test.cc
+++ b/test/scheduling/scheduler_recovery_test.cc
@@ -34,6 +34,9 @@
   CPPUNIT_TEST(AHandOverCarriesWhatIsLeftOfLeases);
   CPPUNIT_TEST(AnUnconfirmedHolderConcludesNothingFromLapsedLeases);
   CPPUNIT_TEST(NewJobsDoNotWaitForUnreachedWorkers);
+  CPPUNIT_TEST(AJobStartsOnceItsStartIsRecorded);
+  CPPUNIT_TEST(AJobThatHadNotStartedDoesNotWaitForUnreachedWorkers);
+  CPPUNIT_TEST(AnEmptiedWorkerIsNotWaitedFor);
   CPPUNIT_TEST(ASuccessorTakesUnrecordedEnds);
   CPPUNIT_TEST(ADeposedHolderStops);
   CPPUNIT_TEST_SUITE_END();
@@ -45,6 +48,20 @@
             {}};
   }
 
+  /** @brief Stores a job of which the earlier holder has started something. */
+  static void Inherit(Bench& bench, std::vector<job::Step> steps) {
+    job::Job job = job::Job::Create(MakeJob(kJob, std::move(steps)), nullptr,
+                                    core::Attempt(0));
+    job.OpenDue({});
+    job::Run run;
+    run.worker = MakeId<core::InstanceId>("w-1");
+    run.attempt = core::Attempt(1);
+    job.BeginRun({0, 0, 0}, run);
+    bench.book.Apply(job::JobStored{job.Accepted()}, {});
+    bench.book.Apply(
+        job::ProgressStored{job.Id(), job.Progress(), core::Revision(50)}, {});
+  }
+
   void EndsAreAcknowledgedOnceStored() {
     Bench bench;
     bench.Begin();
@@ -166,7 +183,7 @@
 
   void ASuccessorAdoptsWhatRuns() {
     Bench bench;
-    bench.book.Apply(job::JobStored{MakeJob(kJob, {MakeStep(2)})}, {});
+    Inherit(bench, {MakeStep(2)});
     bench.Begin(20, Notes());
     bench.List({MakeWorker("w-1")});
     CPPUNIT_ASSERT(bench.orders.starts.empty());
@@ -188,7 +205,7 @@
 
   void ASuccessorWaitsForAWorkerItCantReach() {
     Bench bench;
-    bench.book.Apply(job::JobStored{MakeJob(kJob, {MakeStep(1)})}, {});
+    Inherit(bench, {MakeStep(1)});
     bench.Begin(20, Notes());
     const core::TimePoint begun = bench.clock.Now();
     bench.List({MakeWorker("w-2")});
@@ -243,10 +260,57 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.orders.starts.size());
   }
 
-  void ASuccessorTakesUnrecordedEnds() {
+  void AJobStartsOnceItsStartIsRecorded() {
+    Bench bench;
+    bench.Begin();
+    bench.List({MakeWorker("w-1")});
+    bench.scheduler.AddJob(MakeJob(kJob, {MakeStep(2)}));
+    bench.scheduler.Round(bench.clock.Now());
+    CPPUNIT_ASSERT(bench.orders.starts.empty());
+    bench.Commit(job::StoreOutcome::kUnknown);
+    CPPUNIT_ASSERT(bench.orders.starts.empty());
+    bench.clock.Advance(scheduling::kCommitRetry);
+    bench.scheduler.Round(bench.clock.Now());
+    bench.Commit(job::StoreOutcome::kDone);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, bench.orders.starts.size());
+    // What comes later in the job waits for no commit.
+    bench.Reply(bench.orders.starts[0], CallOutcome::kNoRoom);
+    bench.clock.Advance(std::chrono::seconds(1));
+    bench.scheduler.Round(bench.clock.Now());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, bench.orders.starts.size());
+  }
+
+  // A rush: most of what waits has not started when the holder dies together
+  // with some workers.
+  void AJobThatHadNotStartedDoesNotWaitForUnreachedWorkers() {
     Bench bench;
     bench.book.Apply(job::JobStored{MakeJob(kJob, {MakeStep(1)})}, {});
     bench.Begin(20, Notes());
+    bench.List({MakeWorker("w-2")});
+    bench.Round();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bench.orders.starts.size());
+  }
+
+  // It went to another pool, so it is no longer listed.
+  void AnEmptiedWorkerIsNotWaitedFor() {
+    Bench bench;
+    bench.Begin();
+    bench.List({MakeWorker("w-1"), MakeWorker("w-2")});
+    bench.scheduler.SetAside(MakeId<core::InstanceId>("w-1"));
+    bench.Round();
+    const auto& commits = bench.store.commits;
+    const auto noted = std::find_if(
+        commits.rbegin(), commits.rend(),
+        [](const job::Commit& commit) { return commit.notes.has_value(); });
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, noted->notes->workers.size());
+    CPPUNIT_ASSERT(noted->notes->workers[0].worker ==
+                   MakeId<core::InstanceId>("w-2"));
+  }
+
+  void ASuccessorTakesUnrecordedEnds() {
+    Bench bench;
+    Inherit(bench, {MakeStep(1)});
+    bench.Begin(20, Notes());
     bench.List({MakeWorker("w-1")});
     bench.Look({}, {{core::EndNumber(7),
                      {MakeId<core::JobId>(kJob), {0, 0, 0}},
