Drop what was not delivered in time, and repeat store calls after a pause

Change: a call that is given up resets its connection, which drops held-up bytes. The test fails without it: the server gets the whole request after the client has given up.

Change: repeats come after 100, 200 and 400 ms; then the caller is told.

--- a/src/crocusmast/adapters/async/http_client.cc
+++ b/src/crocusmast/adapters/async/http_client.cc
@@ -49,6 +49,17 @@
   Connection(boost::asio::io_context& context, Peer& owner)
       : socket(context), peer(owner) {}
 
+  /**
+   * @brief Closes with a reset, which drops what was not delivered.
+   *
+   * A path that was cut would else deliver it once it heals.
+   */
+  void Reset() {
+    boost::system::error_code failed;
+    socket.set_option(boost::asio::socket_base::linger(true, 0), failed);
+    socket.close(failed);
+  }
+
   /** @brief Tells whether the peer has closed or sent what nobody asked for. */
   bool IsStale() {
     char byte = 0;
@@ -225,9 +236,8 @@
   for (const ConnectionPtr& connection : busy) {
     if (connection->expires_at <= now && !connection->is_expired) {
       connection->is_expired = true;
-      boost::system::error_code failed;
       // Ends the step under way; its handler sees the error.
-      connection->socket.close(failed);
+      connection->Reset();
     }
   }
   if (!busy.empty()) {
@@ -323,6 +333,7 @@
 void HttpClient::State::Fail(const ConnectionPtr& connection,
                              CallResult result,
                              const boost::system::error_code& error) {
+  connection->Reset();
   busy.erase(connection);
   Peer& peer = connection->peer;
   --peer.busy;
--- a/src/crocusmast/intake/intake.cc
+++ b/src/crocusmast/intake/intake.cc
@@ -193,11 +193,9 @@
   waiting.is_uncertain =
       waiting.is_uncertain || written.outcome == StoreOutcome::kUnknown;
   if (is_unclear && waiting.is_uncertain && MayRepeat(waiting)) {
-    if (waiting.verb == Verb::kSubmit) {
-      m_ports.store.Create(written.exchange, waiting.job);
-    } else {
-      m_ports.store.Cancel(written.exchange, waiting.job.id);
-    }
+    waiting.repeat_at =
+        m_ports.clock.Now() + kRepeatPause * (1U << waiting.repeats);
+    ++waiting.repeats;
     return;
   }
   Pending done = std::move(waiting);
@@ -209,8 +207,24 @@
   }
 }
 
+void Intake::Tick() {
+  const core::TimePoint now = m_ports.clock.Now();
+  for (auto& [number, waiting] : m_waiting) {
+    if (!waiting.repeat_at || now < *waiting.repeat_at) {
+      continue;
+    }
+    waiting.repeat_at.reset();
+    if (waiting.verb == Verb::kSubmit) {
+      m_ports.store.Create(job::ExchangeId(number), waiting.job);
+    } else {
+      m_ports.store.Cancel(job::ExchangeId(number), waiting.job.id);
+    }
+  }
+}
+
 bool Intake::MayRepeat(const Pending& waiting) const {
-  return m_ports.clock.Now() + kRepeatReserve < waiting.deadline;
+  return waiting.repeats < kMaxRepeats &&
+         m_ports.clock.Now() + kRepeatReserve < waiting.deadline;
 }
 
 void Intake::FinishSubmit(job::ExchangeId exchange,
--- a/src/crocusmast/intake/intake.h
+++ b/src/crocusmast/intake/intake.h
@@ -1,6 +1,8 @@
 #ifndef CROCUSMAST_INTAKE_INTAKE_H_
 #define CROCUSMAST_INTAKE_INTAKE_H_
 
+#include <cstdint>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -19,6 +21,12 @@
 /** @brief A store call without an answer is repeated while this much of the
  * caller's time is left. */
 inline constexpr std::chrono::milliseconds kRepeatReserve{500};
+/** @brief The pause before the first repeat; doubles with each. The store may
+ * be refusing this instance at once. */
+inline constexpr std::chrono::milliseconds kRepeatPause{100};
+/** @brief After this many repeats the caller is told: at another instance the
+ * same call may succeed. */
+inline constexpr std::uint32_t kMaxRepeats = 3;
 /** @brief When a caller may come back after the store failed; outages last
  * for seconds. */
 inline constexpr std::chrono::seconds kStoreRetryAfter{1};
@@ -66,8 +74,8 @@
   /** @brief Takes the answer to a read. */
   void Handle(job::JobRead&& read);
 
-  /** @brief Returns how many requests wait for the store. */
-  std::size_t CountWaiting() const { return m_waiting.size(); }
+  /** @brief Repeats the calls whose time has come. */
+  void Tick();
 
  private:
   /** @brief A request that waits for the store. */
@@ -78,6 +86,9 @@
     /** @brief A call for it may have been done, or may be done later. */
     bool is_uncertain = false;
     core::TimePoint began_at;
+    std::uint32_t repeats = 0;
+    /** @brief When the call is repeated; empty while one is under way. */
+    std::optional<core::TimePoint> repeat_at;
   };
 
   void Submit(CallerRequest&& request, const queue::Queue& queue);
--- a/src/crocusmast/manager/manager.cc
+++ b/src/crocusmast/manager/manager.cc
@@ -42,6 +42,7 @@
   if (!m_is_stopping) {
     m_elector.Tick();
   }
+  m_intake.Tick();
   UpdateReadiness();
   RemoveEnded();
   FollowLeadership();
--- a/test/adapters/async_http_test.cc
+++ b/test/adapters/async_http_test.cc
@@ -5,6 +5,7 @@
 
 #include "crocusmast/adapters/async/http_client.h"
 #include "crocusmast/adapters/async/http_server.h"
+#include "test/support/raw_server.h"
 
 namespace {
 
@@ -30,6 +31,7 @@
   CPPUNIT_TEST(ALargeBodyIsRefused);
   CPPUNIT_TEST(AClosedPortMeansNotSent);
   CPPUNIT_TEST(SilenceMeansUnknown);
+  CPPUNIT_TEST(WhatWasNotDeliveredInTimeIsDropped);
   CPPUNIT_TEST(ADrainingServerClosesAfterItsAnswer);
   CPPUNIT_TEST_SUITE_END();
 
@@ -95,6 +97,33 @@
     CPPUNIT_ASSERT(Call("/echo", "").result == CallResult::kAnswered);
   }
 
+  // A path that was cut delivers held-up bytes once it heals, and an order
+  // would be carried out long after it was given up.
+  void WhatWasNotDeliveredInTimeIsDropped() {
+    constexpr int kReceived = 8192;
+    constexpr std::size_t kBody = 64 * 1024;
+    std::promise<void> is_given_up;
+    std::promise<std::size_t> received;
+    test::RawServer server(
+        [&](int socket) {
+          is_given_up.get_future().wait();
+          std::size_t bytes = 0;
+          std::string buffer(kBody, '\0');
+          for (ssize_t count = 1; count > 0;) {
+            count = recv(socket, buffer.data(), buffer.size(), 0);
+            bytes += count > 0 ? static_cast<std::size_t>(count) : 0;
+          }
+          received.set_value(bytes);
+        },
+        kReceived);
+    const HttpReply reply = Call("/order", std::string(kBody, 'x'),
+                                 server.Port(), std::chrono::milliseconds(200));
+    CPPUNIT_ASSERT(reply.result == CallResult::kUnknown);
+    is_given_up.set_value();
+    // The kernel doubles a buffer's size for its own use.
+    CPPUNIT_ASSERT(received.get_future().get() <= 2 * kReceived);
+  }
+
   void ADrainingServerClosesAfterItsAnswer() {
     Call("/echo", "");
     std::promise<void> drained;
--- a/test/intake/intake_test.cc
+++ b/test/intake/intake_test.cc
@@ -22,6 +22,7 @@
   CPPUNIT_TEST(AJobIsAcceptedOnceStored);
   CPPUNIT_TEST(ARefusedJobWasNotStored);
   CPPUNIT_TEST(AnUnknownWriteIsRepeatedThenSaidToBeUnknown);
+  CPPUNIT_TEST(RepeatsAreFewAndFurtherApartEachTime);
   CPPUNIT_TEST(ARepeatedSubmitIsOneJob);
   CPPUNIT_TEST(BadInputChangesNothing);
   CPPUNIT_TEST(WithoutAConfigurationNothingIsServed);
@@ -59,6 +60,8 @@
     Ask(Verb::kSubmit, Path());
     Written(StoreOutcome::kUnknown);
     CPPUNIT_ASSERT(m_answers.answers.empty());
+    m_clock.Advance(intake::kRepeatPause);
+    m_intake.Tick();
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_store.created.size());
     m_clock.Advance(std::chrono::milliseconds(2800));
     // Refused now, but the first write may still be done.
@@ -66,6 +69,26 @@
     CPPUNIT_ASSERT(Last() == AnswerKind::kUnknown);
   }
 
+  // The store resets each connection of this instance at once: thousands of
+  // calls were made within a second.
+  void RepeatsAreFewAndFurtherApartEachTime() {
+    Ask(Verb::kSubmit, Path());
+    std::vector<std::int64_t> made_at;
+    for (int ms = 0; m_answers.answers.empty() && ms < 3000; ++ms) {
+      if (made_at.size() < m_store.created.size()) {
+        made_at.push_back(ms);
+        Written(StoreOutcome::kUnknown);
+      }
+      m_clock.Advance(std::chrono::milliseconds(1));
+      m_intake.Tick();
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{4}, made_at.size());
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{100}, made_at[1] - made_at[0]);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{200}, made_at[2] - made_at[1]);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{400}, made_at[3] - made_at[2]);
+    CPPUNIT_ASSERT(Last() == AnswerKind::kUnknown);
+  }
+
   void ARepeatedSubmitIsOneJob() {
     Ask(Verb::kSubmit, Path());
     Written(StoreOutcome::kConflict);
--- a/test/support/raw_server.h
+++ b/test/support/raw_server.h
@@ -20,8 +20,18 @@
   /** @brief Serves one accepted connection; closes it on return. */
   using Serve = std::function<void(int socket)>;
 
-  explicit RawServer(Serve serve) : m_serve(std::move(serve)) {
+  /**
+   * @param serve Serves the connections, one after the other.
+   * @param receive_buffer How many bytes a connection takes in that nobody
+   * reads; 0 for the usual number.
+   */
+  explicit RawServer(Serve serve, int receive_buffer = 0)
+      : m_serve(std::move(serve)) {
     m_socket = socket(AF_INET, SOCK_STREAM, 0);
+    if (receive_buffer > 0) {
+      setsockopt(m_socket, SOL_SOCKET, SO_RCVBUF, &receive_buffer,
+                 sizeof receive_buffer);
+    }
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
