Keep an earlier holder's leases in mind when a worker answers late

Cause: a worker that was cut off together with the old holder answered the new one after 4.7 s. Its runs were taken over, and given up in the same round: this holder's own lease had lapsed, but the old one had extended the worker's for another 5 s.

Ruled out: the notes left the worker out (it was in them), a late order.

Change: a worker that may have leases of an earlier holder is not taken as lapsed before those have ended. The test fails without it.

--- a/src/crocusmast/execution/worker.h
+++ b/src/crocusmast/execution/worker.h
@@ -1,6 +1,7 @@
 #ifndef CROCUSMAST_EXECUTION_WORKER_H_
 #define CROCUSMAST_EXECUTION_WORKER_H_
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <map>
@@ -100,6 +101,14 @@
    */
   WorkerTime ExtendLease(std::chrono::milliseconds hold, core::TimePoint now);
 
+  /**
+   * @brief Takes in that somebody else may have given a lease.
+   * @param until When it has surely ended.
+   */
+  void AssumeLease(core::TimePoint until) {
+    m_lapsed_at = std::max(m_lapsed_at, until);
+  }
+
   /** @brief Returns the end of the longest lease asked for. */
   WorkerTime LeaseUntil() const { return m_lease_until; }
 
--- a/src/crocusmast/scheduling/scheduler_looks.cc
+++ b/src/crocusmast/scheduling/scheduler_looks.cc
@@ -69,6 +69,11 @@
   if (reply.clock) {
     worker->ReadClock(*reply.clock, now);
   }
+  if (const auto unsettled = m_unsettled.find(reply.worker);
+      unsettled != m_unsettled.end()) {
+    // What it lists runs under the leases of the earlier holder.
+    worker->AssumeLease(unsettled->second.until);
+  }
   TakeEnds(*worker, reply);
   TakeRuns(*worker, reply);
   DropAbsent(*worker, reply);
--- a/test/scheduling/scheduler_recovery_test.cc
+++ b/test/scheduling/scheduler_recovery_test.cc
@@ -30,6 +30,7 @@
   CPPUNIT_TEST(ADarkWorkersTasksWaitForItsLease);
   CPPUNIT_TEST(ANewLifeFreesTasksAtOnce);
   CPPUNIT_TEST(ASuccessorAdoptsWhatRuns);
+  CPPUNIT_TEST(AWorkerThatAnswersLateStillHasItsEarlierLease);
   CPPUNIT_TEST(ASuccessorWaitsForAWorkerItCantReach);
   CPPUNIT_TEST(AHandOverCarriesWhatIsLeftOfLeases);
   CPPUNIT_TEST(AnUnconfirmedHolderConcludesNothingFromLapsedLeases);
@@ -203,6 +204,33 @@
     CPPUNIT_ASSERT(core::Attempt(20) < bench.orders.starts[0].attempt);
   }
 
+  // It was cut off with the earlier holder, which extended its lease meanwhile.
+  void AWorkerThatAnswersLateStillHasItsEarlierLease() {
+    Bench bench;
+    Inherit(bench, {MakeStep(1)});
+    bench.Begin(20, Notes());
+    bench.List({MakeWorker("w-1"), MakeWorker("w-2")});
+    const auto silent = [&bench] {
+      execution::LookReply reply;
+      reply.worker = MakeId<core::InstanceId>("w-1");
+      reply.incarnation = core::Incarnation(1);
+      reply.sequence = bench.orders.looks.back().sequence;
+      bench.scheduler.Handle(reply);
+    };
+    silent();
+    // Longer than the lease that this holder asked for.
+    bench.clock.Advance(scheduling::kHold + std::chrono::milliseconds(300));
+    bench.Round();
+    bench.Look({{{MakeId<core::JobId>(kJob), {0, 0, 0}},
+                 core::Attempt(1),
+                 "",
+                 20,
+                 {}}},
+               {});
+    bench.Round();
+    CPPUNIT_ASSERT(bench.orders.starts.empty());
+  }
+
   void ASuccessorWaitsForAWorkerItCantReach() {
     Bench bench;
     Inherit(bench, {MakeStep(1)});
