Say how fresh the stored state is in each message that carries it

Cause: nothing told how old the leader's view of the store was when it placed tasks of a job whose cancellation had been stored seconds before. No decision changed: readiness, book_age_ms and placement use the same times as before.

--- a/src/crocusmast/manager/job_manager.cc
+++ b/src/crocusmast/manager/job_manager.cc
@@ -1,5 +1,6 @@
 #include "crocusmast/manager/job_manager.h"
 
+#include <algorithm>
 #include <type_traits>
 #include <unordered_set>
 #include <utility>
@@ -148,13 +149,17 @@
 }
 
 void JobManager::On(StoreConnectionChanged&& message) {
+  const auto view_age = std::chrono::duration_cast<std::chrono::milliseconds>(
+      m_ports.clock.Now() - m_store_view.complete_at);
   Log(message.is_up ? core::Severity::kInfo : core::Severity::kWarning,
       message.is_up ? "The store connection is restored."
                     : "The store connection is lost: " + message.detail + ".",
-      {{"event", message.is_up ? "store_regained" : "store_lost"}});
+      {{"event", message.is_up ? "store_regained" : "store_lost"},
+       {"view_age_ms", std::to_string(view_age.count())}});
 }
 
 void JobManager::On(StoreListReceived&& list) {
+  SetStoreView(list.revision, list.complete_at);
   bool has_leader = false;
   std::unordered_set<core::JobId> listed_ids;
   for (StoreEvent& event : list.events) {
@@ -177,12 +182,21 @@
 }
 
 void JobManager::On(StoreChangesReceived&& changes) {
+  SetStoreView(changes.revision, changes.complete_at);
   for (StoreEvent& event : changes.events) {
     Apply(std::move(event));
   }
   MarkJobsUpdated();
 }
 
+void JobManager::SetStoreView(core::Revision revision,
+                              core::TimePoint complete_at) {
+  m_store_view.revision = std::max(m_store_view.revision, revision);
+  m_store_view.complete_at = std::max(m_store_view.complete_at, complete_at);
+  m_view_complete_at.store(m_store_view.complete_at);
+  m_scheduler.SetStoreView(m_store_view);
+}
+
 void JobManager::Apply(StoreEvent&& event) {
   if (auto* job = std::get_if<job::JobEvent>(&event)) {
     ApplyJob(std::move(*job));
--- a/src/crocusmast/manager/job_manager.h
+++ b/src/crocusmast/manager/job_manager.h
@@ -1,6 +1,7 @@
 #ifndef CROCUSMAST_MANAGER_JOB_MANAGER_H_
 #define CROCUSMAST_MANAGER_JOB_MANAGER_H_
 
+#include <atomic>
 #include <memory>
 #include <string>
 #include <vector>
@@ -86,6 +87,12 @@
   void Tick() override;
   void OnRingEmpty() override;
 
+  /**
+   * @brief Returns the time up to which, at least, the known state of the store
+   * is complete; called on any thread.
+   */
+  core::TimePoint ViewCompleteAt() const { return m_view_complete_at.load(); }
+
  private:
   void On(ShutdownRequested&& message);
   void On(StoreListReceived&& list);
@@ -99,6 +106,7 @@
   template <typename Content>
   void On(Content&& content);
 
+  void SetStoreView(core::Revision revision, core::TimePoint complete_at);
   void Apply(StoreEvent&& event);
   void ApplyJob(job::JobEvent&& event);
   void MarkJobsUpdated();
@@ -120,6 +128,8 @@
    */
   core::Revision m_stored_handover_revision;
   core::TimePoint m_jobs_updated_at;
+  scheduling::StoreView m_store_view;
+  std::atomic<core::TimePoint> m_view_complete_at{core::TimePoint()};
   core::TimePoint m_next_cleanup_at;
   std::shared_ptr<const queue::QueueCatalog> m_queue_catalog;
   leadership::LeaderElector m_elector;
--- a/src/crocusmast/manager/messages.h
+++ b/src/crocusmast/manager/messages.h
@@ -29,6 +29,8 @@
   std::vector<StoreEvent> events;
   /** @brief Store revision at which the list was read. */
   core::Revision revision;
+  /** @brief The list contains at least what was stored by this time. */
+  core::TimePoint complete_at;
   /**
    * @brief Handover state of the last leader, read before the list; empty
    * unless the list was requested by JobStore::Refresh.
@@ -40,6 +42,8 @@
   std::vector<StoreEvent> events;
   /** @brief Store revision up to which the changes are complete. */
   core::Revision revision;
+  /** @brief All changes up to this time, at least, have been received. */
+  core::TimePoint complete_at;
 };
 /** @brief The connection to the store was lost or restored. */
 struct StoreConnectionChanged {
--- a/src/crocusmast/scheduling/messages.h
+++ b/src/crocusmast/scheduling/messages.h
@@ -3,6 +3,8 @@
 
 #include <vector>
 
+#include "crocusmast/core/clock.h"
+#include "crocusmast/core/units.h"
 #include "crocusmast/execution/worker_record.h"
 
 namespace crocusmast::scheduling {
@@ -20,6 +22,14 @@
   core::InstanceId worker;
 };
 
+/** @brief How fresh the known state of the store is. */
+struct StoreView {
+  /** @brief Store revision up to which the known state is complete. */
+  core::Revision revision;
+  /** @brief Time up to which, at least, the known state is complete. */
+  core::TimePoint complete_at;
+};
+
 /** @brief Subscription to the membership list of workers. */
 class WorkerWatch {
  public:
--- a/src/crocusmast/scheduling/scheduler.cc
+++ b/src/crocusmast/scheduling/scheduler.cc
@@ -185,7 +185,10 @@
   m_committer.MarkChanged(id);
   m_final_jobs.insert(id);
   Log(core::Severity::kInfo, "Job " + id.Text() + " was cancelled.",
-      {{"event", "job_cancelled"}, {"job", id.Text()}});
+      {{"event", "job_cancelled"},
+       {"job", id.Text()},
+       {"revision", std::to_string(m_store_view.revision.Count())},
+       {"view_age_ms", ViewAgeMs()}});
   StopRuns(*active);
 }
 
@@ -334,6 +337,12 @@
           worker.Record().address, m_term.token};
 }
 
+std::string Scheduler::ViewAgeMs() const {
+  return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(
+                            m_ports.clock.Now() - m_store_view.complete_at)
+                            .count());
+}
+
 void Scheduler::Log(core::Severity severity,
                     std::string message,
                     std::vector<core::LogField> fields) const {
--- a/src/crocusmast/scheduling/scheduler.h
+++ b/src/crocusmast/scheduling/scheduler.h
@@ -130,6 +130,8 @@
    * @param job The job.
    */
   void AddJob(const job::AcceptedJob& job);
+  /** @brief Sets how fresh the known jobs are; used for logs only. */
+  void SetStoreView(const StoreView& view) { m_store_view = view; }
   /**
    * @brief Cancels a job and stops its runs.
    * @param id The job.
@@ -289,6 +291,7 @@
 
   execution::CommandDestination DestinationOf(
       const execution::Worker& worker) const;
+  std::string ViewAgeMs() const;
   void Log(core::Severity severity,
            std::string message,
            std::vector<core::LogField> fields) const;
@@ -299,6 +302,7 @@
   bool m_has_stored_handover = false;
   bool m_was_fenced = false;
   SchedulingTerm m_term;
+  StoreView m_store_view;
   std::map<core::QueueId, queue::Queue> m_queues;
   std::map<core::PoolId, queue::Pool> m_pools;
   std::unordered_map<core::JobId, ActiveJob> m_jobs;
--- a/src/crocusmast/scheduling/scheduler_placement.cc
+++ b/src/crocusmast/scheduling/scheduler_placement.cc
@@ -348,6 +348,7 @@
        {"job", active.job.Id().Text()},
        {"tasks", std::exchange(m_placements, {})},
        {"left_ms", std::to_string(remaining.count())},
+       {"view_age_ms", ViewAgeMs()},
        {"token", std::to_string(m_term.token.Count())}});
 }
 
--- /dev/null
+++ b/test/manager/job_manager_test.cc
@@ -0,0 +1,141 @@
+#include "crocusmast/manager/job_manager.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <chrono>
+#include <memory>
+#include <string>
+
+#include "test/support/fake_clock.h"
+#include "test/support/mocks.h"
+#include "test/support/port_fakes.h"
+
+namespace {
+
+using namespace crocusmast;
+using std::chrono::milliseconds;
+using test::MakeId;
+
+constexpr char kJob[] = "0123456789abcdef";
+constexpr std::uint64_t kToken = 7;
+
+class IgnoringReadinessPort final : public manager::ReadinessPort {
+ public:
+  void SetReady(bool is_ready) override {}
+};
+
+class JobManagerTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(JobManagerTest);
+  CPPUNIT_TEST(ViewIsAsFreshAsTheFreshestMessage);
+  CPPUNIT_TEST(LogsTellTheAgeOfTheView);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    m_clock.Advance(std::chrono::seconds(100));
+    m_manager.Handle(manager::QueueCatalogLoaded{
+        std::make_shared<queue::QueueCatalog>(test::MakeQueueCatalog())});
+  }
+
+  void ViewIsAsFreshAsTheFreshestMessage() {
+    const core::TimePoint start = m_clock.Now();
+    m_clock.Advance(milliseconds(400));
+    m_manager.Handle(
+        manager::StoreListReceived{{}, core::Revision(4), start, std::nullopt});
+    CPPUNIT_ASSERT(m_manager.ViewCompleteAt() == start);
+    m_manager.Handle(manager::StoreChangesReceived{
+        {}, core::Revision(4), start + milliseconds(300)});
+    CPPUNIT_ASSERT(m_manager.ViewCompleteAt() == start + milliseconds(300));
+    m_manager.Handle(manager::StoreListReceived{
+        {}, core::Revision(4), start + milliseconds(200), std::nullopt});
+    CPPUNIT_ASSERT(m_manager.ViewCompleteAt() == start + milliseconds(300));
+  }
+
+  void LogsTellTheAgeOfTheView() {
+    BecomeLeader();
+    const core::TimePoint complete_at = m_clock.Now();
+    m_clock.Advance(milliseconds(30));
+    Receive(job::JobStored{test::MakeJob(kJob, {test::MakeStep(1)})}, 9,
+            complete_at);
+    m_manager.Handle(
+        scheduling::WorkerListReceived{{test::MakeWorker("worker-1")}});
+    RunCycles();
+    CPPUNIT_ASSERT_EQUAL(std::string("30"),
+                         m_logger.Field("tasks_placed", "view_age_ms"));
+    m_clock.Advance(milliseconds(2000));
+    m_manager.Handle(manager::StoreConnectionChanged{true, ""});
+    CPPUNIT_ASSERT_EQUAL(std::string("2030"),
+                         m_logger.Field("store_regained", "view_age_ms"));
+    Receive(job::CancellationStored{MakeId<core::JobId>(kJob)}, 11,
+            m_clock.Now() - milliseconds(150));
+    CPPUNIT_ASSERT_EQUAL(std::string("150"),
+                         m_logger.Field("job_cancelled", "view_age_ms"));
+    CPPUNIT_ASSERT_EQUAL(std::string("11"),
+                         m_logger.Field("job_cancelled", "revision"));
+  }
+
+ private:
+  void BecomeLeader() {
+    m_manager.Handle(manager::StoreListReceived{
+        {}, core::Revision(4), m_clock.Now(), std::nullopt});
+    m_manager.Handle(
+        leadership::LeaseGrantReply{leadership::LeaseOutcome::kDone,
+                                    leadership::LeaseId(1), m_clock.Now()});
+    m_manager.Handle(leadership::LeadershipClaimReply{
+        leadership::LeaseOutcome::kDone, core::Revision(kToken)});
+    m_manager.OnRingEmpty();
+    m_manager.Handle(manager::StoreListReceived{
+        {leadership::LeaderObserved{{"self", "1"}, core::Revision(kToken)}},
+        core::Revision(kToken),
+        m_clock.Now(),
+        job::StoredHandover()});
+    m_manager.OnRingEmpty();
+  }
+
+  void Receive(job::JobEvent event,
+               std::uint64_t revision,
+               core::TimePoint complete_at) {
+    manager::StoreChangesReceived changes;
+    changes.events.emplace_back(std::move(event));
+    changes.revision = core::Revision(revision);
+    changes.complete_at = complete_at;
+    m_manager.Handle(std::move(changes));
+  }
+
+  /** @brief Runs cycles and confirms the commits of each. */
+  void RunCycles() {
+    m_manager.OnRingEmpty();
+    for (std::size_t index = 0; index < m_store.commits.size(); ++index) {
+      m_manager.Handle(job::CommitReply{m_store.commits[index].sequence,
+                                        job::StoreOutcome::kDone,
+                                        core::Revision(20 + index), true});
+      m_manager.OnRingEmpty();
+    }
+  }
+
+  test::FakeClock m_clock;
+  test::RecordingLogger m_logger;
+  test::CountingMeter m_meter;
+  test::RecordingJobStore m_store;
+  test::RecordingWorkerPort m_workers;
+  test::RecordingTicketPort m_tickets;
+  test::RecordingResponsePort m_responses;
+  IgnoringReadinessPort m_readiness;
+  test::MockLeasePort m_leases;
+  test::MockWorkerWatch m_worker_watch;
+  test::MockMachinePort m_machines;
+  std::unique_ptr<trompeloeil::expectation> m_allowed_calls[4] = {
+      NAMED_ALLOW_CALL(m_leases, RequestLease(trompeloeil::_)),
+      NAMED_ALLOW_CALL(m_leases,
+                       ClaimLeadership(trompeloeil::_, trompeloeil::_)),
+      NAMED_ALLOW_CALL(m_worker_watch, Subscribe()),
+      NAMED_ALLOW_CALL(m_worker_watch, Unsubscribe())};
+  manager::JobManager m_manager{
+      {{"self", "1"}, {}, {}},
+      {m_leases, m_store, m_workers, m_worker_watch, m_tickets, m_machines,
+       m_responses, m_readiness, m_clock, m_logger, m_meter}};
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(JobManagerTest, "manager");
+
+}  // namespace
--- a/test/support/mocks.h
+++ b/test/support/mocks.h
@@ -1,7 +1,11 @@
 #ifndef TEST_SUPPORT_MOCKS_H_
 #define TEST_SUPPORT_MOCKS_H_
 
+#include <algorithm>
+#include <string>
 #include <trompeloeil.hpp>
+#include <utility>
+#include <vector>
 
 #include "crocusmast/configuration/change_store.h"
 #include "crocusmast/configuration/configuration_listener.h"
@@ -29,6 +33,53 @@
   void Write(core::LogRecord record) override {}
 };
 
+/** @brief Keeps the log records, so that a test can read their fields. */
+class RecordingLogger final : public core::Logger {
+ public:
+  bool IsEnabled(core::Severity severity) const override { return true; }
+  void Write(core::LogRecord record) override {
+    records.push_back(std::move(record));
+  }
+
+  /**
+   * @brief Returns a field of the last record of an event.
+   * @param event The value of the field "event".
+   * @param name The name of the field.
+   * @return The field's value; empty if there is none.
+   */
+  std::string Field(const std::string& event, const std::string& name) const {
+    std::string value;
+    for (const core::LogRecord& record : records) {
+      if (FieldOf(record, "event") == event) {
+        value = FieldOf(record, name);
+      }
+    }
+    return value;
+  }
+
+  /** @brief Returns the number of records of an event. */
+  std::size_t Count(const std::string& event) const {
+    return static_cast<std::size_t>(
+        std::count_if(records.begin(), records.end(),
+                      [&event](const core::LogRecord& record) {
+                        return FieldOf(record, "event") == event;
+                      }));
+  }
+
+  std::vector<core::LogRecord> records;
+
+ private:
+  static std::string FieldOf(const core::LogRecord& record,
+                             const std::string& name) {
+    for (const core::LogField& field : record.fields) {
+      if (field.name == name) {
+        return field.value;
+      }
+    }
+    return "";
+  }
+};
+
 /** @brief Records the counters, so that a test can read them. */
 class CountingMeter final : public core::Meter {
  public:
