Read large HTTP messages in large pieces

Cause: a read operation of Boost.Beast fills the free capacity of flat_buffer, 512 bytes at first, and its parser empties the buffer after each piece, so it never grows. A store reply of 120 KB takes 240 reads, each a turn of the event loop; with 4,000 commands a second a turn takes about 7 ms. The leader's watch needed 1.7 s for a reply, or hit its time-out and threw away what it had read, while the store answered in milliseconds and the scheduler placed on.

Change: once the header is parsed, the buffer gets room for the rest of the body, at most 64 KiB; an idle connection gives back more than 4 KiB. The same holds for request bodies at the server.

--- a/src/crocusmast/adapters/async/http_client.cc
+++ b/src/crocusmast/adapters/async/http_client.cc
@@ -14,6 +14,8 @@
 #include <set>
 #include <utility>
 
+#include "crocusmast/adapters/async/read_buffer.h"
+
 namespace crocusmast::adapters::async {
 namespace internal {
 
@@ -155,6 +157,7 @@
   void Connect(ConnectionPool& pool, PendingCall pending);
   void Send(ConnectionPtr connection);
   void Receive(ConnectionPtr connection);
+  void ReceivePart(ConnectionPtr connection);
   void Finish(const ConnectionPtr& connection);
   void Fail(const ConnectionPtr& connection,
             CallResult result,
@@ -325,7 +328,13 @@
   internal::Connection& current = *connection;
   current.parser.emplace();
   current.parser->body_limit(limits.response_bytes);
-  internal::http::async_read(
+  current.parser->eager(true);
+  ReceivePart(std::move(connection));
+}
+
+void HttpClient::State::ReceivePart(ConnectionPtr connection) {
+  internal::Connection& current = *connection;
+  internal::http::async_read_some(
       current.socket, current.buffer, *current.parser,
       [self = shared_from_this(), connection = std::move(connection)](
           const boost::system::error_code& error,
@@ -334,7 +343,12 @@
           self->Fail(connection, CallResult::kUnknown, error);
           return;
         }
-        self->Finish(connection);
+        if (connection->parser->is_done()) {
+          self->Finish(connection);
+          return;
+        }
+        ReserveForBody(connection->buffer, *connection->parser);
+        self->ReceivePart(std::move(connection));
       });
 }
 
@@ -347,6 +361,7 @@
   const HttpClient::ReplyHandler on_reply =
       std::move(connection->pending.on_reply);
   if (message.keep_alive() && !connection->is_expired) {
+    ShrinkIdleBuffer(connection->buffer);
     connection->idle_since = std::chrono::steady_clock::now();
     pool.idle.push_back(connection);
   }
--- a/src/crocusmast/adapters/async/http_server.cc
+++ b/src/crocusmast/adapters/async/http_server.cc
@@ -8,6 +8,8 @@
 #include <boost/beast/http.hpp>
 #include <optional>
 
+#include "crocusmast/adapters/async/read_buffer.h"
+
 namespace crocusmast::adapters::async {
 namespace internal {
 
@@ -91,6 +93,7 @@
   m_parser.emplace();
   m_parser->header_limit(m_server->limits.header_bytes);
   m_parser->body_limit(m_server->limits.body_bytes);
+  ShrinkIdleBuffer(m_buffer);
   if (m_buffer.size() > 0) {
     ReadHeader();
     return;
@@ -142,6 +145,7 @@
     on_body_read({}, 0);
     return;
   }
+  ReserveForBody(m_buffer, *m_parser);
   http::async_read(m_stream, m_buffer, *m_parser, on_body_read);
 }
 
