--- a/test/platform/prefix_watcher_test.cc
+++ b/test/platform/prefix_watcher_test.cc
@@ -69,6 +69,8 @@
   CPPUNIT_TEST(ChangesAreCompleteAtTheRequest);
   CPPUNIT_TEST(EmptyPollIsCompleteAtTheEndOfTheWait);
   CPPUNIT_TEST(EarlyEmptyPollIsCompleteAtTheRequest);
+  CPPUNIT_TEST(CutOffReplyIsNotCompleteAtTheRequest);
+  CPPUNIT_TEST(LargeReplyWithLaterRevisionIsCompleteAtTheRequest);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -128,6 +130,29 @@
     CPPUNIT_ASSERT(changes.complete_at <= RequestedAt(1));
   }
 
+  // A store with many changes cuts a reply off; the changes that did not fit
+  // are older than the request, too.
+  void CutOffReplyIsNotCompleteAtTheRequest() {
+    m_replies.push_back({ManyChanges(500, 507), kWait});
+    m_replies.push_back({Changes("a", 508), kWait});
+    Start();
+    const Delivery list = m_listener.Next();
+    const Delivery cut_off = m_listener.Next();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{500}, cut_off.items);
+    CPPUNIT_ASSERT(list.complete_at == cut_off.complete_at);
+    const Delivery rest = m_listener.Next();
+    CPPUNIT_ASSERT(RequestedAt(1) <= rest.complete_at);
+  }
+
+  void LargeReplyWithLaterRevisionIsCompleteAtTheRequest() {
+    m_replies.push_back({ManyChanges(500, 508), kWait});
+    Start();
+    m_listener.Next();
+    const Delivery changes = m_listener.Next();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{500}, changes.items);
+    CPPUNIT_ASSERT(RequestedAt(0) <= changes.complete_at);
+  }
+
  private:
   static std::string Page(const std::string& key, bool has_more, int revision) {
     return R"({"items":[{"key":"p/)" + key +
@@ -147,6 +172,18 @@
            std::to_string(revision) + "}";
   }
 
+  /** @brief Makes a watch reply with the revisions from 8 on. */
+  static std::string ManyChanges(int count, int revision) {
+    std::string events;
+    for (int index = 0; index < count; ++index) {
+      events += (index == 0 ? "" : ",") + std::string(R"({"key":"p/k",)") +
+                R"("value":"eQ==","created":4,"lease":0,"revision":)" +
+                std::to_string(8 + index) + "}";
+    }
+    return R"({"events":[)" + events + R"(],"at_rev":)" +
+           std::to_string(revision) + "}";
+  }
+
   void Start() {
     m_server = std::make_unique<test::ScriptedTcpServer>([this](int socket) {
       while (!test::ScriptedTcpServer::ReadRequest(socket).empty()) {
