Start no tasks on an old state of the store

Callers saw: tasks of jobs that had been cancelled for more than 4 s were started by a leader that had not read the cancellation.

A leader that is short of processor or network time, or whose own path to the store is slow, went on placing for as long as it held its lease, and 5 s longer.

Change: the scheduler sends no start command while the state of the store is not known to be complete up to at most 2.5 s ago. A cancellation has to take effect within 3 s, and a start command expires after 500 ms, so no cause of the delay can break that limit. Placement waits; starts that wait for their commit and repeated starts are deferred and sent once the state is recent; polls, leases and stops go on. Two log lines (starts_suspended, starts_resumed) show it.

The fixture of the scheduler tests now receives the state of the store in each round, as a connected leader does.

--- a/src/crocusmast/execution/worker.h
+++ b/src/crocusmast/execution/worker.h
@@ -32,6 +32,9 @@
   bool is_confirmed = false;
   /** @brief A start command got no reply and may still be executed. */
   bool has_unanswered_start = false;
+  /** @brief The start command has not been sent, because the known state of
+   * the store was too old. */
+  bool is_start_deferred = false;
   /** @brief A stop command was sent. */
   bool is_stopping = false;
   /** @brief The worker was sent the current best-effort share for it. */
--- a/src/crocusmast/scheduling/scheduler.cc
+++ b/src/crocusmast/scheduling/scheduler.cc
@@ -86,6 +86,7 @@
   m_has_worker_list = false;
   m_has_stored_handover = false;
   m_was_fenced = false;
+  m_may_start_tasks = true;
   m_jobs_by_pool.clear();
   m_jobs.clear();
   m_scheduled_jobs.clear();
@@ -203,6 +204,7 @@
   if (!m_is_active) {
     return;
   }
+  LogStartPermission();
   if (m_next_sweep_at <= m_ports.clock.Now()) {
     Sweep(confirmed_at);
   }
--- a/src/crocusmast/scheduling/scheduler.h
+++ b/src/crocusmast/scheduling/scheduler.h
@@ -54,6 +54,10 @@
 inline constexpr std::chrono::milliseconds kFailedRunBackoff{1500};
 /** @brief Delay before a stop command without a reply is sent again. */
 inline constexpr std::chrono::milliseconds kStopRetryDelay{250};
+/** @brief Age of the known store state from which on no task is started. A
+ * cancellation takes effect within 3 s of its acknowledgement; the rest is for
+ * the start command to reach the worker. */
+inline constexpr std::chrono::milliseconds kMaxStartViewAge{2500};
 /** @brief Interval of checks for expired leases, due occurrences and retries;
  * well below the shortest delay, kPollRetryDelay. */
 inline constexpr std::chrono::milliseconds kSweepInterval{25};
@@ -130,7 +134,8 @@
    * @param job The job.
    */
   void AddJob(const job::AcceptedJob& job);
-  /** @brief Sets how fresh the known jobs are; used for logs only. */
+  /** @brief Sets how fresh the known jobs are. No task is started on a state
+   * older than kMaxStartViewAge, which may lack a cancellation. */
   void SetStoreView(const StoreView& view) { m_store_view = view; }
   /**
    * @brief Cancels a job and stops its runs.
@@ -251,6 +256,8 @@
 
   void ExpireWorkers(core::TimePoint confirmed_at);
   void SendPolls();
+  bool MayStartTasks() const;
+  void LogStartPermission();
   void RetryCommands();
   bool RetryWorkerCommands(execution::Worker& worker);
   void SendStart(execution::Worker& worker, const execution::RunKey& key);
@@ -301,6 +308,8 @@
   bool m_has_worker_list = false;
   bool m_has_stored_handover = false;
   bool m_was_fenced = false;
+  /** @brief Value of MayStartTasks that was logged last. */
+  bool m_may_start_tasks = true;
   SchedulingTerm m_term;
   StoreView m_store_view;
   std::map<core::QueueId, queue::Queue> m_queues;
--- a/src/crocusmast/scheduling/scheduler_placement.cc
+++ b/src/crocusmast/scheduling/scheduler_placement.cc
@@ -80,7 +80,7 @@
 }
 
 void Scheduler::PlaceTasks() {
-  if (m_pools_to_place.empty()) {
+  if (m_pools_to_place.empty() || !MayStartTasks()) {
     return;
   }
   for (const Candidate& candidate : SortedCandidates()) {
@@ -359,6 +359,11 @@
   if (run == nullptr || task == nullptr) {
     return;
   }
+  run->is_start_deferred = !MayStartTasks();
+  if (run->is_start_deferred) {
+    m_workers_to_retry.insert(worker.Record().id);
+    return;
+  }
   run->is_command_pending = true;
   run->command_sent_at = m_ports.clock.Now();
   execution::StartCommand command;
--- a/src/crocusmast/scheduling/scheduler_runs.cc
+++ b/src/crocusmast/scheduling/scheduler_runs.cc
@@ -212,6 +212,23 @@
   }
 }
 
+bool Scheduler::MayStartTasks() const {
+  return m_ports.clock.Now() < m_store_view.complete_at + kMaxStartViewAge;
+}
+
+void Scheduler::LogStartPermission() {
+  const bool may_start = MayStartTasks();
+  if (std::exchange(m_may_start_tasks, may_start) == may_start) {
+    return;
+  }
+  Log(may_start ? core::Severity::kInfo : core::Severity::kWarning,
+      may_start ? "Tasks are started again; the state of the store is recent."
+                : "No tasks are started, because the known state of the store "
+                  "is too old.",
+      {{"event", may_start ? "starts_resumed" : "starts_suspended"},
+       {"view_age_ms", ViewAgeMs()}});
+}
+
 void Scheduler::RetryCommands() {
   for (auto next = m_workers_to_retry.begin();
        next != m_workers_to_retry.end();) {
@@ -228,7 +245,8 @@
     const AssignedRun* run = worker.Find(key);
     const bool needs_retry =
         run != nullptr && !run->is_stop_acknowledged &&
-        (run->is_stopping || (run->has_unanswered_start && !run->is_confirmed));
+        (run->is_stopping || run->is_start_deferred ||
+         (run->has_unanswered_start && !run->is_confirmed));
     is_pending = is_pending || needs_retry;
     if (!needs_retry || run->is_command_pending) {
       continue;
--- a/test/scheduling/scheduler_fixture.h
+++ b/test/scheduling/scheduler_fixture.h
@@ -22,6 +22,7 @@
 
   void BeginTerm(std::uint64_t token = 10,
                  const job::HandoverState& handover = {}) {
+    ReceiveStoreState();
     scheduler.BeginTerm({core::FencingToken(token), std::chrono::seconds(5)},
                         catalog, {handover, core::Revision(revision)});
   }
@@ -34,6 +35,7 @@
   /** @brief Runs scheduling cycles and confirms commits until none is pending.
    */
   void RunCycles() {
+    ReceiveStoreState();
     // Makes the periodic checks due.
     clock.Advance(scheduling::kSweepInterval);
     scheduler.RunCycle(clock.Now());
@@ -43,6 +45,11 @@
     }
   }
 
+  /** @brief Makes the known state of the store complete up to now. */
+  void ReceiveStoreState() {
+    scheduler.SetStoreView({core::Revision(revision), clock.Now()});
+  }
+
   void ReplyToCommit(job::StoreOutcome outcome) {
     const job::Commit& commit = store.commits[replied_commits++];
     job::CommitReply reply;
