Let a large HTTP reply take longer while it arrives

Cause: the time-out of a call covered the whole reply, whatever its size. A store page of 1 MB needs 0.8 s on a link of 10 Mbit/s, against a time-out of 900 ms; a reply that needs longer was thrown away and requested again, as large as before.

Change: once a reply has begun, each part that arrives gives it 500 ms more, up to 10 s beyond its time-out. A server that is silent or stalls times out as before. The connections of the client move to a file of their own.

LargeReplyOverSlowLinkIsReceived fails before the change (the call times out with the reply half received); StalledReplyTimesOut passes before and after.

--- a/src/crocusmast/adapters/async/http_client.cc
+++ b/src/crocusmast/adapters/async/http_client.cc
@@ -3,6 +3,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
@@ -14,103 +15,12 @@
 #include <set>
 #include <utility>
 
+#include "crocusmast/adapters/async/http_connection.h"
 #include "crocusmast/adapters/async/read_buffer.h"
 
 namespace crocusmast::adapters::async {
 namespace internal {
 
-namespace beast = boost::beast;
-namespace http = beast::http;
-using Tcp = boost::asio::ip::tcp;
-/**
- * @brief Socket with the concrete executor type, which avoids the cost of type
- * erasure.
- */
-using Socket =
-    boost::asio::basic_stream_socket<Tcp,
-                                     boost::asio::io_context::executor_type>;
-using SteadyTime = std::chrono::steady_clock::time_point;
-
-/** @brief Interval of the check for expired calls. */
-constexpr std::chrono::milliseconds kExpiryCheckInterval{50};
-/**
- * @brief A connection that was idle for longer is checked with IsStale before
- * reuse.
- */
-constexpr std::chrono::milliseconds kMaxUncheckedIdleTime{1000};
-/**
- * @brief A connection that was idle for longer is closed, since servers close
- * idle connections too.
- */
-constexpr std::chrono::seconds kMaxIdleTime{10};
-/** @brief How long sent bytes may stay unacknowledged by the server. */
-constexpr int kTcpUserTimeoutMs = 1500;
-
-/** @brief A call without a reply, and its reply handler. */
-struct PendingCall {
-  HttpCall call;
-  HttpClient::ReplyHandler on_reply;
-  SteadyTime expires_at;
-};
-
-struct ConnectionPool;
-
-/** @brief A persistent connection and its call in progress. */
-struct Connection {
-  Connection(boost::asio::io_context& context, ConnectionPool& owner)
-      : socket(context), pool(owner) {}
-
-  /**
-   * @brief Closes the connection with a TCP reset, which discards unsent data.
-   *
-   * Otherwise the kernel would deliver the data after a network partition
-   * heals.
-   */
-  void Reset() {
-    boost::system::error_code failed;
-    socket.set_option(boost::asio::socket_base::linger(true, 0), failed);
-    socket.close(failed);
-  }
-
-  /**
-   * @brief Returns whether the server has closed the connection or sent
-   * unsolicited data.
-   */
-  bool IsStale() {
-    char byte = 0;
-    const ssize_t got =
-        ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return got >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
-  }
-
-  Socket socket;
-  ConnectionPool& pool;
-  beast::flat_buffer buffer;
-  PendingCall pending;
-  std::string request;
-  std::optional<http::response_parser<http::string_body>> parser;
-  /** @brief When the last reply was received. */
-  SteadyTime idle_since;
-  /** @brief Deadline of the connect, write or read in progress. */
-  SteadyTime expires_at;
-  bool is_expired = false;
-};
-
-using ConnectionPtr = std::shared_ptr<Connection>;
-
-/** @brief Connections to one address and the calls that wait for one. */
-struct ConnectionPool {
-  explicit ConnectionPool(const fleet::Endpoint& endpoint)
-      : address(endpoint) {}
-
-  const fleet::Endpoint address;
-  std::vector<ConnectionPtr> idle;
-  std::deque<PendingCall> queued_calls;
-  std::size_t busy_connections = 0;
-};
-
-using PoolKey = std::pair<std::string, std::uint16_t>;
-
 HttpReply MakeFailure(CallResult result, std::string error_text) {
   HttpReply reply;
   reply.result = result;
@@ -348,6 +258,7 @@
           return;
         }
         ReserveForBody(connection->buffer, *connection->parser);
+        connection->ExtendExpiry();
         self->ReceivePart(std::move(connection));
       });
 }
--- a/src/crocusmast/adapters/async/http_client.h
+++ b/src/crocusmast/adapters/async/http_client.h
@@ -25,7 +25,8 @@
   std::vector<std::pair<std::string, std::string>> headers;
   /** @brief JSON text; empty for none. */
   std::string body;
-  /** @brief Time limit from Call() until the response is complete. */
+  /** @brief Time limit from Call() until the response is complete. A response
+   * that has begun may take longer while its parts keep arriving. */
   std::chrono::milliseconds timeout{};
 };
 
--- a/test/adapters/async_http_test.cc
+++ b/test/adapters/async_http_test.cc
@@ -2,6 +2,7 @@
 
 #include <future>
 #include <string>
+#include <thread>
 
 #include "crocusmast/adapters/async/http_client.h"
 #include "crocusmast/adapters/async/http_server.h"
@@ -33,6 +34,8 @@
   CPPUNIT_TEST(OutcomeIsUnknownWithoutResponse);
   CPPUNIT_TEST(UndeliveredBytesAreDiscardedAfterTimeout);
   CPPUNIT_TEST(DrainingServerClosesConnectionAfterResponse);
+  CPPUNIT_TEST(LargeReplyOverSlowLinkIsReceived);
+  CPPUNIT_TEST(StalledReplyTimesOut);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -140,7 +143,50 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, m_client->ConnectionsOpened());
   }
 
+  // A large reply over a slow link must not be discarded while it arrives, or
+  // it is requested again in vain for as long as it is large.
+  void LargeReplyOverSlowLinkIsReceived() {
+    constexpr int kParts = 10;
+    const HttpReply reply = ReceiveSlowly(kParts, kParts);
+    CPPUNIT_ASSERT(reply.result == CallResult::kAnswered);
+    CPPUNIT_ASSERT_EQUAL(kParts * kPartBytes, reply.body.size());
+  }
+
+  void StalledReplyTimesOut() {
+    const auto called_at = std::chrono::steady_clock::now();
+    const HttpReply reply = ReceiveSlowly(2, 10);
+    CPPUNIT_ASSERT(reply.result == CallResult::kUnknown);
+    CPPUNIT_ASSERT(std::chrono::steady_clock::now() - called_at <
+                   kDefaultTimeout);
+  }
+
  private:
+  static constexpr std::size_t kPartBytes = 4096;
+
+  /** @brief Calls a server that sends its reply in parts, 100 ms apart, with a
+   * time-out of 300 ms. */
+  HttpReply ReceiveSlowly(int sent_parts, int announced_parts) {
+    std::promise<void> is_received;
+    std::shared_future<void> received = is_received.get_future().share();
+    test::ScriptedTcpServer server([=](int socket) {
+      test::ScriptedTcpServer::ReadRequest(socket);
+      test::ScriptedTcpServer::Write(
+          socket, "HTTP/1.1 200 OK\r\nContent-Length: " +
+                      std::to_string(static_cast<std::size_t>(announced_parts) *
+                                     kPartBytes) +
+                      "\r\n\r\n");
+      for (int part = 0; part < sent_parts; ++part) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+        test::ScriptedTcpServer::Write(socket, std::string(kPartBytes, 'x'));
+      }
+      received.wait();
+    });
+    const HttpReply reply =
+        Call("/page", "", server.Port(), std::chrono::milliseconds(300));
+    is_received.set_value();
+    return reply;
+  }
+
   HttpReply Call(const std::string& path,
                  const std::string& body,
                  std::uint16_t port = kPort,
