End the term when a message to the manager is lost

Cause: Deliver waited 2 s for room in the manager's mailbox, dropped the message and told nobody. A dropped reply is waited for without a limit: the committer writes nothing more, a worker is polled no more, a stop isn't repeated, a step gets no tickets, until the process ends. Change: the sender of a message that it can't read again reports the loss to the ring, and the manager is told before its next tick. It hands over, releases the lease, and the next term reads the store, the workers and the machines anew, so that no message needs a repair of its own. A repair for each kind of message was weighed: a timer for each reply that is waited for, a dozen of them, each a path that only a full ring takes. Result: a manager of a ring of eight that is held up while a commit's reply arrives releases the lease and hands over the worker that may have a lease. Failed before: with OnMessagesLost empty LostReplyEndsTheTerm waits 20 s for the release in vain.

--- a/src/crocusmast/core/bounded_ring.h
+++ b/src/crocusmast/core/bounded_ring.h
@@ -115,6 +115,28 @@
     return m_closed;
   }
 
+  /**
+   * @brief Reports that a message for the receiver was lost and will not be
+   * sent again.
+   */
+  void ReportLoss() {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_has_loss = true;
+  }
+
+  /** @brief Tells whether a loss was reported that the receiver has not taken.
+   */
+  bool HasLoss() const {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    return m_has_loss;
+  }
+
+  /** @brief Returns whether a loss was reported since the last call. */
+  bool TakeLoss() {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    return std::exchange(m_has_loss, false);
+  }
+
   /** @brief Returns the number of messages in the ring. */
   std::size_t Depth() const {
     const std::lock_guard<std::mutex> lock(m_mutex);
@@ -141,6 +163,7 @@
   std::size_t m_depth = 0;
   std::uint64_t m_drops = 0;
   bool m_closed = false;
+  bool m_has_loss = false;
 };
 
 }  // namespace crocusmast::core
--- a/src/crocusmast/core/message_thread.h
+++ b/src/crocusmast/core/message_thread.h
@@ -30,6 +30,9 @@
   /** @brief Called when the ring is empty after a message, for work that is
    * batched over several messages. */
   virtual void OnRingEmpty() {}
+  /** @brief Called before a tick if a sender reported that a message to this
+   * thread was lost. */
+  virtual void OnMessagesLost() {}
 };
 
 /**
@@ -83,6 +86,9 @@
     while (true) {
       const TimePoint now = clock.Now();
       if (now >= next_tick) {
+        if (m_ring.TakeLoss()) {
+          handler.OnMessagesLost();
+        }
         handler.Tick();
         next_tick = now + m_interval;
       }
--- a/src/crocusmast/leadership/leader_elector.cc
+++ b/src/crocusmast/leadership/leader_elector.cc
@@ -137,8 +137,12 @@
 }
 
 void LeaderElector::OnSuperseded(const std::string& evidence) {
+  StepDown(evidence);
+}
+
+void LeaderElector::StepDown(const std::string& reason) {
   if (m_phase == Phase::kLeading) {
-    LoseLeadership(evidence);
+    LoseLeadership(reason);
     m_port.Release(m_lease_id);
   }
 }
--- a/src/crocusmast/leadership/leader_elector.h
+++ b/src/crocusmast/leadership/leader_elector.h
@@ -72,6 +72,13 @@
    */
   void OnSuperseded(const std::string& evidence);
 
+  /**
+   * @brief Ends the term and releases the lease; the leadership may be acquired
+   * again.
+   * @param reason Why the term ends, for the log.
+   */
+  void StepDown(const std::string& reason);
+
   /** @brief Releases the leadership permanently, for shutdown. */
   void Resign();
 
--- a/src/crocusmast/manager/job_manager.cc
+++ b/src/crocusmast/manager/job_manager.cc
@@ -61,6 +61,27 @@
   m_scheduler.RunCycle(m_elector.ConfirmedAt());
 }
 
+// A lost reply leaves the scheduler waiting for it. The next term reads the
+// store, the workers and the machines anew.
+void JobManager::OnMessagesLost() {
+  Log(core::Severity::kError,
+      "Messages to the manager were lost because a queue was full.",
+      {{"event", "messages_lost"}});
+  if (!m_is_stopping) {
+    HandOver();
+    m_elector.StepDown("messages were lost");
+    UpdateLeadership();
+  }
+}
+
+void JobManager::HandOver() {
+  if (m_scheduler.IsActive()) {
+    job::HandoverState handover = m_scheduler.FinalHandoverState();
+    handover.fleet.machine_cooldowns = m_machine_port.RemainingCooldowns();
+    m_ports.store.HandOver(m_token, handover);
+  }
+}
+
 void JobManager::ManageMachines() {
   if (m_scheduler.HasStoredHandover()) {
     m_machine_port.EnableCommands();
@@ -121,11 +142,7 @@
 void JobManager::On(ShutdownRequested&& message) {
   m_is_stopping = true;
   UpdateReadiness();
-  if (m_scheduler.IsActive()) {
-    job::HandoverState handover = m_scheduler.FinalHandoverState();
-    handover.fleet.machine_cooldowns = m_machine_port.RemainingCooldowns();
-    m_ports.store.HandOver(m_token, handover);
-  }
+  HandOver();
   m_elector.Resign();
   UpdateLeadership();
 }
--- a/src/crocusmast/manager/job_manager.h
+++ b/src/crocusmast/manager/job_manager.h
@@ -85,6 +85,7 @@
   void Handle(Message&& message) override;
   void Tick() override;
   void OnRingEmpty() override;
+  void OnMessagesLost() override;
 
  private:
   void On(ShutdownRequested&& message);
@@ -103,6 +104,7 @@
   void ApplyJob(job::JobEvent&& event);
   void MarkJobsUpdated();
   void UpdateLeadership();
+  void HandOver();
   void ManageMachines();
   void UpdateReadiness();
   void RemoveFinishedJobs();
