End a request at its deadline if the store's reply is lost

Cause: a request waited for the store's reply without a limit. If the reply was lost, its caller got no response, and a shutdown waited to the end of its grace period. Change: at the deadline a write is answered as unknown, a read as temporarily unavailable; a later reply is ignored, as the watch brings what was stored. Result: a job without a reply is answered once, after 3,000 ms of its 3,000.

--- a/src/crocusmast/intake/request_handler.cc
+++ b/src/crocusmast/intake/request_handler.cc
@@ -221,6 +221,7 @@
 
 void RequestHandler::Tick() {
   const core::TimePoint now = m_ports.clock.Now();
+  EndExpired(now);
   for (auto& [number, pending] : m_pending) {
     if (!pending.retry_at || now < *pending.retry_at) {
       continue;
@@ -234,6 +235,23 @@
   }
 }
 
+void RequestHandler::EndExpired(core::TimePoint now) {
+  for (auto next = m_pending.begin(); next != m_pending.end();) {
+    if (now < next->second.deadline) {
+      ++next;
+      continue;
+    }
+    const job::ExchangeId exchange(next->first);
+    const PendingRequest pending = std::move(next->second);
+    next = m_pending.erase(next);
+    Reply(exchange,
+          pending.operation == JobOperation::kGet
+              ? ResponseStatus::kTemporarilyUnavailable
+              : ResponseStatus::kUnknown,
+          pending.job.id, "the store did not reply before the deadline");
+  }
+}
+
 bool RequestHandler::CanRetry(const PendingRequest& pending) const {
   return pending.retries < kMaxRetries &&
          m_ports.clock.Now() + kMinTimeToRetry < pending.deadline;
--- a/src/crocusmast/intake/request_handler.h
+++ b/src/crocusmast/intake/request_handler.h
@@ -128,6 +128,8 @@
                     PendingRequest& pending,
                     job::StoreOutcome outcome);
   bool CanRetry(const PendingRequest& pending) const;
+  /** @brief Responds to requests whose deadline passed without a reply. */
+  void EndExpired(core::TimePoint now);
   void Reply(job::ExchangeId exchange,
              ResponseStatus status,
              const core::JobId& job,
--- a/test/intake/request_handler_test.cc
+++ b/test/intake/request_handler_test.cc
@@ -31,6 +31,7 @@
   CPPUNIT_TEST(CancelIsStored);
   CPPUNIT_TEST(CancelOfAFinishedJobSucceedsWithoutAWrite);
   CPPUNIT_TEST(StaleQueuedCountIsNotReturned);
+  CPPUNIT_TEST(RequestWithoutAStoreReplyEndsAtItsDeadline);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -181,6 +182,25 @@
     CPPUNIT_ASSERT(LastStatus() == ResponseStatus::kTemporarilyUnavailable);
   }
 
+  // Guards against a request that is kept forever because the reply of the
+  // store was lost: its caller got no response, and a shutdown waited for it.
+  void RequestWithoutAStoreReplyEndsAtItsDeadline() {
+    SendRequest(JobOperation::kSubmit, Path());
+    m_clock.Advance(std::chrono::milliseconds(2999));
+    m_handler.Tick();
+    CPPUNIT_ASSERT(m_responses.responses.empty());
+    m_clock.Advance(std::chrono::milliseconds(1));
+    m_handler.Tick();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_responses.responses.size());
+    CPPUNIT_ASSERT(LastStatus() == ResponseStatus::kUnknown);
+    CompleteWrite(StoreOutcome::kDone);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_responses.responses.size());
+    SendRequest(JobOperation::kGet, Path());
+    m_clock.Advance(std::chrono::seconds(3));
+    m_handler.Tick();
+    CPPUNIT_ASSERT(LastStatus() == ResponseStatus::kTemporarilyUnavailable);
+  }
+
  private:
   static std::string Path() { return std::string("/jobs/") + kJob; }
 
