--- a/src/crocusmast/daemon/store_watcher.cc
+++ b/src/crocusmast/daemon/store_watcher.cc
@@ -51,8 +51,12 @@
   if (!m_has_read_snapshot) {
     BOOST_LEAF_AUTO(snapshot, m_store.ReadSnapshot());
     if (snapshot) {
-      m_last_revision = snapshot->revision;
-      m_ring.TryPush(configuration::SnapshotReceived{*std::move(snapshot)});
+      const core::Revision revision = snapshot->revision;
+      if (!m_ring.TryPush(
+              configuration::SnapshotReceived{*std::move(snapshot)})) {
+        return {};
+      }
+      m_last_revision = revision;
     }
     m_has_read_snapshot = true;
   }
