--- a/src/crocusmast/scheduling/scheduler.cc
+++ b/src/crocusmast/scheduling/scheduler.cc
@@ -86,6 +86,7 @@
   m_has_worker_list = false;
   m_has_stored_handover = false;
   m_was_fenced = false;
+  m_may_start_tasks = true;
   m_jobs_by_pool.clear();
   m_jobs.clear();
   m_scheduled_jobs.clear();
@@ -185,7 +186,10 @@
   m_committer.MarkChanged(id);
   m_final_jobs.insert(id);
   Log(core::Severity::kInfo, "Job " + id.Text() + " was cancelled.",
-      {{"event", "job_cancelled"}, {"job", id.Text()}});
+      {{"event", "job_cancelled"},
+       {"job", id.Text()},
+       {"revision", std::to_string(m_store_view.revision.Count())},
+       {"view_age_ms", ViewAgeMs()}});
   StopRuns(*active);
 }
 
@@ -200,6 +204,7 @@
   if (!m_is_active) {
     return;
   }
+  LogStartPermission();
   if (m_next_sweep_at <= m_ports.clock.Now()) {
     Sweep(confirmed_at);
   }
@@ -334,6 +339,12 @@
           worker.Record().address, m_term.token};
 }
 
+std::string Scheduler::ViewAgeMs() const {
+  return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(
+                            m_ports.clock.Now() - m_store_view.complete_at)
+                            .count());
+}
+
 void Scheduler::Log(core::Severity severity,
                     std::string message,
                     std::vector<core::LogField> fields) const {
--- a/test/platform/lost_message_test.cc
+++ b/test/platform/lost_message_test.cc
@@ -142,8 +142,8 @@
     platform::Deliver(mailbox, manager::QueueCatalogLoaded{
                                    std::make_shared<const queue::QueueCatalog>(
                                        test::MakeQueueCatalog())});
-    platform::Deliver(mailbox,
-                      manager::StoreListReceived{{}, core::Revision(1), {}});
+    platform::Deliver(
+        mailbox, manager::StoreListReceived{{}, core::Revision(1), {}, {}});
     platform::Deliver(mailbox, leadership::LeaseGrantReply{
                                    leadership::LeaseOutcome::kDone,
                                    leadership::LeaseId(1), m_clock.Now()});
--- a/test/platform/refused_call_test.cc
+++ b/test/platform/refused_call_test.cc
@@ -36,7 +36,7 @@
   // because a poll was dropped and its reply is still waited for.
   void LostCommandToAWorkerIsReported() {
     const auto workers =
-        platform::WorkerClient::Create(*m_io, m_mailbox, m_logger);
+        platform::WorkerClient::Create(*m_io, m_mailbox, m_clock, m_logger);
     workers->PollStatus({});
     CPPUNIT_ASSERT(m_mailbox.TakeLoss());
     workers->Start({});
@@ -50,8 +50,8 @@
   void LostRequestForAListIsReported() {
     m_store->Refresh();
     CPPUNIT_ASSERT(m_mailbox.TakeLoss());
-    const auto watcher =
-        platform::MembershipWatcher::Create(*m_kv, m_mailbox, m_logger);
+    const auto watcher = platform::MembershipWatcher::Create(*m_kv, m_mailbox,
+                                                             m_clock, m_logger);
     watcher->Subscribe();
     CPPUNIT_ASSERT(m_mailbox.TakeLoss());
   }
--- a/test/platform/refused_change_test.cc
+++ b/test/platform/refused_change_test.cc
@@ -132,8 +132,8 @@
   // because its membership entry was dropped by a full mailbox.
   void RefusedWorkerIsReadAgain() {
     OneChangeStore store("servers/worker-1", kWorkerValue);
-    const auto watcher =
-        platform::MembershipWatcher::Create(*m_kv, m_mailbox, m_logger);
+    const auto watcher = platform::MembershipWatcher::Create(*m_kv, m_mailbox,
+                                                             m_clock, m_logger);
     watcher->Subscribe();
     m_io->Start();
     const bool is_read_again = IsReadAgainAfterRefusal(HasWorker);
@@ -154,7 +154,7 @@
                             m_mailbox, m_clock, [] { return std::string(); })
                             .value();
     const auto watcher = platform::ConfigurationWatcher::Create(
-        *m_kv, m_mailbox, *server, m_logger);
+        *m_kv, m_mailbox, *server, m_clock, m_logger);
     m_mailbox.TryPush(Message(manager::StoreConnectionChanged{}));
     m_io->Post([&watcher] { watcher->StartWatching(); });
     m_io->Start();
