--- a/src/crocusmast/manager/job_manager.h
+++ b/src/crocusmast/manager/job_manager.h
@@ -86,6 +86,7 @@
   void Handle(Message&& message) override;
   void Tick() override;
   void OnRingEmpty() override;
+  void OnMessagesLost() override;
 
   /**
    * @brief Returns the time up to which, at least, the known state of the store
@@ -111,6 +112,7 @@
   void ApplyJob(job::JobEvent&& event);
   void MarkJobsUpdated();
   void UpdateLeadership();
+  void HandOver();
   void ManageMachines();
   void UpdateReadiness();
   void RemoveFinishedJobs();
