--- a/src/crocusmast/scheduling/scheduler_placement.cc
+++ b/src/crocusmast/scheduling/scheduler_placement.cc
@@ -80,7 +80,7 @@
 }
 
 void Scheduler::PlaceTasks() {
-  if (m_pools_to_place.empty()) {
+  if (m_pools_to_place.empty() || !MayStartTasks()) {
     return;
   }
   for (const Candidate& candidate : SortedCandidates()) {
@@ -348,6 +348,7 @@
        {"job", active.job.Id().Text()},
        {"tasks", std::exchange(m_placements, {})},
        {"left_ms", std::to_string(remaining.count())},
+       {"view_age_ms", ViewAgeMs()},
        {"token", std::to_string(m_term.token.Count())}});
 }
 
@@ -358,6 +359,11 @@
   if (run == nullptr || task == nullptr) {
     return;
   }
+  run->is_start_deferred = !MayStartTasks();
+  if (run->is_start_deferred) {
+    m_workers_to_retry.insert(worker.Record().id);
+    return;
+  }
   run->is_command_pending = true;
   run->command_sent_at = m_ports.clock.Now();
   execution::StartCommand command;
