Send a CPU share again that got no reply

Cause: the reply to the command was ignored, as the next poll was to lead to a new decision. It leads to none once the share has reached its end: a lost command that takes a best-effort run's last share, or gives the whole back, was never repeated, so the run went on beside a task over its latency target, or stayed slow. Change: a command that wasn't sent or got no reply is sent again, with the share decided by then, after the next poll. A refusal isn't repeated. Result: after a share of zero without a reply the next poll sends zero again, and nothing more once it is confirmed. Failed before: with the reply ignored, no further command.

--- a/src/crocusmast/execution/worker.h
+++ b/src/crocusmast/execution/worker.h
@@ -39,6 +39,8 @@
   bool is_stopping = false;
   /** @brief The worker was sent the current best-effort share for it. */
   bool has_cpu_share = false;
+  /** @brief The last CPU share command for it got no reply. */
+  bool has_unanswered_cpu_share = false;
   /** @brief The worker has accepted the stop command. */
   bool is_stop_acknowledged = false;
   /** @brief Replies to polls with a higher sequence number must list it. */
--- a/src/crocusmast/manager/job_manager.cc
+++ b/src/crocusmast/manager/job_manager.cc
@@ -130,6 +130,10 @@
   m_scheduler.HandleStopReply(message.reply);
 }
 
+void JobManager::On(CpuShareReplyReceived&& message) {
+  m_scheduler.HandleCpuShareReply(message.reply);
+}
+
 void JobManager::On(upkeep::MachineListReceived&& list) {
   m_balancer.Handle(list);
   m_upkeep.Handle(std::move(list));
--- a/src/crocusmast/manager/job_manager.h
+++ b/src/crocusmast/manager/job_manager.h
@@ -102,6 +102,7 @@
   void On(QueueCatalogLoaded&& loaded);
   void On(StartReplyReceived&& message);
   void On(StopReplyReceived&& message);
+  void On(CpuShareReplyReceived&& message);
   void On(upkeep::MachineListReceived&& list);
   void On(upkeep::MachineCommandReply&& reply);
   template <typename Content>
--- a/src/crocusmast/manager/messages.h
+++ b/src/crocusmast/manager/messages.h
@@ -63,6 +63,10 @@
 struct StopReplyReceived {
   execution::WorkerCommandReply reply;
 };
+/** @brief Reply to a CPU share command. */
+struct CpuShareReplyReceived {
+  execution::WorkerCommandReply reply;
+};
 /** @brief The process is shutting down. */
 struct ShutdownRequested {};
 
@@ -74,6 +78,7 @@
                              QueueCatalogLoaded,
                              StartReplyReceived,
                              StopReplyReceived,
+                             CpuShareReplyReceived,
                              execution::PollReply,
                              job::CommitReply,
                              job::JobWriteReply,
--- a/src/crocusmast/scheduling/scheduler.h
+++ b/src/crocusmast/scheduling/scheduler.h
@@ -151,6 +151,7 @@
   /** @brief Handles replies to commands, commits and ticket requests. */
   void HandleStartReply(const execution::WorkerCommandReply& reply);
   void HandleStopReply(const execution::WorkerCommandReply& reply);
+  void HandleCpuShareReply(const execution::WorkerCommandReply& reply);
   void Handle(const execution::PollReply& reply);
   void Handle(const job::CommitReply& reply);
   void Handle(const TicketReply& reply);
--- a/src/crocusmast/scheduling/scheduler_polls.cc
+++ b/src/crocusmast/scheduling/scheduler_polls.cc
@@ -217,6 +217,20 @@
   }
 }
 
+void Scheduler::HandleCpuShareReply(
+    const execution::WorkerCommandReply& reply) {
+  Worker* worker = FindWorker(reply.worker);
+  if (!m_is_active || worker == nullptr ||
+      worker->Record().incarnation != reply.incarnation) {
+    return;
+  }
+  AssignedRun* run = worker->Find({reply.task, reply.attempt});
+  if (run != nullptr && (reply.outcome == WorkerCallOutcome::kNotSent ||
+                         reply.outcome == WorkerCallOutcome::kUnknown)) {
+    run->has_unanswered_cpu_share = true;
+  }
+}
+
 void Scheduler::ThrottleBestEffortRuns(Worker& worker,
                                        const execution::PollReply& reply) {
   bool is_latency_high = false;
@@ -247,13 +261,15 @@
                      before + internal::kShareIncreasePercent);
   }
   worker.best_effort_share = core::Percent(share);
-  if (share == before && share == internal::kFullSharePercent) {
-    return;
-  }
+  // A run has its full share from the start.
+  const bool may_lack_share = share != internal::kFullSharePercent;
   for (const auto& [key, run] : worker.Runs()) {
-    if (run.is_best_effort && !run.is_stopping &&
-        (share != before || !run.has_cpu_share)) {
-      worker.Find(key)->has_cpu_share = true;
+    const bool is_due = share != before || run.has_unanswered_cpu_share ||
+                        (may_lack_share && !run.has_cpu_share);
+    if (run.is_best_effort && !run.is_stopping && is_due) {
+      AssignedRun* assigned = worker.Find(key);
+      assigned->has_cpu_share = true;
+      assigned->has_unanswered_cpu_share = false;
       m_ports.workers.SetCpuShare({DestinationOf(worker), key.task, key.attempt,
                                    worker.best_effort_share});
     }
--- a/test/scheduling/scheduler_test.cc
+++ b/test/scheduling/scheduler_test.cc
@@ -32,6 +32,7 @@
   CPPUNIT_TEST(DrainingWorkerGetsNoTasks);
   CPPUNIT_TEST(FailingWorkerGetsFewerTasks);
   CPPUNIT_TEST(BestEffortRunsAreThrottled);
+  CPPUNIT_TEST(CpuShareWithoutAReplyIsSentAgain);
   CPPUNIT_TEST(DrainMovesLongRunningTasksOneAtATime);
   CPPUNIT_TEST(StartCommandsCarryTickets);
   CPPUNIT_TEST_SUITE_END();
@@ -213,6 +214,45 @@
         fixture.worker_port.cpu_share_commands[0].share.Count());
   }
 
+  // Guards against a best-effort run that keeps a high share beside a task over
+  // its latency target, because the command that took its share was lost and
+  // the share that was decided changed no more.
+  void CpuShareWithoutAReplyIsSentAgain() {
+    Fixture fixture;
+    job::Step serving = MakeStep(1);
+    serving.is_long_running = true;
+    serving.latency_target = std::chrono::milliseconds(100);
+    job::Step best_effort = MakeStep(1, 3500);
+    best_effort.is_best_effort = true;
+    fixture.BeginTerm();
+    fixture.SetWorkers({MakeWorker("w-1")});
+    fixture.scheduler.AddJob(MakeJob(kJob, {serving, best_effort}));
+    fixture.RunCycles();
+    const auto starts = fixture.worker_port.starts;
+    for (const execution::StartCommand& start : starts) {
+      fixture.ReplyToStart(start, WorkerCallOutcome::kDone);
+    }
+    execution::RunReport slow_report = Fixture::ActiveRun(starts[0], 100);
+    slow_report.tail_latency = std::chrono::milliseconds(95);
+    const auto& commands = fixture.worker_port.cpu_share_commands;
+    while (commands.empty() || commands.back().share.Count() > 0) {
+      CPPUNIT_ASSERT(commands.size() < 10);
+      fixture.ReplyToPoll({slow_report, Fixture::ActiveRun(starts[1])}, {});
+      fixture.RunCycles();
+    }
+    const std::size_t sent = commands.size();
+    fixture.scheduler.HandleCpuShareReply(
+        fixture.MakeReply(commands.back(), WorkerCallOutcome::kUnknown));
+    fixture.ReplyToPoll({slow_report, Fixture::ActiveRun(starts[1])}, {});
+    fixture.RunCycles();
+    CPPUNIT_ASSERT_EQUAL(sent + 1, commands.size());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, commands.back().share.Count());
+    fixture.scheduler.HandleCpuShareReply(
+        fixture.MakeReply(commands.back(), WorkerCallOutcome::kDone));
+    fixture.ReplyToPoll({slow_report, Fixture::ActiveRun(starts[1])}, {});
+    CPPUNIT_ASSERT_EQUAL(sent + 1, commands.size());
+  }
+
   void DrainMovesLongRunningTasksOneAtATime() {
     Fixture fixture;
     job::Step long_running = MakeStep(2);
