Measure how long messages wait in the rings and how late timers run

Cause: whether a cancel waited for the manager behind other messages, was dropped on a full ring, or its stop waited for the network thread, was shown by no line and no metric. Change: a ring that is given a clock measures the time from push to pop. Histograms may have labels. No decision changed.

--- a/src/crocusmast/adapters/async/io_thread.h
+++ b/src/crocusmast/adapters/async/io_thread.h
@@ -6,6 +6,8 @@
 #include <memory>
 
 #include "crocusmast/core/clock.h"
+#include "crocusmast/core/logger.h"
+#include "crocusmast/core/meter.h"
 
 namespace boost::asio {
 class io_context;
@@ -13,6 +15,13 @@
 
 namespace crocusmast::adapters::async {
 
+/** @brief Receives what a thread measures of itself; all outlive it. */
+struct IoThreadMonitor {
+  const core::Clock& clock;
+  core::Meter& meter;
+  core::Logger& logger;
+};
+
 /**
  * @brief Thread that performs all network I/O and runs tasks from a bounded
  * ring.
@@ -28,6 +37,15 @@
    */
   static std::unique_ptr<IoThread> Create(std::size_t capacity);
 
+  /**
+   * @brief Like Create above; the thread also measures how long tasks wait in
+   * the ring and how late its timers run, and reports dropped tasks.
+   * @param capacity Maximum number of queued tasks.
+   * @param monitor Receives the measurements.
+   */
+  static std::unique_ptr<IoThread> Create(std::size_t capacity,
+                                          const IoThreadMonitor& monitor);
+
   ~IoThread();
 
   /** @brief Starts the thread. */
@@ -53,13 +71,18 @@
   /** @brief Returns the number of tasks that were dropped by Post. */
   std::uint64_t Drops() const;
 
+  /** @brief Returns the number of queued tasks. */
+  std::size_t Depth() const;
+
   /** @brief Returns the I/O context that the thread runs. */
   boost::asio::io_context& Context();
 
  private:
   struct State;
 
-  explicit IoThread(std::size_t capacity);
+  IoThread(std::size_t capacity, const IoThreadMonitor* monitor);
+
+  void MeasureLag();
 
   std::unique_ptr<State> m_state;
 };
--- a/src/crocusmast/adapters/metrics_registry.cc
+++ b/src/crocusmast/adapters/metrics_registry.cc
@@ -47,7 +47,13 @@
 };
 
 constexpr std::array<std::string_view, kTimingCount> kTimingNames{
-    "request_seconds", "target_call_seconds", "queue_wait_seconds"};
+    "request_seconds",
+    "target_call_seconds",
+    "queue_wait_seconds",
+    "ring_wait_seconds{duty=\"manager\"}",
+    "ring_wait_seconds{duty=\"network\"}",
+    "event_loop_lag_seconds",
+};
 
 using Axis = histogram::axis::regular<double, histogram::axis::transform::log>;
 using BucketCount = histogram::accumulators::count<std::uint64_t, true>;
@@ -115,21 +121,27 @@
 
 namespace internal {
 
+/** @brief Formats a histogram; the name may end in labels in braces. */
 void FormatHistogram(std::ostream& out,
-                     std::string_view name,
+                     std::string_view full_name,
                      const Histogram& histogram_data,
                      double sum) {
+  const std::string_view name = full_name.substr(0, full_name.find('{'));
+  const std::string labels(full_name.substr(name.size()));
+  const std::string bucket_labels =
+      labels.empty() ? "{" : labels.substr(0, labels.size() - 1) + ",";
   std::uint64_t count = histogram_data.at(-1).value();
   const auto& axis = histogram_data.axis(0);
   for (int index = 0; index < axis.size(); ++index) {
     count += histogram_data.at(index).value();
-    out << "crocusmast_" << name << "_bucket{le=\"" << axis.value(index + 1)
-        << "\"} " << count << "\n";
+    out << "crocusmast_" << name << "_bucket" << bucket_labels << "le=\""
+        << axis.value(index + 1) << "\"} " << count << "\n";
   }
   count += histogram_data.at(axis.size()).value();
-  out << "crocusmast_" << name << "_bucket{le=\"+Inf\"} " << count << "\n"
-      << "crocusmast_" << name << "_count " << count << "\n"
-      << "crocusmast_" << name << "_sum " << sum << "\n";
+  out << "crocusmast_" << name << "_bucket" << bucket_labels << "le=\"+Inf\"} "
+      << count << "\n"
+      << "crocusmast_" << name << "_count" << labels << " " << count << "\n"
+      << "crocusmast_" << name << "_sum" << labels << " " << sum << "\n";
 }
 
 }  // namespace internal
--- a/src/crocusmast/core/bounded_ring.h
+++ b/src/crocusmast/core/bounded_ring.h
@@ -14,6 +14,21 @@
 
 namespace crocusmast::core {
 
+/**
+ * @brief A message that was taken from a ring, with the state of the ring.
+ * @tparam T Type of the message.
+ */
+template <typename T>
+struct PoppedMessage {
+  T message{};
+  /** @brief Time that the message was in the ring; 0 if it isn't measured. */
+  Duration waited{};
+  /** @brief Number of messages that were left in the ring. */
+  std::size_t depth = 0;
+  /** @brief Number of messages that the ring has refused so far. */
+  std::uint64_t drops = 0;
+};
+
 /**
  * @brief A FIFO queue of fixed capacity between threads.
  *
@@ -28,9 +43,11 @@
   /**
    * @brief Creates an empty ring.
    * @param capacity Maximum number of messages; at least one.
+   * @param clock Measures how long messages wait, outlives the ring; null to
+   * measure nothing.
    */
-  explicit BoundedRing(std::size_t capacity)
-      : m_slots(capacity > 0 ? capacity : 1) {}
+  explicit BoundedRing(std::size_t capacity, const Clock* clock = nullptr)
+      : m_slots(capacity > 0 ? capacity : 1), m_clock(clock) {}
 
   BoundedRing(const BoundedRing&) = delete;
   BoundedRing& operator=(const BoundedRing&) = delete;
@@ -80,7 +97,17 @@
    * @return The message; empty on a timeout or if the ring is closed and empty.
    */
   std::optional<T> PopFor(Duration wait) {
-    std::optional<T> message;
+    std::optional<PoppedMessage<T>> popped = PopWithWait(wait);
+    return popped ? std::optional<T>(std::move(popped->message)) : std::nullopt;
+  }
+
+  /**
+   * @brief Like PopFor; also tells how long the message waited.
+   * @param wait Maximum time to wait.
+   */
+  std::optional<PoppedMessage<T>> PopWithWait(Duration wait) {
+    std::optional<PoppedMessage<T>> popped;
+    TimePoint pushed_at;
     {
       std::unique_lock<std::mutex> lock(m_mutex);
       if (wait > Duration::zero()) {
@@ -90,13 +117,21 @@
       if (m_depth == 0) {
         return std::nullopt;
       }
-      message.emplace(std::move(m_slots[m_head]));
-      m_slots[m_head] = T();
+      Slot& slot = m_slots[m_head];
+      popped.emplace();
+      popped->message = std::move(slot.message);
+      popped->depth = m_depth - 1;
+      popped->drops = m_drops;
+      slot.message = T();
+      pushed_at = slot.pushed_at;
       m_head = (m_head + 1) % m_slots.size();
       --m_depth;
     }
     m_not_full.notify_one();
-    return message;
+    if (m_clock != nullptr) {
+      popped->waited = m_clock->Now() - pushed_at;
+    }
+    return popped;
   }
 
   /** @brief Refuses further messages and wakes every waiting thread. */
@@ -128,15 +163,25 @@
   }
 
  private:
+  struct Slot {
+    T message{};
+    TimePoint pushed_at;
+  };
+
   void Put(T&& message) {
-    m_slots[(m_head + m_depth) % m_slots.size()] = std::move(message);
+    Slot& slot = m_slots[(m_head + m_depth) % m_slots.size()];
+    slot.message = std::move(message);
+    if (m_clock != nullptr) {
+      slot.pushed_at = m_clock->Now();
+    }
     ++m_depth;
   }
 
   mutable std::mutex m_mutex;
   std::condition_variable m_not_empty;
   std::condition_variable m_not_full;
-  std::vector<T> m_slots;
+  std::vector<Slot> m_slots;
+  const Clock* const m_clock;
   std::size_t m_head = 0;
   std::size_t m_depth = 0;
   std::uint64_t m_drops = 0;
--- a/src/crocusmast/core/message_thread.h
+++ b/src/crocusmast/core/message_thread.h
@@ -32,6 +32,21 @@
   virtual void OnRingEmpty() {}
 };
 
+/**
+ * @brief Observes the messages that a thread takes from its ring.
+ * @tparam Message Type of the messages.
+ */
+template <typename Message>
+class MessageObserver {
+ public:
+  virtual ~MessageObserver() = default;
+  /**
+   * @brief Called on the thread, before the message is handled.
+   * @param popped The message and the state of the ring.
+   */
+  virtual void OnPopped(const PoppedMessage<Message>& popped) = 0;
+};
+
 /**
  * @brief A named thread that passes messages from a bounded ring to a handler.
  * @tparam Message Type of the messages.
@@ -44,9 +59,16 @@
    * @param name Name of the thread; the system shows the first 15 characters.
    * @param capacity Capacity of the ring.
    * @param interval Time between two ticks.
+   * @param ring_clock Measures how long messages wait in the ring, outlives the
+   * thread; null to measure nothing.
    */
-  MessageThread(std::string name, std::size_t capacity, Duration interval)
-      : m_name(std::move(name)), m_ring(capacity), m_interval(interval) {}
+  MessageThread(std::string name,
+                std::size_t capacity,
+                Duration interval,
+                const Clock* ring_clock = nullptr)
+      : m_name(std::move(name)),
+        m_ring(capacity, ring_clock),
+        m_interval(interval) {}
 
   ~MessageThread() { Stop(); }
 
@@ -57,9 +79,13 @@
    * @brief Starts the thread.
    * @param handler The handler; outlives the thread.
    * @param clock Clock for the ticks; outlives the thread.
+   * @param observer Sees each message first, outlives the thread; may be null.
    */
-  void Start(MessageHandler<Message>& handler, const Clock& clock) {
-    m_thread = std::thread([this, &handler, &clock] { Run(handler, clock); });
+  void Start(MessageHandler<Message>& handler,
+             const Clock& clock,
+             MessageObserver<Message>* observer = nullptr) {
+    m_thread = std::thread(
+        [this, &handler, &clock, observer] { Run(handler, clock, observer); });
     pthread_setname_np(m_thread.native_handle(), m_name.substr(0, 15).c_str());
   }
 
@@ -78,7 +104,9 @@
   const std::string& Name() const { return m_name; }
 
  private:
-  void Run(MessageHandler<Message>& handler, const Clock& clock) {
+  void Run(MessageHandler<Message>& handler,
+           const Clock& clock,
+           MessageObserver<Message>* observer) {
     TimePoint next_tick = clock.Now();
     while (true) {
       const TimePoint now = clock.Now();
@@ -86,9 +114,13 @@
         handler.Tick();
         next_tick = now + m_interval;
       }
-      std::optional<Message> message = m_ring.PopFor(next_tick - now);
-      if (message) {
-        handler.Handle(std::move(*message));
+      std::optional<PoppedMessage<Message>> popped =
+          m_ring.PopWithWait(next_tick - now);
+      if (popped) {
+        if (observer != nullptr) {
+          observer->OnPopped(*popped);
+        }
+        handler.Handle(std::move(popped->message));
         if (m_ring.Depth() == 0) {
           handler.OnRingEmpty();
         }
--- a/src/crocusmast/core/meter.h
+++ b/src/crocusmast/core/meter.h
@@ -40,6 +40,12 @@
   kRequest,
   kTargetCall,
   kQueueWait,
+  /** @brief Time of a message in the ring of the jobs' manager. */
+  kManagerRingWait,
+  /** @brief Time of a task in the ring of the network thread. */
+  kNetworkRingWait,
+  /** @brief Delay of a timer of the network thread. */
+  kEventLoopLag,
   kCount,
 };
 
--- a/src/crocusmast/manager/fwd.h
+++ b/src/crocusmast/manager/fwd.h
@@ -4,6 +4,7 @@
 namespace crocusmast::manager {
 
 class JobManager;
+class RingMonitor;
 struct JobManagerPorts;
 
 }  // namespace crocusmast::manager
--- a/test/core/bounded_ring_test.cc
+++ b/test/core/bounded_ring_test.cc
@@ -8,13 +8,16 @@
 
 #include "crocusmast/core/message_thread.h"
 #include "crocusmast/core/message_thread_pool.h"
+#include "test/support/fake_clock.h"
 
 namespace {
 
 using crocusmast::core::BoundedRing;
 using crocusmast::core::MessageHandler;
+using crocusmast::core::MessageObserver;
 using crocusmast::core::MessageThread;
 using crocusmast::core::MessageThreadPool;
+using crocusmast::core::PoppedMessage;
 using crocusmast::core::SystemClock;
 
 constexpr std::chrono::milliseconds kShortWait{5};
@@ -32,6 +35,18 @@
   long m_ticks = 0;
 };
 
+/** @brief Keeps the depths of the ring after each message. */
+class DepthObserver final : public MessageObserver<int> {
+ public:
+  void OnPopped(const PoppedMessage<int>& popped) override {
+    m_depths.push_back(popped.depth);
+  }
+  const std::vector<std::size_t>& Depths() const { return m_depths; }
+
+ private:
+  std::vector<std::size_t> m_depths;
+};
+
 class BoundedRingTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(BoundedRingTest);
   CPPUNIT_TEST(FullRingRefusesMessagesAndCountsDrops);
@@ -40,6 +55,8 @@
   CPPUNIT_TEST(ConcurrentProducersLoseNoMessages);
   CPPUNIT_TEST(StopHandlesRemainingMessages);
   CPPUNIT_TEST(PoolThreadsShareOneRing);
+  CPPUNIT_TEST(WaitIsMeasuredFromPushToPop);
+  CPPUNIT_TEST(ObserverSeesMessagesBeforeTheHandler);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -120,6 +137,38 @@
     pool.Stop();
     CPPUNIT_ASSERT_EQUAL(5050, sum.load());
   }
+
+  void WaitIsMeasuredFromPushToPop() {
+    test::FakeClock clock;
+    BoundedRing<int> ring(2, &clock);
+    ring.TryPush(1);
+    clock.Advance(std::chrono::milliseconds(30));
+    ring.TryPush(2);
+    ring.TryPush(3);
+    clock.Advance(std::chrono::milliseconds(20));
+    const auto first = ring.PopWithWait(kShortWait);
+    CPPUNIT_ASSERT_EQUAL(1, first->message);
+    CPPUNIT_ASSERT(first->waited == std::chrono::milliseconds(50));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, first->depth);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, first->drops);
+    const auto second = ring.PopWithWait(kShortWait);
+    CPPUNIT_ASSERT(second->waited == std::chrono::milliseconds(20));
+    CPPUNIT_ASSERT(!ring.PopWithWait(kShortWait));
+  }
+
+  void ObserverSeesMessagesBeforeTheHandler() {
+    SystemClock clock;
+    SummingHandler handler;
+    DepthObserver observer;
+    MessageThread<int> message_thread("sum", 3, kLongWait, &clock);
+    for (int value = 1; value <= 3; ++value) {
+      CPPUNIT_ASSERT(message_thread.Ring().TryPush(int{value}));
+    }
+    message_thread.Start(handler, clock, &observer);
+    message_thread.Stop();
+    CPPUNIT_ASSERT_EQUAL(6L, handler.Sum());
+    CPPUNIT_ASSERT(observer.Depths() == std::vector<std::size_t>({2, 1, 0}));
+  }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(BoundedRingTest, "core");
--- a/test/support/mocks.h
+++ b/test/support/mocks.h
@@ -2,6 +2,7 @@
 #define TEST_SUPPORT_MOCKS_H_
 
 #include <algorithm>
+#include <mutex>
 #include <string>
 #include <trompeloeil.hpp>
 #include <utility>
@@ -95,6 +96,26 @@
   std::uint64_t m_counts[static_cast<std::size_t>(core::Counter::kCount)] = {};
 };
 
+/** @brief Keeps the values of the histograms; may be called on any thread. */
+class RecordingMeter final : public core::Meter {
+ public:
+  void Add(core::Counter counter, std::uint64_t amount) override {}
+  void Observe(core::Timing timing, core::Duration value) override {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_timings[static_cast<std::size_t>(timing)].push_back(value);
+  }
+  /** @brief Returns the values of a histogram in the order of arrival. */
+  std::vector<core::Duration> Values(core::Timing timing) const {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    return m_timings[static_cast<std::size_t>(timing)];
+  }
+
+ private:
+  mutable std::mutex m_mutex;
+  std::vector<core::Duration>
+      m_timings[static_cast<std::size_t>(core::Timing::kCount)];
+};
+
 class MockChangeStore : public configuration::ChangeStore {
  public:
   MAKE_MOCK1(
