Measure the calls to the store and report replies that were slow to come

Cause: a watch whose reply took seconds to read while the store had answered in milliseconds left no trace unless it timed out. Change: store_call_seconds{kind=...} for watches that returned changes, lists and writes of jobs, from call to reply, and store_watch_reply_bytes. A warning store_reply_slow, at most one a second and watcher, when a list or watch took over 500 ms: took_ms, bytes, changes and revision. A watch returns at its first change and may have waited for that, so its time counts without the wait, unless it brought more changes than one transaction can make (32): then there was one when the request arrived. No decision changed. Result: a scripted store that answers after 550 ms: reported for a list and for 33 changes, not for one change.

--- a/bench/flood/crocusmast.cc
+++ b/bench/flood/crocusmast.cc
@@ -28,6 +28,7 @@
   void Write(core::LogRecord record) override {}
   void Add(core::Counter counter, std::uint64_t amount) override {}
   void Observe(core::Timing timing, core::Duration value) override {}
+  void ObserveSize(core::Size size, std::uint64_t bytes) override {}
 };
 
 class CrocusmastPolicy;
--- a/src/crocusmast/adapters/metrics_registry.cc
+++ b/src/crocusmast/adapters/metrics_registry.cc
@@ -18,9 +18,13 @@
 
 constexpr auto kCounterCount = static_cast<std::size_t>(core::Counter::kCount);
 constexpr auto kTimingCount = static_cast<std::size_t>(core::Timing::kCount);
+constexpr auto kSizeCount = static_cast<std::size_t>(core::Size::kCount);
 constexpr int kBucketCount = 40;
 constexpr double kMinSeconds = 50e-6;
 constexpr double kMaxSeconds = 60.0;
+constexpr int kSizeBucketCount = 18;
+constexpr double kMinBytes = 64.0;
+constexpr double kMaxBytes = 16.0 * 1024 * 1024;
 
 constexpr std::array<std::string_view, kCounterCount> kCounterNames{
     "requests_answered_total",
@@ -53,8 +57,14 @@
     "ring_wait_seconds{duty=\"manager\"}",
     "ring_wait_seconds{duty=\"network\"}",
     "event_loop_lag_seconds",
+    "store_call_seconds{kind=\"watch\"}",
+    "store_call_seconds{kind=\"list\"}",
+    "store_call_seconds{kind=\"write\"}",
 };
 
+constexpr std::array<std::string_view, kSizeCount> kSizeNames{
+    "store_watch_reply_bytes"};
+
 using Axis = histogram::axis::regular<double, histogram::axis::transform::log>;
 using BucketCount = histogram::accumulators::count<std::uint64_t, true>;
 using Histogram = histogram::histogram<std::tuple<Axis>,
@@ -66,6 +76,12 @@
       Axis(static_cast<unsigned>(kBucketCount), kMinSeconds, kMaxSeconds));
 }
 
+Histogram MakeSizeHistogram() {
+  return histogram::make_histogram_with(
+      histogram::dense_storage<BucketCount>(),
+      Axis(static_cast<unsigned>(kSizeBucketCount), kMinBytes, kMaxBytes));
+}
+
 double ProcessCpuSeconds() {
   rusage usage{};
   getrusage(RUSAGE_SELF, &usage);
@@ -83,6 +99,8 @@
   std::vector<internal::Histogram> histograms;
   std::array<std::atomic<std::uint64_t>, internal::kTimingCount>
       total_nanoseconds{};
+  std::vector<internal::Histogram> size_histograms;
+  std::array<std::atomic<std::uint64_t>, internal::kSizeCount> total_bytes{};
   mutable std::mutex mutex;
   std::vector<std::pair<std::string, ReadGauge>> gauges;
 };
@@ -95,6 +113,9 @@
   for (std::size_t index = 0; index < internal::kTimingCount; ++index) {
     m_state->histograms.push_back(internal::MakeTimingHistogram());
   }
+  for (std::size_t index = 0; index < internal::kSizeCount; ++index) {
+    m_state->size_histograms.push_back(internal::MakeSizeHistogram());
+  }
 }
 
 MetricsRegistry::~MetricsRegistry() = default;
@@ -114,6 +135,12 @@
       std::memory_order_relaxed);
 }
 
+void MetricsRegistry::ObserveSize(core::Size size, std::uint64_t bytes) {
+  const auto index = static_cast<std::size_t>(size);
+  m_state->size_histograms[index](static_cast<double>(bytes));
+  m_state->total_bytes[index].fetch_add(bytes, std::memory_order_relaxed);
+}
+
 void MetricsRegistry::AddGauge(std::string name, ReadGauge read) {
   const std::lock_guard<std::mutex> lock(m_state->mutex);
   m_state->gauges.emplace_back(std::move(name), std::move(read));
@@ -160,6 +187,12 @@
                               m_state->histograms[index],
                               nanoseconds * kSecondsPerNanosecond);
   }
+  for (std::size_t index = 0; index < internal::kSizeCount; ++index) {
+    internal::FormatHistogram(
+        out, internal::kSizeNames[index], m_state->size_histograms[index],
+        static_cast<double>(
+            m_state->total_bytes[index].load(std::memory_order_relaxed)));
+  }
   const std::lock_guard<std::mutex> lock(m_state->mutex);
   for (const auto& [name, read] : m_state->gauges) {
     out << "crocusmast_" << name << " " << read() << "\n";
--- a/src/crocusmast/adapters/metrics_registry.h
+++ b/src/crocusmast/adapters/metrics_registry.h
@@ -19,6 +19,7 @@
 
   void Add(core::Counter counter, std::uint64_t amount) override;
   void Observe(core::Timing timing, core::Duration value) override;
+  void ObserveSize(core::Size size, std::uint64_t bytes) override;
 
   /** @brief Returns the current value of a gauge. */
   using ReadGauge = std::function<double()>;
--- a/src/crocusmast/core/meter.h
+++ b/src/crocusmast/core/meter.h
@@ -46,10 +46,24 @@
   kNetworkRingWait,
   /** @brief Delay of a timer of the network thread. */
   kEventLoopLag,
+  /** @brief A watch of the store that returned changes, from call to reply;
+   * includes the store's wait for the first change. */
+  kStoreWatch,
+  /** @brief A page of keys of the store, from call to reply. */
+  kStoreList,
+  /** @brief A write of jobs to the store, from call to reply. */
+  kStoreWrite,
   kCount,
 };
 
-/** @brief Receives metrics: counters and durations. */
+/** @brief Histograms of sizes in bytes. */
+enum class Size : std::size_t {
+  /** @brief Reply to a watch of the store. */
+  kStoreWatchReply,
+  kCount,
+};
+
+/** @brief Receives metrics: counters, durations and sizes. */
 class Meter {
  public:
   virtual ~Meter() = default;
@@ -65,6 +79,12 @@
    * @param value The duration.
    */
   virtual void Observe(Timing timing, Duration value) = 0;
+  /**
+   * @brief Adds a size to a histogram.
+   * @param size The histogram.
+   * @param bytes The size.
+   */
+  virtual void ObserveSize(Size size, std::uint64_t bytes) = 0;
 };
 
 }  // namespace crocusmast::core
--- a/test/adapters/metrics_registry_test.cc
+++ b/test/adapters/metrics_registry_test.cc
@@ -13,6 +13,7 @@
 class MetricsRegistryTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(MetricsRegistryTest);
   CPPUNIT_TEST(LabelsOfAHistogramStandOnEachLine);
+  CPPUNIT_TEST(SizesAreFormattedAsBytes);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -33,6 +34,18 @@
         Contains(text, "crocusmast_request_seconds_bucket{le=\"+Inf\"} 0\n"));
   }
 
+  void SizesAreFormattedAsBytes() {
+    m_registry->ObserveSize(core::Size::kStoreWatchReply, 40000);
+    m_registry->ObserveSize(core::Size::kStoreWatchReply, 100);
+    const std::string text = m_registry->Format();
+    CPPUNIT_ASSERT(
+        Contains(text, "crocusmast_store_watch_reply_bytes_count 2\n"));
+    CPPUNIT_ASSERT(
+        Contains(text, "crocusmast_store_watch_reply_bytes_sum 40100\n"));
+    CPPUNIT_ASSERT(Contains(
+        text, "crocusmast_store_watch_reply_bytes_bucket{le=\"128\"} 1\n"));
+  }
+
  private:
   static bool Contains(const std::string& text, const std::string& line) {
     return text.find(line) != std::string::npos;
--- a/test/platform/prefix_watcher_test.cc
+++ b/test/platform/prefix_watcher_test.cc
@@ -19,6 +19,8 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kWait{60};
+/** @brief A delay that is reported. */
+constexpr milliseconds kSlowDelay{550};
 constexpr std::chrono::seconds kMaxTestTime{20};
 
 /** @brief One call of the listener. */
@@ -69,6 +71,9 @@
   CPPUNIT_TEST(ChangesAreCompleteAtTheRequest);
   CPPUNIT_TEST(EmptyPollIsCompleteAtTheEndOfTheWait);
   CPPUNIT_TEST(EarlyEmptyPollIsCompleteAtTheRequest);
+  CPPUNIT_TEST(SlowListIsReported);
+  CPPUNIT_TEST(SlowReplyWithManyChangesIsReported);
+  CPPUNIT_TEST(WaitForAChangeIsNotReportedAsSlow);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -128,6 +133,54 @@
     CPPUNIT_ASSERT(changes.complete_at <= RequestedAt(1));
   }
 
+  void SlowListIsReported() {
+    m_replies = {{Page("a", false, 5), kSlowDelay}};
+    Start();
+    m_listener.Next();
+    m_io->Stop();
+    CPPUNIT_ASSERT_EQUAL(std::string("list"),
+                         m_logger.Field("store_reply_slow", "call"));
+    CPPUNIT_ASSERT_EQUAL(std::string("1"),
+                         m_logger.Field("store_reply_slow", "changes"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                         m_meter.Values(core::Timing::kStoreList).size());
+  }
+
+  void SlowReplyWithManyChangesIsReported() {
+    const std::string body = Changes("a", 7, 33);
+    m_replies.push_back({body, kSlowDelay});
+    m_wait = kMaxTestTime;
+    Start();
+    m_listener.Next();
+    m_listener.Next();
+    m_io->Stop();
+    CPPUNIT_ASSERT_EQUAL(std::string("watch"),
+                         m_logger.Field("store_reply_slow", "call"));
+    CPPUNIT_ASSERT_EQUAL(std::to_string(body.size()),
+                         m_logger.Field("store_reply_slow", "bytes"));
+    CPPUNIT_ASSERT_EQUAL(std::string("33"),
+                         m_logger.Field("store_reply_slow", "changes"));
+    CPPUNIT_ASSERT_EQUAL(std::string("7"),
+                         m_logger.Field("store_reply_slow", "revision"));
+    const auto took = m_meter.Values(core::Timing::kStoreWatch);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, took.size());
+    CPPUNIT_ASSERT(kSlowDelay <= took[0]);
+    CPPUNIT_ASSERT(m_meter.Sizes(core::Size::kStoreWatchReply) ==
+                   std::vector<std::uint64_t>{body.size()});
+  }
+
+  void WaitForAChangeIsNotReportedAsSlow() {
+    m_replies.push_back({Changes("a", 7), kSlowDelay});
+    m_wait = kMaxTestTime;
+    Start();
+    m_listener.Next();
+    m_listener.Next();
+    m_io->Stop();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_logger.Count("store_reply_slow"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                         m_meter.Values(core::Timing::kStoreWatch).size());
+  }
+
  private:
   static std::string Page(const std::string& key, bool has_more, int revision) {
     return R"({"items":[{"key":"p/)" + key +
@@ -136,14 +189,17 @@
            std::to_string(revision) + "}";
   }
 
-  /** @brief Makes a watch reply; without changes if the key is empty. */
-  static std::string Changes(const std::string& key, int revision) {
-    const std::string event =
-        key.empty() ? ""
-                    : R"({"key":"p/)" + key +
-                          R"(","value":"eQ==","revision":7,"created":4,)" +
-                          R"("lease":0})";
-    return R"({"events":[)" + event + R"(],"at_rev":)" +
+  /** @brief Makes a watch reply with changes of a key; of none if it is empty.
+   */
+  static std::string Changes(const std::string& key,
+                             int revision,
+                             int count = 1) {
+    std::string events;
+    for (int index = 0; index < count && !key.empty(); ++index) {
+      events += std::string(index > 0 ? "," : "") + R"({"key":"p/)" + key +
+                R"(","value":"eQ==","revision":7,"created":4,"lease":0})";
+    }
+    return R"({"events":[)" + events + R"(],"at_rev":)" +
            std::to_string(revision) + "}";
   }
 
@@ -154,8 +210,8 @@
       }
     });
     m_kv = KvClient::Create(*m_io, {"127.0.0.1", m_server->Port()}, m_meter);
-    m_watcher =
-        PrefixWatcher::Create(*m_kv, {"p/", m_wait, {}}, m_listener, m_clock);
+    m_watcher = PrefixWatcher::Create(*m_kv, {"p/", m_wait, {}}, m_listener,
+                                      m_clock, m_logger);
     m_started_at = m_clock.Now();
     m_io->Post([this] { m_watcher->Start(); });
     m_io->Start();
@@ -186,7 +242,8 @@
 
   milliseconds m_wait = kWait;
   core::SystemClock m_clock;
-  test::CountingMeter m_meter;
+  test::RecordingMeter m_meter;
+  test::RecordingLogger m_logger;
   QueueingListener m_listener;
   std::vector<StoreReply> m_replies;
   core::BoundedRing<core::TimePoint> m_requests{64};
--- a/test/support/mocks.h
+++ b/test/support/mocks.h
@@ -88,6 +88,7 @@
     m_counts[static_cast<std::size_t>(counter)] += amount;
   }
   void Observe(core::Timing timing, core::Duration value) override {}
+  void ObserveSize(core::Size size, std::uint64_t bytes) override {}
   std::uint64_t Count(core::Counter counter) const {
     return m_counts[static_cast<std::size_t>(counter)];
   }
@@ -104,16 +105,27 @@
     const std::lock_guard<std::mutex> lock(m_mutex);
     m_timings[static_cast<std::size_t>(timing)].push_back(value);
   }
+  void ObserveSize(core::Size size, std::uint64_t bytes) override {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_sizes[static_cast<std::size_t>(size)].push_back(bytes);
+  }
   /** @brief Returns the values of a histogram in the order of arrival. */
   std::vector<core::Duration> Values(core::Timing timing) const {
     const std::lock_guard<std::mutex> lock(m_mutex);
     return m_timings[static_cast<std::size_t>(timing)];
   }
+  /** @brief Returns the sizes of a histogram in the order of arrival. */
+  std::vector<std::uint64_t> Sizes(core::Size size) const {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    return m_sizes[static_cast<std::size_t>(size)];
+  }
 
  private:
   mutable std::mutex m_mutex;
   std::vector<core::Duration>
       m_timings[static_cast<std::size_t>(core::Timing::kCount)];
+  std::vector<std::uint64_t>
+      m_sizes[static_cast<std::size_t>(core::Size::kCount)];
 };
 
 class MockChangeStore : public configuration::ChangeStore {
