Follow a cancel in the log from its acknowledgement to the last stop

Cause: a stored cancel could not be matched with the leader's view of the store, and nothing gave the time from its arrival to the last stop. Change: the line answered of an acknowledged cancel has the revision at which it was stored, to compare with the revision in job_cancelled. When the last run of a cancelled job has acknowledged its stop or ended, the leader logs cancel_settled with took_ms from the handling of the cancel, and observes cancel_settled_seconds. Jobs whose cancel was handled by an earlier leader give no such line. No decision changed. Result: two runs whose stops are acknowledged after 40 and 90 ms settle once, at 90 ms.

--- a/src/crocusmast/adapters/metrics_registry.cc
+++ b/src/crocusmast/adapters/metrics_registry.cc
@@ -60,6 +60,7 @@
     "store_call_seconds{kind=\"watch\"}",
     "store_call_seconds{kind=\"list\"}",
     "store_call_seconds{kind=\"write\"}",
+    "cancel_settled_seconds",
 };
 
 constexpr std::array<std::string_view, kSizeCount> kSizeNames{
--- a/src/crocusmast/core/meter.h
+++ b/src/crocusmast/core/meter.h
@@ -53,6 +53,9 @@
   kStoreList,
   /** @brief A write of jobs to the store, from call to reply. */
   kStoreWrite,
+  /** @brief From the handling of a cancellation to the last stop acknowledged
+   * or run ended of its job. */
+  kCancelSettled,
   kCount,
 };
 
--- a/src/crocusmast/intake/messages.h
+++ b/src/crocusmast/intake/messages.h
@@ -8,6 +8,7 @@
 
 #include "crocusmast/core/clock.h"
 #include "crocusmast/core/ids.h"
+#include "crocusmast/core/units.h"
 #include "crocusmast/job/job_spec.h"
 #include "crocusmast/job/job_store.h"
 #include "crocusmast/job/progress.h"
@@ -73,6 +74,8 @@
   job::JobState state = job::JobState::kQueued;
   /** @brief Number of queued jobs; only with kQueuedCount. */
   std::uint64_t count = 0;
+  /** @brief Store revision of the caller's write, for the log; 0 for none. */
+  core::Revision revision;
   /** @brief Error description for the caller. */
   std::string detail;
   /** @brief Time after which the caller may retry; only with
--- a/src/crocusmast/intake/request_handler.cc
+++ b/src/crocusmast/intake/request_handler.cc
@@ -2,6 +2,7 @@
 
 #include <string_view>
 #include <utility>
+#include <vector>
 
 namespace crocusmast::intake {
 namespace internal {
@@ -215,7 +216,7 @@
   if (finished.operation == JobOperation::kSubmit) {
     FinishSubmit(reply.exchange, finished, reply.outcome);
   } else {
-    FinishCancel(reply.exchange, finished, reply.outcome);
+    FinishCancel(reply, finished);
   }
 }
 
@@ -268,18 +269,21 @@
   }
 }
 
-void RequestHandler::FinishCancel(job::ExchangeId exchange,
-                                  PendingRequest& pending,
-                                  StoreOutcome outcome) {
-  if (outcome == StoreOutcome::kDone) {
+void RequestHandler::FinishCancel(const job::JobWriteReply& reply,
+                                  PendingRequest& pending) {
+  if (reply.outcome == StoreOutcome::kDone) {
     m_job_catalog.Apply(job::CancellationStored{pending.job.id},
                         m_ports.clock.Now());
-    Reply(exchange, ResponseStatus::kCancelled, pending.job.id, "");
+    JobResponse response;
+    response.exchange = reply.exchange;
+    response.status = ResponseStatus::kCancelled;
+    response.revision = reply.revision;
+    Send(std::move(response), pending.job.id);
     return;
   }
   const bool is_unconfirmed =
-      outcome == StoreOutcome::kUnknown || pending.may_be_applied;
-  Reply(exchange,
+      reply.outcome == StoreOutcome::kUnknown || pending.may_be_applied;
+  Reply(reply.exchange,
         is_unconfirmed ? ResponseStatus::kUnknown
                        : ResponseStatus::kTemporarilyUnavailable,
         pending.job.id, "the store did not confirm the cancellation");
@@ -361,17 +365,19 @@
     }
     const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
         m_ports.clock.Now() - m_jobs_updated_at);
-    m_ports.logger.Write(
-        {core::Component::kIntake,
-         core::Severity::kInfo,
-         sentence + ".",
-         {{"event", "answered"},
-          {"job", job.Text()},
-          {"answer", status},
-          {"version",
-           std::to_string(m_queue_catalog ? m_queue_catalog->Version().Count()
-                                          : 0)},
-          {"book_age_ms", std::to_string(age.count())}}});
+    std::vector<core::LogField> fields{
+        {"event", "answered"},
+        {"job", job.Text()},
+        {"answer", status},
+        {"version",
+         std::to_string(m_queue_catalog ? m_queue_catalog->Version().Count()
+                                        : 0)},
+        {"book_age_ms", std::to_string(age.count())}};
+    if (response.revision != core::Revision()) {
+      fields.push_back({"revision", std::to_string(response.revision.Count())});
+    }
+    m_ports.logger.Write({core::Component::kIntake, core::Severity::kInfo,
+                          sentence + ".", std::move(fields)});
   }
   m_ports.responses.Send(std::move(response));
 }
--- a/src/crocusmast/intake/request_handler.h
+++ b/src/crocusmast/intake/request_handler.h
@@ -124,9 +124,7 @@
   void FinishSubmit(job::ExchangeId exchange,
                     PendingRequest& pending,
                     job::StoreOutcome outcome);
-  void FinishCancel(job::ExchangeId exchange,
-                    PendingRequest& pending,
-                    job::StoreOutcome outcome);
+  void FinishCancel(const job::JobWriteReply& reply, PendingRequest& pending);
   bool CanRetry(const PendingRequest& pending) const;
   void Reply(job::ExchangeId exchange,
              ResponseStatus status,
--- a/src/crocusmast/job/job_store.h
+++ b/src/crocusmast/job/job_store.h
@@ -56,6 +56,8 @@
 struct JobWriteReply {
   ExchangeId exchange;
   StoreOutcome outcome = StoreOutcome::kUnknown;
+  /** @brief Store revision of the write; 0 unless it is known to be done. */
+  core::Revision revision{};
 };
 
 /** @brief Reply to JobStore::Read. */
--- a/src/crocusmast/scheduling/scheduler.cc
+++ b/src/crocusmast/scheduling/scheduler.cc
@@ -182,6 +182,7 @@
     return;
   }
   active->job.Cancel();
+  active->cancelled_at = m_ports.clock.Now();
   m_committer.MarkChanged(id);
   m_final_jobs.insert(id);
   Log(core::Severity::kInfo, "Job " + id.Text() + " was cancelled.",
--- a/src/crocusmast/scheduling/scheduler.h
+++ b/src/crocusmast/scheduling/scheduler.h
@@ -189,6 +189,8 @@
     bool needs_tickets = false;
     /** @brief When it has to end to meet its queue's objective. */
     core::TimePoint deadline;
+    /** @brief When this leader handled its cancellation; empty before. */
+    std::optional<core::TimePoint> cancelled_at;
     /** @brief An earlier leader may have started tasks that are not known yet.
      */
     bool is_inherited = false;
@@ -257,6 +259,7 @@
   void SendDeferredStarts(ActiveJob& active);
   void SendStop(execution::Worker& worker, const execution::RunKey& key);
   void StopRuns(ActiveJob& active);
+  void ReportCancelSettled(const ActiveJob& active);
   void RemoveEndedJobs();
 
   void PlaceTasks();
--- a/src/crocusmast/scheduling/scheduler_runs.cc
+++ b/src/crocusmast/scheduling/scheduler_runs.cc
@@ -31,6 +31,9 @@
                        const RunKey& key,
                        job::RunOutcome outcome,
                        const std::string& checkpoint) {
+  const AssignedRun* assigned = worker.Find(key);
+  const bool was_stopped =
+      assigned != nullptr && assigned->is_stop_acknowledged;
   worker.Remove(key);
   m_pools_to_place.insert(worker.Record().pool);
   ActiveJob* active = FindJob(key.task.job);
@@ -50,6 +53,9 @@
   const bool is_changed = active->job.EndRun(key.task.key, key.attempt, outcome,
                                              checkpoint, active->max_attempts);
   MarkForPlacement(*active);
+  if (!was_stopped) {
+    ReportCancelSettled(*active);
+  }
   if (is_changed) {
     m_committer.MarkChanged(key.task.job);
   }
@@ -103,6 +109,34 @@
   }
 }
 
+void Scheduler::ReportCancelSettled(const ActiveJob& active) {
+  if (!active.cancelled_at) {
+    return;
+  }
+  bool is_settled = true;
+  const core::JobId& id = active.job.Id();
+  active.job.ForEachRun([&](const job::TaskKey& key, const job::Run& run) {
+    Worker* worker = FindWorker(run.worker);
+    const AssignedRun* assigned =
+        worker == nullptr ? nullptr : worker->Find({{id, key}, run.attempt});
+    is_settled =
+        is_settled && (assigned == nullptr || assigned->is_stop_acknowledged);
+  });
+  if (!is_settled) {
+    return;
+  }
+  const core::Duration took = m_ports.clock.Now() - *active.cancelled_at;
+  m_ports.meter.Observe(core::Timing::kCancelSettled, took);
+  const std::string took_ms = std::to_string(
+      std::chrono::duration_cast<std::chrono::milliseconds>(took).count());
+  Log(core::Severity::kInfo,
+      "All runs of the cancelled job " + id.Text() +
+          " were told to stop or ended, " + took_ms +
+          " ms after it was "
+          "cancelled here.",
+      {{"event", "cancel_settled"}, {"job", id.Text()}, {"took_ms", took_ms}});
+}
+
 void Scheduler::SendStop(Worker& worker, const RunKey& key) {
   AssignedRun* run = worker.Find(key);
   if (run == nullptr || run->is_stop_acknowledged ||
@@ -206,9 +240,13 @@
   }
   run->is_command_pending = false;
   if (reply.outcome == WorkerCallOutcome::kDone) {
-    run->is_stop_acknowledged = true;
+    const bool was_stopped = std::exchange(run->is_stop_acknowledged, true);
     run->is_confirmed = true;
     run->confirmed_at_poll = worker->poll_sequence;
+    const ActiveJob* active = FindJob(reply.task.job);
+    if (!was_stopped && active != nullptr) {
+      ReportCancelSettled(*active);
+    }
   }
 }
 
--- a/test/intake/request_handler_test.cc
+++ b/test/intake/request_handler_test.cc
@@ -154,6 +154,8 @@
     CPPUNIT_ASSERT(m_responses.responses.empty());
     CompleteWrite(StoreOutcome::kDone);
     CPPUNIT_ASSERT(LastStatus() == ResponseStatus::kCancelled);
+    CPPUNIT_ASSERT_EQUAL(std::string("12"),
+                         m_logger.Field("answered", "revision"));
     SendRequest(JobOperation::kGet, Path());
     CPPUNIT_ASSERT(m_responses.responses.back().state ==
                    job::JobState::kCancelled);
@@ -198,7 +200,8 @@
   }
 
   void CompleteWrite(StoreOutcome outcome) {
-    m_handler.Handle(job::JobWriteReply{m_exchange, outcome});
+    const core::Revision revision(outcome == StoreOutcome::kDone ? 12 : 0);
+    m_handler.Handle(job::JobWriteReply{m_exchange, outcome, revision});
   }
 
   ResponseStatus LastStatus() const {
@@ -206,7 +209,7 @@
   }
 
   test::FakeClock m_clock;
-  test::NullLogger m_logger;
+  test::RecordingLogger m_logger;
   test::CountingMeter m_meter;
   test::RecordingJobStore m_store;
   test::RecordingResponsePort m_responses;
--- a/test/manager/job_manager_test.cc
+++ b/test/manager/job_manager_test.cc
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "test/support/fake_clock.h"
 #include "test/support/mocks.h"
@@ -18,6 +19,7 @@
 
 constexpr char kJob[] = "0123456789abcdef";
 constexpr std::uint64_t kToken = 7;
+constexpr milliseconds kCommitTime{20};
 
 class IgnoringReadinessPort final : public manager::ReadinessPort {
  public:
@@ -28,6 +30,7 @@
   CPPUNIT_TEST_SUITE(JobManagerTest);
   CPPUNIT_TEST(ViewIsAsFreshAsTheFreshestMessage);
   CPPUNIT_TEST(LogsTellTheAgeOfTheView);
+  CPPUNIT_TEST(CancelSettlesWithTheLastStopOrEnd);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -60,12 +63,14 @@
     m_manager.Handle(
         scheduling::WorkerListReceived{{test::MakeWorker("worker-1")}});
     RunCycles();
-    CPPUNIT_ASSERT_EQUAL(std::string("30"),
+    // Tasks are placed once the commit of the handover state is stored.
+    CPPUNIT_ASSERT_EQUAL(std::string("50"),
                          m_logger.Field("tasks_placed", "view_age_ms"));
     m_clock.Advance(milliseconds(2000));
     m_manager.Handle(manager::StoreConnectionChanged{true, ""});
-    CPPUNIT_ASSERT_EQUAL(std::string("2030"),
-                         m_logger.Field("store_regained", "view_age_ms"));
+    CPPUNIT_ASSERT_EQUAL(
+        std::to_string((m_clock.Now() - complete_at) / milliseconds(1)),
+        m_logger.Field("store_regained", "view_age_ms"));
     Receive(job::CancellationStored{MakeId<core::JobId>(kJob)}, 11,
             m_clock.Now() - milliseconds(150));
     CPPUNIT_ASSERT_EQUAL(std::string("150"),
@@ -74,7 +79,54 @@
                          m_logger.Field("job_cancelled", "revision"));
   }
 
+  void CancelSettlesWithTheLastStopOrEnd() {
+    BecomeLeader();
+    Receive(job::JobStored{test::MakeJob(kJob, {test::MakeStep(2)})}, 9,
+            m_clock.Now());
+    m_manager.Handle(
+        scheduling::WorkerListReceived{{test::MakeWorker("worker-1")}});
+    RunCycles();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_workers.starts.size());
+    Receive(job::CancellationStored{MakeId<core::JobId>(kJob)}, 11,
+            m_clock.Now());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_workers.stops.size());
+    m_clock.Advance(milliseconds(40));
+    AcknowledgeStop(m_workers.stops[0]);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_logger.Count("cancel_settled"));
+    m_clock.Advance(milliseconds(50));
+    AcknowledgeStop(m_workers.stops[1]);
+    CPPUNIT_ASSERT_EQUAL(std::string("90"),
+                         m_logger.Field("cancel_settled", "took_ms"));
+    ReportEnds();
+    const std::vector<core::Duration> settled =
+        m_meter.Values(core::Timing::kCancelSettled);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, settled.size());
+    CPPUNIT_ASSERT(settled[0] == milliseconds(90));
+  }
+
  private:
+  void AcknowledgeStop(const execution::StopCommand& command) {
+    m_manager.Handle(manager::StopReplyReceived{
+        {command.to.worker, command.to.incarnation, command.task,
+         command.attempt, execution::WorkerCallOutcome::kDone, std::nullopt}});
+  }
+
+  /** @brief The worker reports the end of each run that was stopped. */
+  void ReportEnds() {
+    const execution::PollCommand& command = m_workers.polls.back();
+    execution::PollReply reply;
+    reply.worker = command.to.worker;
+    reply.incarnation = command.to.incarnation;
+    reply.sequence = command.sequence;
+    reply.outcome = execution::WorkerCallOutcome::kDone;
+    for (const execution::StopCommand& stop : m_workers.stops) {
+      reply.ended.push_back({core::RunEndNumber(reply.ended.size() + 1),
+                             stop.task, stop.attempt, job::RunOutcome::kStopped,
+                             ""});
+    }
+    m_manager.Handle(std::move(reply));
+  }
+
   void BecomeLeader() {
     m_manager.Handle(manager::StoreListReceived{
         {}, core::Revision(4), m_clock.Now(), std::nullopt});
@@ -109,13 +161,14 @@
       m_manager.Handle(job::CommitReply{m_store.commits[index].sequence,
                                         job::StoreOutcome::kDone,
                                         core::Revision(20 + index), true});
+      m_clock.Advance(kCommitTime);
       m_manager.OnRingEmpty();
     }
   }
 
   test::FakeClock m_clock;
   test::RecordingLogger m_logger;
-  test::CountingMeter m_meter;
+  test::RecordingMeter m_meter;
   test::RecordingJobStore m_store;
   test::RecordingWorkerPort m_workers;
   test::RecordingTicketPort m_tickets;
