--- a/test/platform/refused_change_test.cc
+++ b/test/platform/refused_change_test.cc
@@ -10,6 +10,7 @@
 #include "platform/membership_watcher.h"
 #include "platform/store_client.h"
 #include "test/support/mocks.h"
+#include "test/support/scripted_tcp_server.h"
 
 namespace {
 
@@ -20,8 +21,6 @@
 using adapters::async::IoThread;
 using manager::Message;
 
-constexpr std::uint16_t kStorePort = 18471;
-constexpr std::uint16_t kFirstApiPort = 18472;
 constexpr std::chrono::seconds kLongWait{20};
 constexpr std::chrono::milliseconds kCheckInterval{5};
 constexpr char kCancelKey[] = "cm/j/0123456789abcdef/c";
@@ -37,14 +36,16 @@
  */
 class OneChangeStore {
  public:
-  OneChangeStore(const std::string& key, const std::string& value)
+  OneChangeStore(std::uint16_t port,
+                 const std::string& key,
+                 const std::string& value)
       : m_item(R"({"key":")" + key + R"(","value":")" +
                websocketpp::base64_encode(value) +
                R"(","revision":2,"created":2})"),
         m_io(IoThread::Create(64)),
         m_server(
             HttpServer::Create(*m_io,
-                               {"127.0.0.1", kStorePort},
+                               {"127.0.0.1", port},
                                {},
                                [this](std::shared_ptr<HttpExchange> exchange) {
                                  Handle(std::move(exchange));
@@ -109,8 +110,7 @@
  public:
   void setUp() override {
     m_io = IoThread::Create(64);
-    m_kv =
-        platform::KvClient::Create(*m_io, {"127.0.0.1", kStorePort}, m_meter);
+    m_kv = platform::KvClient::Create(*m_io, {"127.0.0.1", m_port}, m_meter);
   }
 
   void tearDown() override { m_io->Stop(); }
@@ -118,7 +118,7 @@
   // Guards against a cancellation that was dropped because the manager's
   // mailbox was full, and was not read again as the watch had moved on.
   void RefusedCancellationIsReadAgain() {
-    OneChangeStore store(kCancelKey, "1");
+    OneChangeStore store(m_port, kCancelKey, "1");
     const auto client =
         platform::StoreClient::Create(*m_kv, m_mailbox, m_clock, m_logger);
     m_io->Post([&client] { client->StartWatching(); });
@@ -131,7 +131,7 @@
   // Guards against a worker that stayed unknown to the leader for its term,
   // because its membership entry was dropped by a full mailbox.
   void RefusedWorkerIsReadAgain() {
-    OneChangeStore store("servers/worker-1", kWorkerValue);
+    OneChangeStore store(m_port, "servers/worker-1", kWorkerValue);
     const auto watcher = platform::MembershipWatcher::Create(*m_kv, m_mailbox,
                                                              m_clock, m_logger);
     watcher->Subscribe();
@@ -144,13 +144,13 @@
   // Guards against an old configuration that stayed in force, because the new
   // one was dropped by a full mailbox.
   void RefusedConfigurationIsReadAgain() {
-    OneChangeStore store("op/config",
+    OneChangeStore store(m_port, "op/config",
                          R"({"version":7,"routes":[],"services":[]})");
     const auto server = platform::ApiServer::Create(
                             *m_io,
-                            {{"127.0.0.1", kFirstApiPort},
-                             {"127.0.0.1", kFirstApiPort + 1},
-                             {"127.0.0.1", kFirstApiPort + 2}},
+                            {{"127.0.0.1", test::FindFreePort()},
+                             {"127.0.0.1", test::FindFreePort()},
+                             {"127.0.0.1", test::FindFreePort()}},
                             m_mailbox, m_clock, [] { return std::string(); })
                             .value();
     const auto watcher = platform::ConfigurationWatcher::Create(
@@ -181,6 +181,7 @@
     return false;
   }
 
+  const std::uint16_t m_port = test::FindFreePort();
   core::SystemClock m_clock;
   test::NullLogger m_logger;
   test::CountingMeter m_meter;
