--- a/test/platform/late_cancel_test.cc
+++ b/test/platform/late_cancel_test.cc
@@ -168,7 +168,7 @@
     Mailbox& mailbox = m_thread->Ring();
     m_kv = KvClient::Create(*m_io, {"127.0.0.1", store_port}, *m_metrics);
     m_store = StoreClient::Create(*m_kv, mailbox, m_clock, m_logger);
-    m_workers = WorkerClient::Create(*m_io, mailbox, m_logger);
+    m_workers = WorkerClient::Create(*m_io, mailbox, m_clock, m_logger);
     m_membership = MembershipWatcher::Create(*m_kv, mailbox, m_clock, m_logger);
     m_machines =
         MachineClient::Create(*m_kv, std::nullopt, "leader", mailbox, m_logger);
