Test that a cancel behind replies stops its runs in time

The ring of the manager is served in order of arrival, so a cancel behind 4 s of replies stops its runs after as long. Starts are bounded by the age of the state, stops are not.

The cost of 0.5 ms a reply is an assumption of the test, not a measurement.

Command: crocusmast_tests manager.

--- a/test/manager/full_ring_test.cc
+++ b/test/manager/full_ring_test.cc
@@ -1,6 +1,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <memory>
+#include <set>
 #include <string>
 
 #include "test/manager/manager_fixture.h"
@@ -30,6 +31,7 @@
 class FullRingTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(FullRingTest);
   CPPUNIT_TEST(NoTaskStartsWhileCancelWaitsBehindReplies);
+  CPPUNIT_TEST(RunsAreStoppedInTimeBehindReplies);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -67,6 +69,23 @@
             m_cancelled_at + kCancelLimit - kStartTimeout);
   }
 
+  // A cancel that waits in the ring behind replies must reach the running tasks
+  // of its job in time.
+  void RunsAreStoppedInTimeBehindReplies() {
+    std::set<std::string> stopped;
+    std::string last = "never";
+    for (const Fixture::Sent& stop : m_fixture->stops) {
+      if (stop.task.key.step == 0) {
+        last = AfterCancel(stop.at);
+        if (stop.at < m_cancelled_at + kCancelLimit) {
+          stopped.insert(Describe(stop.task));
+        }
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("the last stop was sent " + last,
+                                 std::size_t{kLongTasks}, stopped.size());
+  }
+
  private:
   std::string AfterCancel(core::TimePoint time) const {
     return std::to_string(
