Judge counts and readiness by what the store state lacks

Change: both use the time up to which the known state is complete. A request without a reply of the store ends 1 s after its deadline instead of at it, since an answer that is ready is delivered, also late.

--- a/src/crocusmast/intake/request_handler.cc
+++ b/src/crocusmast/intake/request_handler.cc
@@ -183,7 +183,7 @@
 
 void RequestHandler::CountQueued(const CallerRequest& request,
                                  const queue::Queue& queue) {
-  if (m_jobs_updated_at + kMaxQueuedCountAge < m_ports.clock.Now()) {
+  if (m_jobs_complete_at + kMaxQueuedCountAge < m_ports.clock.Now()) {
     Reply(request.exchange, ResponseStatus::kTemporarilyUnavailable, {},
           "the job list from the store is out of date");
     return;
@@ -238,7 +238,7 @@
 
 void RequestHandler::EndExpired(core::TimePoint now) {
   for (auto next = m_pending.begin(); next != m_pending.end();) {
-    if (now < next->second.deadline) {
+    if (now < next->second.deadline + kLostReplyGrace) {
       ++next;
       continue;
     }
@@ -382,7 +382,7 @@
       sentence += ": " + response.detail;
     }
     const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
-        m_ports.clock.Now() - m_jobs_updated_at);
+        m_ports.clock.Now() - m_jobs_complete_at);
     std::vector<core::LogField> fields{
         {"event", "answered"},
         {"job", job.Text()},
--- a/src/crocusmast/intake/request_handler.h
+++ b/src/crocusmast/intake/request_handler.h
@@ -26,6 +26,12 @@
  * time is left until the caller's deadline.
  */
 inline constexpr std::chrono::milliseconds kMinTimeToRetry{500};
+/**
+ * @brief Time after the deadline from which a reply of the store counts as
+ * lost. An earlier one is still passed on; a call to the store takes at most
+ * 900 ms.
+ */
+inline constexpr std::chrono::milliseconds kLostReplyGrace{1000};
 /**
  * @brief Delay before the first retry; it doubles with each retry.
  *
@@ -79,12 +85,11 @@
   }
 
   /**
-   * @brief Sets the time at which the job catalog was last known to be up to
-   * date.
-   * @param updated_at Time of the last update from the store.
+   * @brief Sets the time up to which the job catalog is known to be complete.
+   * @param complete_at That time.
    */
-  void SetJobsUpdatedAt(core::TimePoint updated_at) {
-    m_jobs_updated_at = updated_at;
+  void SetJobsCompleteAt(core::TimePoint complete_at) {
+    m_jobs_complete_at = complete_at;
   }
 
   /**
@@ -126,7 +131,7 @@
                     job::StoreOutcome outcome);
   void FinishCancel(const job::JobWriteReply& reply, PendingRequest& pending);
   bool CanRetry(const PendingRequest& pending) const;
-  /** @brief Responds to requests whose deadline passed without a reply. */
+  /** @brief Responds to requests whose reply from the store was lost. */
   void EndExpired(core::TimePoint now);
   void Reply(job::ExchangeId exchange,
              ResponseStatus status,
@@ -137,7 +142,7 @@
   RequestHandlerPorts m_ports;
   job::JobCatalog& m_job_catalog;
   const queue::QueueCatalog* m_queue_catalog = nullptr;
-  core::TimePoint m_jobs_updated_at;
+  core::TimePoint m_jobs_complete_at;
   std::unordered_map<std::uint64_t, PendingRequest> m_pending;
 };
 
--- a/src/crocusmast/manager/job_manager.cc
+++ b/src/crocusmast/manager/job_manager.cc
@@ -199,7 +199,7 @@
     m_stored_handover = std::move(*list.handover);
     m_stored_handover_revision = list.revision;
   }
-  MarkJobsUpdated();
+  UpdateReadiness();
 }
 
 void JobManager::On(StoreChangesReceived&& changes) {
@@ -207,7 +207,7 @@
   for (StoreEvent& event : changes.events) {
     Apply(std::move(event));
   }
-  MarkJobsUpdated();
+  UpdateReadiness();
 }
 
 void JobManager::SetStoreView(core::Revision revision,
@@ -216,6 +216,7 @@
   m_store_view.complete_at = std::max(m_store_view.complete_at, complete_at);
   m_view_complete_at.store(m_store_view.complete_at);
   m_scheduler.SetStoreView(m_store_view);
+  m_request_handler.SetJobsCompleteAt(m_store_view.complete_at);
 }
 
 void JobManager::Apply(StoreEvent&& event) {
@@ -242,12 +243,6 @@
   }
 }
 
-void JobManager::MarkJobsUpdated() {
-  m_jobs_updated_at = m_ports.clock.Now();
-  m_request_handler.SetJobsUpdatedAt(m_jobs_updated_at);
-  UpdateReadiness();
-}
-
 void JobManager::UpdateLeadership() {
   if (m_scheduler.IsActive() && m_scheduler.WasFenced()) {
     m_elector.OnSuperseded("a leader with a higher token was observed");
@@ -287,7 +282,7 @@
 void JobManager::UpdateReadiness() {
   const bool is_ready =
       !m_is_stopping && m_queue_catalog &&
-      m_ports.clock.Now() < m_jobs_updated_at + kMaxStoreStaleness;
+      m_ports.clock.Now() < m_store_view.complete_at + kMaxStoreStaleness;
   if (is_ready != m_is_ready) {
     m_is_ready = is_ready;
     m_ports.readiness.SetReady(is_ready);
--- a/src/crocusmast/manager/job_manager.h
+++ b/src/crocusmast/manager/job_manager.h
@@ -20,8 +20,7 @@
 namespace crocusmast::manager {
 
 /**
- * @brief Time without an update from the store after which this instance is not
- * ready.
+ * @brief Age of the known store state from which on this instance is not ready.
  */
 inline constexpr std::chrono::milliseconds kMaxStoreStaleness{2500};
 
@@ -111,7 +110,6 @@
   void SetStoreView(core::Revision revision, core::TimePoint complete_at);
   void Apply(StoreEvent&& event);
   void ApplyJob(job::JobEvent&& event);
-  void MarkJobsUpdated();
   void UpdateLeadership();
   void HandOver();
   void ManageMachines();
@@ -130,7 +128,6 @@
    * handover state.
    */
   core::Revision m_stored_handover_revision;
-  core::TimePoint m_jobs_updated_at;
   scheduling::StoreView m_store_view;
   std::atomic<core::TimePoint> m_view_complete_at{core::TimePoint()};
   core::TimePoint m_next_cleanup_at;
