--- a/src/crocusmast/adapters/metrics_registry.cc
+++ b/src/crocusmast/adapters/metrics_registry.cc
@@ -18,9 +18,13 @@
 
 constexpr auto kCounterCount = static_cast<std::size_t>(core::Counter::kCount);
 constexpr auto kTimingCount = static_cast<std::size_t>(core::Timing::kCount);
+constexpr auto kSizeCount = static_cast<std::size_t>(core::Size::kCount);
 constexpr int kBucketCount = 40;
 constexpr double kMinSeconds = 50e-6;
 constexpr double kMaxSeconds = 60.0;
+constexpr int kSizeBucketCount = 18;
+constexpr double kMinBytes = 64.0;
+constexpr double kMaxBytes = 16.0 * 1024 * 1024;
 
 constexpr std::array<std::string_view, kCounterCount> kCounterNames{
     "requests_answered_total",
@@ -47,7 +51,20 @@
 };
 
 constexpr std::array<std::string_view, kTimingCount> kTimingNames{
-    "request_seconds", "target_call_seconds", "queue_wait_seconds"};
+    "request_seconds",
+    "target_call_seconds",
+    "queue_wait_seconds",
+    "ring_wait_seconds{duty=\"manager\"}",
+    "ring_wait_seconds{duty=\"network\"}",
+    "event_loop_lag_seconds",
+    "store_call_seconds{kind=\"watch\"}",
+    "store_call_seconds{kind=\"list\"}",
+    "store_call_seconds{kind=\"write\"}",
+    "cancel_settled_seconds",
+};
+
+constexpr std::array<std::string_view, kSizeCount> kSizeNames{
+    "store_watch_reply_bytes"};
 
 using Axis = histogram::axis::regular<double, histogram::axis::transform::log>;
 using BucketCount = histogram::accumulators::count<std::uint64_t, true>;
@@ -60,6 +77,12 @@
       Axis(static_cast<unsigned>(kBucketCount), kMinSeconds, kMaxSeconds));
 }
 
+Histogram MakeSizeHistogram() {
+  return histogram::make_histogram_with(
+      histogram::dense_storage<BucketCount>(),
+      Axis(static_cast<unsigned>(kSizeBucketCount), kMinBytes, kMaxBytes));
+}
+
 double ProcessCpuSeconds() {
   rusage usage{};
   getrusage(RUSAGE_SELF, &usage);
@@ -77,6 +100,8 @@
   std::vector<internal::Histogram> histograms;
   std::array<std::atomic<std::uint64_t>, internal::kTimingCount>
       total_nanoseconds{};
+  std::vector<internal::Histogram> size_histograms;
+  std::array<std::atomic<std::uint64_t>, internal::kSizeCount> total_bytes{};
   mutable std::mutex mutex;
   std::vector<std::pair<std::string, ReadGauge>> gauges;
 };
@@ -89,6 +114,9 @@
   for (std::size_t index = 0; index < internal::kTimingCount; ++index) {
     m_state->histograms.push_back(internal::MakeTimingHistogram());
   }
+  for (std::size_t index = 0; index < internal::kSizeCount; ++index) {
+    m_state->size_histograms.push_back(internal::MakeSizeHistogram());
+  }
 }
 
 MetricsRegistry::~MetricsRegistry() = default;
@@ -108,6 +136,12 @@
       std::memory_order_relaxed);
 }
 
+void MetricsRegistry::ObserveSize(core::Size size, std::uint64_t bytes) {
+  const auto index = static_cast<std::size_t>(size);
+  m_state->size_histograms[index](static_cast<double>(bytes));
+  m_state->total_bytes[index].fetch_add(bytes, std::memory_order_relaxed);
+}
+
 void MetricsRegistry::AddGauge(std::string name, ReadGauge read) {
   const std::lock_guard<std::mutex> lock(m_state->mutex);
   m_state->gauges.emplace_back(std::move(name), std::move(read));
@@ -115,21 +149,27 @@
 
 namespace internal {
 
+/** @brief Formats a histogram; the name may end in labels in braces. */
 void FormatHistogram(std::ostream& out,
-                     std::string_view name,
+                     std::string_view full_name,
                      const Histogram& histogram_data,
                      double sum) {
+  const std::string_view name = full_name.substr(0, full_name.find('{'));
+  const std::string labels(full_name.substr(name.size()));
+  const std::string bucket_labels =
+      labels.empty() ? "{" : labels.substr(0, labels.size() - 1) + ",";
   std::uint64_t count = histogram_data.at(-1).value();
   const auto& axis = histogram_data.axis(0);
   for (int index = 0; index < axis.size(); ++index) {
     count += histogram_data.at(index).value();
-    out << "crocusmast_" << name << "_bucket{le=\"" << axis.value(index + 1)
-        << "\"} " << count << "\n";
+    out << "crocusmast_" << name << "_bucket" << bucket_labels << "le=\""
+        << axis.value(index + 1) << "\"} " << count << "\n";
   }
   count += histogram_data.at(axis.size()).value();
-  out << "crocusmast_" << name << "_bucket{le=\"+Inf\"} " << count << "\n"
-      << "crocusmast_" << name << "_count " << count << "\n"
-      << "crocusmast_" << name << "_sum " << sum << "\n";
+  out << "crocusmast_" << name << "_bucket" << bucket_labels << "le=\"+Inf\"} "
+      << count << "\n"
+      << "crocusmast_" << name << "_count" << labels << " " << count << "\n"
+      << "crocusmast_" << name << "_sum" << labels << " " << sum << "\n";
 }
 
 }  // namespace internal
@@ -148,6 +188,12 @@
                               m_state->histograms[index],
                               nanoseconds * kSecondsPerNanosecond);
   }
+  for (std::size_t index = 0; index < internal::kSizeCount; ++index) {
+    internal::FormatHistogram(
+        out, internal::kSizeNames[index], m_state->size_histograms[index],
+        static_cast<double>(
+            m_state->total_bytes[index].load(std::memory_order_relaxed)));
+  }
   const std::lock_guard<std::mutex> lock(m_state->mutex);
   for (const auto& [name, read] : m_state->gauges) {
     out << "crocusmast_" << name << " " << read() << "\n";
--- a/src/crocusmast/manager/job_manager.h
+++ b/src/crocusmast/manager/job_manager.h
@@ -86,6 +86,7 @@
   void Handle(Message&& message) override;
   void Tick() override;
   void OnRingEmpty() override;
+  void OnMessagesLost() override;
 
   /**
    * @brief Returns the time up to which, at least, the known state of the store
@@ -101,6 +102,7 @@
   void On(QueueCatalogLoaded&& loaded);
   void On(StartReplyReceived&& message);
   void On(StopReplyReceived&& message);
+  void On(CpuShareReplyReceived&& message);
   void On(upkeep::MachineListReceived&& list);
   void On(upkeep::MachineCommandReply&& reply);
   template <typename Content>
@@ -111,6 +113,7 @@
   void ApplyJob(job::JobEvent&& event);
   void MarkJobsUpdated();
   void UpdateLeadership();
+  void HandOver();
   void ManageMachines();
   void UpdateReadiness();
   void RemoveFinishedJobs();
--- a/test/intake/request_handler_test.cc
+++ b/test/intake/request_handler_test.cc
@@ -31,6 +31,7 @@
   CPPUNIT_TEST(CancelIsStored);
   CPPUNIT_TEST(CancelOfAFinishedJobSucceedsWithoutAWrite);
   CPPUNIT_TEST(StaleQueuedCountIsNotReturned);
+  CPPUNIT_TEST(RequestWithoutAStoreReplyEndsAtItsDeadline);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -154,6 +155,8 @@
     CPPUNIT_ASSERT(m_responses.responses.empty());
     CompleteWrite(StoreOutcome::kDone);
     CPPUNIT_ASSERT(LastStatus() == ResponseStatus::kCancelled);
+    CPPUNIT_ASSERT_EQUAL(std::string("12"),
+                         m_logger.Field("answered", "revision"));
     SendRequest(JobOperation::kGet, Path());
     CPPUNIT_ASSERT(m_responses.responses.back().state ==
                    job::JobState::kCancelled);
@@ -181,6 +184,25 @@
     CPPUNIT_ASSERT(LastStatus() == ResponseStatus::kTemporarilyUnavailable);
   }
 
+  // Guards against a request that is kept forever because the reply of the
+  // store was lost: its caller got no response, and a shutdown waited for it.
+  void RequestWithoutAStoreReplyEndsAtItsDeadline() {
+    SendRequest(JobOperation::kSubmit, Path());
+    m_clock.Advance(std::chrono::milliseconds(2999));
+    m_handler.Tick();
+    CPPUNIT_ASSERT(m_responses.responses.empty());
+    m_clock.Advance(std::chrono::milliseconds(1));
+    m_handler.Tick();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_responses.responses.size());
+    CPPUNIT_ASSERT(LastStatus() == ResponseStatus::kUnknown);
+    CompleteWrite(StoreOutcome::kDone);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_responses.responses.size());
+    SendRequest(JobOperation::kGet, Path());
+    m_clock.Advance(std::chrono::seconds(3));
+    m_handler.Tick();
+    CPPUNIT_ASSERT(LastStatus() == ResponseStatus::kTemporarilyUnavailable);
+  }
+
  private:
   static std::string Path() { return std::string("/jobs/") + kJob; }
 
@@ -198,7 +220,8 @@
   }
 
   void CompleteWrite(StoreOutcome outcome) {
-    m_handler.Handle(job::JobWriteReply{m_exchange, outcome});
+    const core::Revision revision(outcome == StoreOutcome::kDone ? 12 : 0);
+    m_handler.Handle(job::JobWriteReply{m_exchange, outcome, revision});
   }
 
   ResponseStatus LastStatus() const {
@@ -206,7 +229,7 @@
   }
 
   test::FakeClock m_clock;
-  test::NullLogger m_logger;
+  test::RecordingLogger m_logger;
   test::CountingMeter m_meter;
   test::RecordingJobStore m_store;
   test::RecordingResponsePort m_responses;
