--- a/test/adapters/async_busy_loop_test.cc
+++ b/test/adapters/async_busy_loop_test.cc
@@ -33,7 +33,6 @@
 constexpr std::int64_t kMaxTurns = kStoreTimeout / kTurn;
 constexpr std::size_t kLargeBytes = std::size_t{256} * 1024;
 constexpr std::size_t kStorePageBytes = std::size_t{1024} * 1024;
-constexpr std::uint16_t kPort = 18465;
 
 class AsyncBusyLoopTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(AsyncBusyLoopTest);
@@ -75,8 +74,9 @@
   // A request that is read in small pieces keeps its caller waiting for one
   // turn of a busy event loop for each.
   void LargeRequestIsReadWithinTimeout() {
+    const std::uint16_t port = test::FindFreePort();
     const auto server =
-        HttpServer::Create(*m_io, {"127.0.0.1", kPort}, ServerLimits(),
+        HttpServer::Create(*m_io, {"127.0.0.1", port}, ServerLimits(),
                            [](std::shared_ptr<HttpExchange> exchange) {
                              HttpResponse response;
                              response.body =
@@ -90,7 +90,7 @@
         HttpClient::Create(*caller_io, ClientLimits());
     caller_io->Start();
     const HttpReply reply =
-        Call(*caller_io, *caller, kPort, std::string(kLargeBytes, 'x'));
+        Call(*caller_io, *caller, port, std::string(kLargeBytes, 'x'));
     caller_io->Stop();
     m_io->Stop();
     CheckAnswered(reply);
