Ignore replies to polls of an earlier term

The sequence numbers of polls began anew with each term, so that an instance which lost and regained the leadership could take a reply to a poll of its earlier term, sent with the lower token, for one of the present term: the worker then counted as reconciled although it had not been looked at with the new token.

Change: the numbers rise over all terms.

ReplyToPollOfEarlierTermIsIgnored fails before the change (a task is started after the old reply).

--- a/src/crocusmast/scheduling/scheduler.cc
+++ b/src/crocusmast/scheduling/scheduler.cc
@@ -318,7 +318,8 @@
     }
     execution::PollCommand command;
     command.to = DestinationOf(*worker);
-    command.sequence = ++worker->poll_sequence;
+    worker->poll_sequence = ++m_last_poll_sequence;
+    command.sequence = worker->poll_sequence;
     command.recorded = worker->recorded_end;
     const bool may_wait = worker->is_reconciled && !worker->Runs().empty() &&
                           worker->received_end == worker->recorded_end;
--- a/src/crocusmast/scheduling/scheduler.h
+++ b/src/crocusmast/scheduling/scheduler.h
@@ -314,6 +314,9 @@
   bool m_was_fenced = false;
   /** @brief Value of MayStartTasks that was logged last. */
   bool m_may_start_tasks = true;
+  /** @brief Sequence number of the last poll; rises over all terms, so that no
+   * reply to a poll of an earlier term is taken for a later one. */
+  std::uint64_t m_last_poll_sequence = 0;
   SchedulingTerm m_term;
   StoreView m_store_view;
   std::map<core::QueueId, queue::Queue> m_queues;
