Let what the store says overtake replies of workers

Cause: one ring carried everything to the manager in order of arrival. A cancel, a new leader or a configuration waited behind the replies of workers, whose number grows with the load: behind 4 s of replies the runs of a cancelled job were told to stop after 4,064 ms instead of 3,000 (FullRingTest, virtual time).

Change: rings may have slots for urgent messages, which are delivered before the others and are not displaced by them. In the manager's ring these are lists and changes of the store, the configuration, replies about the lease, and the shutdown.

The fixture uses the real ring.

--- a/src/crocusmast/core/bounded_ring.h
+++ b/src/crocusmast/core/bounded_ring.h
@@ -29,11 +29,20 @@
   std::uint64_t drops = 0;
 };
 
+/** @brief Order in which a ring delivers messages. */
+enum class Priority {
+  kNormal,
+  /** @brief Before all normal messages; in order among themselves. */
+  kUrgent,
+};
+
 /**
  * @brief A FIFO queue of fixed capacity between threads.
  *
  * Threads wait on condition variables, always with a time limit. A closed ring
- * refuses further messages and still delivers those that it holds.
+ * refuses further messages and still delivers those that it holds. Urgent
+ * messages have slots of their own, so that a flood of normal ones neither
+ * delays nor displaces them.
  *
  * @tparam T Type of the messages; movable and default constructible.
  */
@@ -45,9 +54,15 @@
    * @param capacity Maximum number of messages; at least one.
    * @param clock Measures how long messages wait, outlives the ring; null to
    * measure nothing.
+   * @param urgent_capacity Maximum number of urgent messages beside the others;
+   * if it is zero, urgent messages are treated like normal ones.
    */
-  explicit BoundedRing(std::size_t capacity, const Clock* clock = nullptr)
-      : m_slots(capacity > 0 ? capacity : 1), m_clock(clock) {}
+  explicit BoundedRing(std::size_t capacity,
+                       const Clock* clock = nullptr,
+                       std::size_t urgent_capacity = 0)
+      : m_normal(capacity > 0 ? capacity : 1),
+        m_urgent(urgent_capacity),
+        m_clock(clock) {}
 
   BoundedRing(const BoundedRing&) = delete;
   BoundedRing& operator=(const BoundedRing&) = delete;
@@ -55,16 +70,18 @@
   /**
    * @brief Adds a message unless the ring is full.
    * @param message The message; unchanged if it is refused.
+   * @param priority Whether the message overtakes others.
    * @return False if the ring is full or closed; the drop is counted.
    */
-  bool TryPush(T&& message) {
+  bool TryPush(T&& message, Priority priority = Priority::kNormal) {
     {
       const std::lock_guard<std::mutex> lock(m_mutex);
-      if (m_closed || m_depth == m_slots.size()) {
+      Lane& lane = LaneOf(priority);
+      if (m_closed || lane.IsFull()) {
         ++m_drops;
         return false;
       }
-      Put(std::move(message));
+      Put(lane, std::move(message));
     }
     m_not_empty.notify_one();
     return true;
@@ -74,25 +91,29 @@
    * @brief Adds a message; waits for a free slot.
    * @param message The message; unchanged if it is refused.
    * @param wait Maximum time to wait.
+   * @param priority Whether the message overtakes others.
    * @return False if the ring stayed full or is closed; the drop is counted.
    */
-  bool PushFor(T&& message, Duration wait) {
+  bool PushFor(T&& message,
+               Duration wait,
+               Priority priority = Priority::kNormal) {
     {
       std::unique_lock<std::mutex> lock(m_mutex);
-      m_not_full.wait_for(
-          lock, wait, [this] { return m_closed || m_depth < m_slots.size(); });
-      if (m_closed || m_depth == m_slots.size()) {
+      Lane& lane = LaneOf(priority);
+      m_not_full.wait_for(lock, wait,
+                          [this, &lane] { return m_closed || !lane.IsFull(); });
+      if (m_closed || lane.IsFull()) {
         ++m_drops;
         return false;
       }
-      Put(std::move(message));
+      Put(lane, std::move(message));
     }
     m_not_empty.notify_one();
     return true;
   }
 
   /**
-   * @brief Removes the oldest message; waits for one.
+   * @brief Removes the next message; waits for one.
    * @param wait Maximum time to wait.
    * @return The message; empty on a timeout or if the ring is closed and empty.
    */
@@ -112,22 +133,24 @@
       std::unique_lock<std::mutex> lock(m_mutex);
       if (wait > Duration::zero()) {
         m_not_empty.wait_for(lock, wait,
-                             [this] { return m_closed || m_depth > 0; });
+                             [this] { return m_closed || TotalDepth() > 0; });
       }
-      if (m_depth == 0) {
+      if (TotalDepth() == 0) {
         return std::nullopt;
       }
-      Slot& slot = m_slots[m_head];
+      Lane& lane = m_urgent.depth > 0 ? m_urgent : m_normal;
+      Slot& slot = lane.slots[lane.head];
       popped.emplace();
       popped->message = std::move(slot.message);
-      popped->depth = m_depth - 1;
+      popped->depth = TotalDepth() - 1;
       popped->drops = m_drops;
       slot.message = T();
       pushed_at = slot.pushed_at;
-      m_head = (m_head + 1) % m_slots.size();
-      --m_depth;
+      lane.head = (lane.head + 1) % lane.slots.size();
+      --lane.depth;
     }
-    m_not_full.notify_one();
+    // Threads may wait for a slot of either kind.
+    m_not_full.notify_all();
     if (m_clock != nullptr) {
       popped->waited = m_clock->Now() - pushed_at;
     }
@@ -175,7 +198,7 @@
   /** @brief Returns the number of messages in the ring. */
   std::size_t Depth() const {
     const std::lock_guard<std::mutex> lock(m_mutex);
-    return m_depth;
+    return TotalDepth();
   }
 
   /** @brief Returns the number of messages that were refused. */
@@ -190,22 +213,40 @@
     TimePoint pushed_at;
   };
 
-  void Put(T&& message) {
-    Slot& slot = m_slots[(m_head + m_depth) % m_slots.size()];
+  /** @brief Messages of one priority, in order. */
+  struct Lane {
+    explicit Lane(std::size_t capacity) : slots(capacity) {}
+
+    bool IsFull() const { return depth == slots.size(); }
+
+    std::vector<Slot> slots;
+    std::size_t head = 0;
+    std::size_t depth = 0;
+  };
+
+  Lane& LaneOf(Priority priority) {
+    const bool is_urgent =
+        priority == Priority::kUrgent && !m_urgent.slots.empty();
+    return is_urgent ? m_urgent : m_normal;
+  }
+
+  std::size_t TotalDepth() const { return m_normal.depth + m_urgent.depth; }
+
+  void Put(Lane& lane, T&& message) {
+    Slot& slot = lane.slots[(lane.head + lane.depth) % lane.slots.size()];
     slot.message = std::move(message);
     if (m_clock != nullptr) {
       slot.pushed_at = m_clock->Now();
     }
-    ++m_depth;
+    ++lane.depth;
   }
 
   mutable std::mutex m_mutex;
   std::condition_variable m_not_empty;
   std::condition_variable m_not_full;
-  std::vector<Slot> m_slots;
+  Lane m_normal;
+  Lane m_urgent;
   const Clock* const m_clock;
-  std::size_t m_head = 0;
-  std::size_t m_depth = 0;
   std::uint64_t m_drops = 0;
   bool m_closed = false;
   bool m_has_loss = false;
--- a/src/crocusmast/core/message_thread.h
+++ b/src/crocusmast/core/message_thread.h
@@ -64,13 +64,15 @@
    * @param interval Time between two ticks.
    * @param ring_clock Measures how long messages wait in the ring, outlives the
    * thread; null to measure nothing.
+   * @param urgent_capacity Capacity of the ring for urgent messages.
    */
   MessageThread(std::string name,
                 std::size_t capacity,
                 Duration interval,
-                const Clock* ring_clock = nullptr)
+                const Clock* ring_clock = nullptr,
+                std::size_t urgent_capacity = 0)
       : m_name(std::move(name)),
-        m_ring(capacity, ring_clock),
+        m_ring(capacity, ring_clock, urgent_capacity),
         m_interval(interval) {}
 
   ~MessageThread() { Stop(); }
--- a/src/crocusmast/manager/messages.h
+++ b/src/crocusmast/manager/messages.h
@@ -7,6 +7,7 @@
 #include <variant>
 #include <vector>
 
+#include "crocusmast/core/bounded_ring.h"
 #include "crocusmast/execution/commands.h"
 #include "crocusmast/intake/messages.h"
 #include "crocusmast/job/job_catalog.h"
@@ -97,6 +98,25 @@
                              upkeep::WaveRequested,
                              upkeep::WaveRemoved>;
 
+/**
+ * @brief Returns the priority of a message in the manager's ring.
+ *
+ * What the store says is urgent: cancellations, who leads, the configuration.
+ * It comes in few messages, while replies of workers and requests of callers
+ * grow with the load.
+ */
+inline core::Priority PriorityOf(const Message& message) {
+  const bool is_urgent =
+      std::holds_alternative<StoreListReceived>(message) ||
+      std::holds_alternative<StoreChangesReceived>(message) ||
+      std::holds_alternative<QueueCatalogLoaded>(message) ||
+      std::holds_alternative<ShutdownRequested>(message) ||
+      std::holds_alternative<leadership::LeaseGrantReply>(message) ||
+      std::holds_alternative<leadership::LeadershipClaimReply>(message) ||
+      std::holds_alternative<leadership::LeaseRenewalReply>(message);
+  return is_urgent ? core::Priority::kUrgent : core::Priority::kNormal;
+}
+
 }  // namespace crocusmast::manager
 
 #endif  // CROCUSMAST_MANAGER_MESSAGES_H_
--- a/test/core/bounded_ring_test.cc
+++ b/test/core/bounded_ring_test.cc
@@ -18,6 +18,7 @@
 using crocusmast::core::MessageThread;
 using crocusmast::core::MessageThreadPool;
 using crocusmast::core::PoppedMessage;
+using crocusmast::core::Priority;
 using crocusmast::core::SystemClock;
 
 constexpr std::chrono::milliseconds kShortWait{5};
@@ -57,6 +58,9 @@
   CPPUNIT_TEST(PoolThreadsShareOneRing);
   CPPUNIT_TEST(WaitIsMeasuredFromPushToPop);
   CPPUNIT_TEST(ObserverSeesMessagesBeforeTheHandler);
+  CPPUNIT_TEST(UrgentMessagesOvertakeOthersInOrder);
+  CPPUNIT_TEST(FullRingStillTakesUrgentMessages);
+  CPPUNIT_TEST(RingWithoutUrgentSlotsKeepsTheOrder);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -73,6 +77,36 @@
     CPPUNIT_ASSERT_EQUAL(5, *ring.PopFor(kShortWait));
   }
 
+  void UrgentMessagesOvertakeOthersInOrder() {
+    BoundedRing<int> ring(4, nullptr, 2);
+    ring.TryPush(1);
+    ring.TryPush(2);
+    ring.TryPush(10, Priority::kUrgent);
+    ring.PushFor(11, kShortWait, Priority::kUrgent);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{4}, ring.Depth());
+    for (const int expected : {10, 11, 1, 2}) {
+      CPPUNIT_ASSERT_EQUAL(expected, *ring.PopFor(kShortWait));
+    }
+    CPPUNIT_ASSERT(!ring.PopFor(kShortWait));
+  }
+
+  void FullRingStillTakesUrgentMessages() {
+    BoundedRing<int> ring(1, nullptr, 1);
+    CPPUNIT_ASSERT(ring.TryPush(1));
+    CPPUNIT_ASSERT(!ring.TryPush(2));
+    CPPUNIT_ASSERT(ring.TryPush(10, Priority::kUrgent));
+    CPPUNIT_ASSERT(!ring.PushFor(11, kShortWait, Priority::kUrgent));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, ring.Drops());
+    CPPUNIT_ASSERT_EQUAL(10, *ring.PopFor(kShortWait));
+  }
+
+  void RingWithoutUrgentSlotsKeepsTheOrder() {
+    BoundedRing<int> ring(2);
+    ring.TryPush(1);
+    CPPUNIT_ASSERT(ring.TryPush(10, Priority::kUrgent));
+    CPPUNIT_ASSERT_EQUAL(1, *ring.PopFor(kShortWait));
+  }
+
   void ClosedRingDeliversRemainingMessages() {
     BoundedRing<int> ring(2);
     ring.TryPush(1);
--- a/test/manager/manager_fixture.h
+++ b/test/manager/manager_fixture.h
@@ -2,11 +2,11 @@
 #define TEST_MANAGER_MANAGER_FIXTURE_H_
 
 #include <chrono>
-#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
 #include <optional>
+#include <stdexcept>
 #include <string>
 #include <utility>
 #include <vector>
@@ -55,7 +55,12 @@
   }
 
   /** @brief Puts a message into the ring. */
-  void Push(manager::Message message) { m_ring.push_back(std::move(message)); }
+  void Push(manager::Message message) {
+    const core::Priority priority = manager::PriorityOf(message);
+    if (!m_ring.TryPush(std::move(message), priority)) {
+      throw std::length_error("the ring is full");
+    }
+  }
 
   /** @brief Puts changes of the store into the ring. */
   void Store(std::vector<manager::StoreEvent> events) {
@@ -192,6 +197,8 @@
   };
 
   static constexpr int kWorkers = 12;
+  static constexpr std::size_t kRingCapacity = 8192;
+  static constexpr std::size_t kUrgentRingCapacity = 256;
   static constexpr std::chrono::milliseconds kReplyTime{5};
   static constexpr std::chrono::milliseconds kTickInterval{50};
   static constexpr std::chrono::milliseconds kWatchInterval{100};
@@ -259,7 +266,9 @@
       m_manager.Tick();
       m_next_tick = clock.Now() + kTickInterval;
     }
-    if (m_ring.empty()) {
+    std::optional<manager::Message> message =
+        m_ring.PopFor(core::Duration::zero());
+    if (!message) {
       const core::TimePoint next =
           m_events.empty() ? m_next_tick
                            : std::min(m_next_tick, m_events.begin()->first);
@@ -267,12 +276,10 @@
                                              std::chrono::microseconds(1)));
       return;
     }
-    manager::Message message = std::move(m_ring.front());
-    m_ring.pop_front();
-    m_manager.Handle(std::move(message));
+    m_manager.Handle(std::move(*message));
     clock.Advance(m_message_cost);
     RunEvents();
-    if (m_ring.empty()) {
+    if (m_ring.Depth() == 0) {
       m_manager.OnRingEmpty();
     }
   }
@@ -287,7 +294,8 @@
 
   const std::chrono::microseconds m_message_cost;
   const RunTime m_run_time;
-  std::deque<manager::Message> m_ring;
+  core::BoundedRing<manager::Message> m_ring{kRingCapacity, nullptr,
+                                             kUrgentRingCapacity};
   std::multimap<core::TimePoint, std::function<void()>> m_events;
   core::TimePoint m_next_tick;
   std::uint64_t m_revision = 100;
