--- a/test/platform/prefix_watcher_test.cc
+++ b/test/platform/prefix_watcher_test.cc
@@ -113,8 +113,8 @@
     CPPUNIT_ASSERT(changes.complete_at <= RequestedAt(1));
   }
 
-  // A store that ends a poll early, whose reply is read late, has said nothing of
-  // the rest of the wait.
+  // A store that ends a poll early, whose reply is read late, has said nothing
+  // of the rest of the wait.
   void EmptyPollIsCompleteAtTheRequest() {
     m_replies.push_back({Changes("", 5), kWait});
     Start();
