Count a run of an unknown job as using its whole worker

Cause: a new leader that finds a run of a job which it doesn't know stops it, but counted it as using nothing until it ended, so the worker was filled beside it.

Change: such a run counts as using the whole worker.

RunOfUnknownJobOccupiesItsWorker fails before the change: a task is started beside the unknown run.

--- a/src/crocusmast/scheduling/scheduler_polls.cc
+++ b/src/crocusmast/scheduling/scheduler_polls.cc
@@ -168,6 +168,9 @@
   AssignedRun run;
   if (task != nullptr) {
     run = MakeAssignedRun(active->job.StepOf(report.task.key));
+  } else {
+    // It may use the whole worker.
+    run.resources = worker.Record().capacity;
   }
   run.is_confirmed = true;
   run.confirmed_at_poll = worker.poll_sequence;
--- a/test/scheduling/term_change_test.cc
+++ b/test/scheduling/term_change_test.cc
@@ -18,6 +18,7 @@
 class TermChangeTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(TermChangeTest);
   CPPUNIT_TEST(ReplyToPollOfEarlierTermIsIgnored);
+  CPPUNIT_TEST(RunOfUnknownJobOccupiesItsWorker);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -47,6 +48,26 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.worker_port.starts.size());
   }
 
+  // A run of a job that this leader doesn't know must not be counted as using
+  // nothing, or the worker is overloaded until the run is stopped.
+  void RunOfUnknownJobOccupiesItsWorker() {
+    Fixture fixture;
+    fixture.BeginTerm(10, HandoverWithWorker());
+    fixture.SetWorkers({MakeWorker("w-1")});
+    execution::RunReport unknown;
+    unknown.task.job = MakeId<core::JobId>("fedcba9876543210");
+    unknown.attempt = core::Attempt(3);
+    fixture.ReplyToPoll({unknown}, {});
+    fixture.scheduler.AddJob(MakeJob(kJob, {MakeStep(1)}));
+    fixture.RunCycles();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.worker_port.stops.size());
+    CPPUNIT_ASSERT(fixture.worker_port.starts.empty());
+    fixture.ReplyToPoll({}, {{core::RunEndNumber(1), unknown.task,
+                              unknown.attempt, job::RunOutcome::kStopped, ""}});
+    fixture.RunCycles();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.worker_port.starts.size());
+  }
+
  private:
   static job::HandoverState HandoverWithWorker() {
     const execution::WorkerRecord worker = MakeWorker("w-1");
