--- a/test/soak/daemons.py
+++ b/test/soak/daemons.py
@@ -32,9 +32,10 @@
 class Daemon:
     """One daemon with its own address in the loopback network."""
 
-    def __init__(self, number, zone, program, folder, addresses):
+    def __init__(self, number, zone, program, folder, addresses,
+                 network="127.0.1", cpu_share=0.25):
         self.name = "entry-%d" % number
-        self.host = "127.0.1.%d" % number
+        self.host = "%s.%d" % (network, number)
         self.zone = zone
         self._program = program
         self._folder = folder
@@ -50,7 +51,7 @@
                        "readiness": self.readiness},
             "internal_ports": [7060, 7075], "seeds": [], "bootstrap": True,
             "in_tolerance": False,
-            "limits": {"cpu_share": 0.25, "cores": 1, "memory_mb": 260,
+            "limits": {"cpu_share": cpu_share, "cores": 1, "memory_mb": 260,
                        "max_fds": 4100, "link_mbps": 1000.0, "disk_mb": 0},
             "data_dir": None, "discovery": "platform", "entry": "vip",
             "heartbeat_ms": 1500, "contracts": ["base", "sched", "platform"],
@@ -78,6 +79,15 @@
         """Returns whether the process is running."""
         return self._process is not None and self._process.returncode is None
 
+    @property
+    def pid(self):
+        """Returns the id of the process."""
+        return self._process.pid
+
+    async def wait(self):
+        """Waits for the end of the process; returns the exit code."""
+        return await self._process.wait()
+
     def cpu_seconds(self):
         """Returns the user and the system CPU time so far, in seconds."""
         with open("/proc/%d/stat" % self._process.pid, encoding="ascii") as stat:
--- a/test/soak/machines.py
+++ b/test/soak/machines.py
@@ -20,6 +20,9 @@
         self.capacity = {"cpu": cores * 1000, "mem_mb": 32768, "gpu": 0}
         self.labels = ["a", "r%s-%d" % (zone, number // 4)]
         self.worker = None
+        self.enforces_capacity = True
+        self.clock_rate = 1.0  # of the worker's clock
+        self.stop_seconds = 0.02
 
 
 class MachineService:
--- a/test/soak/simulation.py
+++ b/test/soak/simulation.py
@@ -67,17 +67,25 @@
 
     # Properties of tasks.
 
-    def step_of(self, task):
+    def step_of(self, task, command=None):
         """Returns the step of a task, as it was submitted."""
         job, _, step, _ = task.split(".")
         spec = self.jobs.get(job)
         return spec["steps"][int(step)] if spec else {"cpu": 0}
 
-    def duration(self, task):
-        """Returns the simulated run time of a task in seconds."""
-        return self.step_of(task).get("estimate_ms", 500) / 1000 * \
+    def plan_run(self, run):
+        """Returns the outcome of a run and its time in seconds."""
+        return "done", run.step.get("estimate_ms", 500) / 1000 * \
             self.random.uniform(0.7, 1.3)
 
+    def checkpoint(self, run):
+        """Returns the checkpoint of a run."""
+        return ""
+
+    async def expose(self, address):
+        """Returns the address at which a worker is reached."""
+        return address
+
     # Events on workers.
 
     def report_violation(self, rule, detail):
@@ -114,7 +122,7 @@
                         "%s before %s" % (task, dependency))
         self._runs.setdefault(task, {})[(worker.id, attempt)] = worker
 
-    def record_end(self, task, attempt, outcome, worker):
+    def record_end(self, task, attempt, outcome, worker, at=None):
         """Records the outcome of a run."""
         self._runs.get(task, {}).pop((worker.id, attempt), None)
         if outcome == "done":
--- /dev/null
+++ b/test/soak/soak.py
@@ -0,0 +1,114 @@
+#!/usr/bin/env python3
+"""Runs real instances on a simulated platform under faults, from seeds."""
+
+import argparse
+import asyncio
+import collections
+import pathlib
+import secrets
+import shutil
+import sys
+import tempfile
+import time
+
+from deployment import Deployment
+from faults import Injector
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+SEEDS = pathlib.Path(__file__).parent / "seeds.txt"
+CI_SEEDS = [1, 2, 3]
+CI_SECONDS = 10
+FINISH_SECONDS = 14.0  # for the jobs that are left when the load ends
+
+
+async def run_seed(seed, seconds, size, folder, program):
+    """Runs one seed; returns the broken promises and a summary."""
+    deployment = Deployment(seed, size, folder, program)
+    checker = deployment.checker
+    try:
+        await deployment.start()
+        injector = Injector(deployment, seed, seconds)
+        await asyncio.gather(deployment.load.steady(seconds), injector.run())
+        await deployment.load.drain(FINISH_SECONDS)
+        await asyncio.sleep(0.5)  # until the last events have arrived
+        now = time.monotonic()
+        checker.finish(now)
+    finally:
+        await deployment.stop()
+    counts = checker.counts
+    pathlib.Path(folder, "faults.log").write_text(
+        "\n".join(injector.log) + "\n", encoding="utf-8")
+    pathlib.Path(folder, "violations.log").write_text(
+        "\n".join(checker.violations) + "\n", encoding="utf-8")
+    calls = ", ".join("%s: %d" % (key, counts[key])
+                      for key in sorted(counts) if " " in key)
+    return checker.violations, (
+        "%d faults, %d jobs, %d cancelled, %d starts, share %.2f, lags %d; %s" % (
+            len(injector.log), len(checker.jobs),
+            sum(job.cancelled_at is not None for job in checker.jobs.values()),
+            counts["start"], deployment.cpu_share, deployment.lags, calls))
+
+
+def run(seed, arguments):
+    """Runs a seed and prints its line; returns whether it kept all promises."""
+    folder = tempfile.mkdtemp(prefix="crocusmast-soak-%d-" % seed)
+    violations, summary = asyncio.run(run_seed(
+        seed, arguments.seconds, arguments.size, folder, arguments.program))
+    rules = collections.Counter(line.split(" ")[0] for line in violations)
+    verdict = ", ".join("%s %d" % rule for rule in rules.items()) or "ok"
+    print("seed %d: %s (%s)" % (seed, verdict, summary), flush=True)
+    for line in violations[:arguments.lines]:
+        print("  " + line, flush=True)
+    if violations and arguments.keep:
+        target = pathlib.Path(arguments.keep, "seed-%d" % seed)
+        shutil.copytree(folder, target, dirs_exist_ok=True)
+        print("  logs in %s" % target, flush=True)
+    shutil.rmtree(folder)
+    return not violations
+
+
+def regression_seeds():
+    """Returns the seeds that have failed before: (seed, seconds, size)."""
+    rows = [line.split("#")[0].split() for line in SEEDS.read_text().splitlines()]
+    return [(int(row[0]), float(row[1]), row[2]) for row in rows if row]
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int)
+    parser.add_argument("--seeds", help="a range, as 1-50")
+    parser.add_argument("--fresh", type=int, help="a number of random seeds")
+    parser.add_argument("--ci", action="store_true", help="a few fixed seeds")
+    parser.add_argument("--regression", action="store_true",
+                        help="the seeds of seeds.txt")
+    parser.add_argument("--seconds", type=float, default=20, help="of load")
+    parser.add_argument("--size", choices=["small", "large"], default="small")
+    parser.add_argument("--keep", help="a directory for logs of failed seeds")
+    parser.add_argument("--lines", type=int, default=6,
+                        help="violations to print for a seed")
+    parser.add_argument("--program",
+                        default=str(ROOT / "build" / "crocusmast-platform"))
+    arguments = parser.parse_args()
+    runs = []
+    if arguments.seed is not None:
+        runs = [arguments.seed]
+    elif arguments.seeds:
+        first, last = map(int, arguments.seeds.split("-"))
+        runs = range(first, last + 1)
+    elif arguments.fresh:
+        runs = [secrets.randbelow(10**6) for _ in range(arguments.fresh)]
+    elif arguments.ci:
+        runs, arguments.seconds = CI_SEEDS, CI_SECONDS
+    runs = [(seed, arguments.seconds, arguments.size) for seed in runs]
+    if arguments.regression:
+        runs = regression_seeds()
+    failed = 0
+    for seed, arguments.seconds, arguments.size in runs:
+        failed += not run(seed, arguments)
+    print("soak: %d of %d seeds kept all promises" % (
+        len(runs) - failed, len(runs)))
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/test/soak/store.py
+++ b/test/soak/store.py
@@ -22,6 +22,7 @@
         self.calls = {}
         # async (request, dispatch) -> Reply, or None to drop the connection
         self.fault_hook = None
+        self.write_hook = None  # (item), for each key written
 
     # Direct access for the simulation.
 
@@ -165,6 +166,8 @@
         if lease:
             self._leases[lease][1].add(key)
         self._append_event(self._items[key])
+        if self.write_hook:
+            self.write_hook(self._items[key])
 
     def _remove(self, key):
         item = self._items.pop(key)
--- a/test/soak/workers.py
+++ b/test/soak/workers.py
@@ -13,11 +13,13 @@
 class TaskRun:
     """A run of a task; timer ends it, and is None for long-running tasks."""
 
-    def __init__(self, task, attempt, cpu, timer):
+    def __init__(self, task, attempt, step, command):
         self.task = task
         self.attempt = attempt
-        self.cpu = cpu
-        self.timer = timer
+        self.step = step
+        self.command = command
+        self.started_at = 0.0
+        self.timer = None
 
 
 class Worker:
@@ -46,12 +48,14 @@
 
     async def start(self):
         """Starts the server and the heartbeat to the membership list."""
-        self._server, self.address = await serve(self._handle)
+        self._server, address = await serve(self._handle)
+        self.address = await self._simulation.expose(address)
         asyncio.ensure_future(self._heartbeat())
 
     def clock_ms(self):
         """Returns the worker's local time in milliseconds."""
-        return int((self._simulation.clock() - self._started_at) * 1000) + 1000
+        elapsed = self._simulation.clock() - self._started_at
+        return int(elapsed * self._machine.clock_rate * 1000) + 1000
 
     def terminate(self):
         """Ends this incarnation and aborts its runs."""
@@ -104,7 +108,8 @@
     def _extend(self, body):
         if "until_ms" in body:
             now = self._simulation.clock()
-            requested_end = now + (body["until_ms"] - self.clock_ms()) / 1000
+            requested_end = now + (body["until_ms"] - self.clock_ms()) / (
+                1000 * self._machine.clock_rate)
             self._lease_end = max(self._lease_end,
                                   min(requested_end, now + MAX_LEASE_SECONDS))
 
@@ -125,21 +130,21 @@
         if attempt <= self._highest_attempt.get(task, 0) or current:
             self._extend(body)
             return self._refuse("old")
-        step = self._simulation.step_of(task)
-        cpu = step["cpu"]
-        used = sum(run.cpu for run in self._runs.values())
-        if self._machine.capacity["cpu"] < used + cpu:
+        run = TaskRun(task, attempt, self._simulation.step_of(task, body), body)
+        used = sum(other.step["cpu"] for other in self._runs.values())
+        if self._machine.enforces_capacity and (
+                self._machine.capacity["cpu"] < used + run.step["cpu"]):
             self._extend(body)
             return self._refuse("room")
         self._extend(body)
         if self._lease_end <= self._simulation.clock():
             return self._refuse("late")
         self._simulation.record_start(task, attempt, self, body)
-        loop = asyncio.get_running_loop()
-        run = TaskRun(task, attempt, cpu, None)
-        if not step.get("long_running"):
-            run.timer = loop.call_later(
-                self._simulation.duration(task), self._finish, run, "done")
+        run.started_at = self._simulation.clock()
+        if not run.step.get("long_running"):
+            outcome, seconds = self._simulation.plan_run(run)
+            run.timer = asyncio.get_running_loop().call_later(
+                seconds, self._complete, run, outcome)
         self._runs[task] = run
         return self._reply()
 
@@ -151,7 +156,7 @@
         run = self._runs.get(task)
         if run and run.attempt <= attempt:
             asyncio.get_running_loop().call_later(
-                0.02, self._finish, run, "stopped")
+                self._machine.stop_seconds, self._finish, run, "stopped")
         return self._reply()
 
     async def _set_cpu_share(self, body):
@@ -177,7 +182,7 @@
         if self.is_partitioned or not self.is_alive:
             return None
         return self._reply(
-            running=[[run.task, run.attempt, "", 100]
+            running=[[run.task, run.attempt, self._simulation.checkpoint(run), 100]
                      for run in self._runs.values()],
             ended=self._pending_ends[:MAX_ENDS_PER_REPLY])
 
@@ -185,7 +190,11 @@
         if self._runs and self._lease_end <= self._simulation.clock():
             self._simulation.record_lease_expiry(self)
             for run in list(self._runs.values()):
-                self._finish(run, "lapsed")
+                self._finish(run, "lapsed", self._lease_end)
+
+    def _complete(self, run, outcome):
+        self._expire_lease()
+        self._finish(run, outcome)
 
     def _abort(self, run):
         if run.timer:
@@ -194,7 +203,7 @@
             del self._runs[run.task]
             self._simulation.record_end(run.task, run.attempt, "gone", self)
 
-    def _finish(self, run, outcome):
+    def _finish(self, run, outcome, at=None):
         if self._runs.get(run.task) is not run:
             return
         if run.timer:
@@ -204,8 +213,9 @@
             self._highest_attempt.get(run.task, 0), run.attempt)
         self._last_end_number += 1
         self._pending_ends.append([self._last_end_number, run.task,
-                                   run.attempt, outcome, ""])
-        self._simulation.record_end(run.task, run.attempt, outcome, self)
+                                   run.attempt, outcome,
+                                   self._simulation.checkpoint(run)])
+        self._simulation.record_end(run.task, run.attempt, outcome, self, at)
         self._end_event.set()
         self._end_event = asyncio.Event()
 
