--- a/test/soak/checker.py
+++ b/test/soak/checker.py
@@ -154,7 +154,10 @@
         self._used[worker] += job.steps[int(task.split(".")[2])]["cpu"]
         if not machine["enforces"] and (
                 self._used[worker] > machine["cores"] * 1000):
-            self.report("LIMIT", time, where)
+            self.report("LIMIT", time, "%s: %d thousandths of a core beside %s" % (
+                where, self._used[worker], [
+                    run[0] for other in self.jobs.values()
+                    for run in other.runs if run[1] == worker]))
 
     def _check_times(self, time, job, worker, where):
         if job.cancelled_at and time > job.cancelled_at + CANCEL:
--- a/test/soak/deployment.py
+++ b/test/soak/deployment.py
@@ -33,15 +33,18 @@
 class Deployment:
     """All processes of a seed; every process is ended by stop()."""
 
-    def __init__(self, seed, size, folder, program):
+    def __init__(self, seed, size, folder, program, cpu_share=None,
+                 load_share=None):
         self._seed = seed
         self._folder = folder
         self._program = program
         self._random = random.Random(seed)
         self._shape = SIZES[size]
         self.zones = ZONES
-        self.cpu_share = self._random.choice([0.08, 0.12, 0.25])
-        self._load_share = self._random.uniform(0.25, 0.6)
+        drawn = (self._random.choice([0.08, 0.12, 0.25]),
+                 self._random.uniform(0.25, 0.6))
+        self.cpu_share = cpu_share or drawn[0]
+        self._load_share = load_share or drawn[1]
         self.checker = Checker()
         self.store = Store(time.monotonic)
         self.store.write_hook = self._on_write
--- a/test/soak/faults.py
+++ b/test/soak/faults.py
@@ -23,7 +23,7 @@
 LONGEST_SECONDS = 5.0
 
 
-def plan(seed, seconds):
+def plan(seed, seconds, kinds):
     """Returns the faults of a seed: (time, kind, seed of its parameters)."""
     rng = random.Random(seed)
     count = rng.randint(4, max(5, int(seconds)))
@@ -33,7 +33,7 @@
         at = (at + rng.uniform(0, 1) if times and rng.random() < 0.5
               else rng.uniform(0, seconds - 2))
         times.append(min(at, seconds - 1))
-    kinds = rng.choices(list(KINDS), list(KINDS.values()), k=count)
+    kinds = rng.choices(kinds, [KINDS[kind] for kind in kinds], k=count)
     return sorted((at, kind, rng.getrandbits(32))
                   for at, kind in zip(times, kinds))
 
@@ -41,10 +41,10 @@
 class Injector:
     """Injects the faults of a seed into a deployment."""
 
-    def __init__(self, deployment, seed, seconds):
+    def __init__(self, deployment, seed, seconds, kinds):
         self._deployment = deployment
         self._checker = deployment.checker
-        self._plan = plan(seed, seconds)
+        self._plan = plan(seed, seconds, kinds)
         self._seconds = seconds
         self._ends_at = 0.0
         self._struck = set()  # instances with a hard fault
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -12,7 +12,7 @@
 import time
 
 from deployment import Deployment
-from faults import Injector
+from faults import KINDS, Injector
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 SEEDS = pathlib.Path(__file__).parent / "seeds.txt"
@@ -21,13 +21,16 @@
 FINISH_SECONDS = 14.0  # for the jobs that are left when the load ends
 
 
-async def run_seed(seed, seconds, size, folder, program):
+async def run_seed(seed, folder, arguments):
     """Runs one seed; returns the broken promises and a summary."""
-    deployment = Deployment(seed, size, folder, program)
+    seconds = arguments.seconds
+    deployment = Deployment(seed, arguments.size, folder, arguments.program,
+                            arguments.cpu_share, arguments.load_share)
     checker = deployment.checker
     try:
         await deployment.start()
-        injector = Injector(deployment, seed, seconds)
+        injector = Injector(deployment, seed, seconds,
+                            arguments.kinds.split(","))
         await asyncio.gather(deployment.load.steady(seconds), injector.run())
         await deployment.load.drain(FINISH_SECONDS)
         await asyncio.sleep(0.5)  # until the last events have arrived
@@ -52,14 +55,13 @@
 def run(seed, arguments):
     """Runs a seed and prints its line; returns whether it kept all promises."""
     folder = tempfile.mkdtemp(prefix="crocusmast-soak-%d-" % seed)
-    violations, summary = asyncio.run(run_seed(
-        seed, arguments.seconds, arguments.size, folder, arguments.program))
+    violations, summary = asyncio.run(run_seed(seed, folder, arguments))
     rules = collections.Counter(line.split(" ")[0] for line in violations)
     verdict = ", ".join("%s %d" % rule for rule in rules.items()) or "ok"
     print("seed %d: %s (%s)" % (seed, verdict, summary), flush=True)
     for line in violations[:arguments.lines]:
         print("  " + line, flush=True)
-    if violations and arguments.keep:
+    if arguments.keep and (violations or arguments.keep_all):
         target = pathlib.Path(arguments.keep, "seed-%d" % seed)
         shutil.copytree(folder, target, dirs_exist_ok=True)
         print("  logs in %s" % target, flush=True)
@@ -83,7 +85,15 @@
                         help="the seeds of seeds.txt")
     parser.add_argument("--seconds", type=float, default=20, help="of load")
     parser.add_argument("--size", choices=["small", "large"], default="small")
+    parser.add_argument("--kinds", default=",".join(KINDS),
+                        help="of faults, separated by commas")
+    parser.add_argument("--cpu-share", type=float,
+                        help="of a core for an instance, instead of the seed's")
+    parser.add_argument("--load-share", type=float,
+                        help="of that share, for steady load")
     parser.add_argument("--keep", help="a directory for logs of failed seeds")
+    parser.add_argument("--keep-all", action="store_true",
+                        help="keep the logs of all seeds")
     parser.add_argument("--lines", type=int, default=6,
                         help="violations to print for a seed")
     parser.add_argument("--program",
