--- a/test/soak/governor.py
+++ b/test/soak/governor.py
@@ -12,7 +12,7 @@
 import time
 
 PERIOD_SECONDS = 0.1  # quotas are granted for each tenth of a second
-POLL_SECONDS = 0.004
+POLL_SECONDS = 0.002
 
 
 class Governed:
@@ -23,7 +23,8 @@
         # The kernel's identifier for the CPU time clock of another process.
         self._clock = (~pid << 3) | 2
         self._stopped = False
-        self._used_before = 0.0
+        self._used_before = time.clock_gettime(self._clock)
+        self._balance = 0.0  # of the period, in seconds; negative if overdrawn
         self.share = 1.0
         self.paused_until = 0.0
 
@@ -32,14 +33,18 @@
         self._stopped = number == signal.SIGSTOP
 
     def begin_period(self):
-        """Grants the quota of the next period."""
-        self._used_before = time.clock_gettime(self._clock)
+        """Grants the quota of the next period, less what was overdrawn."""
+        used = time.clock_gettime(self._clock)
+        quota = self.share * PERIOD_SECONDS
+        self._balance = min(
+            quota, self._balance - (used - self._used_before) + quota)
+        self._used_before = used
 
     def update(self, now):
         """Stops or continues the process."""
         used = time.clock_gettime(self._clock) - self._used_before
         stop = (now < self.paused_until or
-                self.share < 1 and used >= self.share * PERIOD_SECONDS)
+                self.share < 1 and used >= self._balance)
         if stop != self._stopped:
             self._send(signal.SIGSTOP if stop else signal.SIGCONT)
 
