--- a/test/soak/daemons.py
+++ b/test/soak/daemons.py
@@ -1,8 +1,10 @@
 """Starts, signals and stops the daemons under test."""
 
 import asyncio
+import glob
 import json
 import os
+import pathlib
 import signal
 import socket
 import tempfile
@@ -95,6 +97,12 @@
         tick = os.sysconf("SC_CLK_TCK")
         return int(fields[11]) / tick, int(fields[12]) / tick
 
+    def run_delay_seconds(self):
+        """Returns how long threads that could run waited for a processor."""
+        paths = glob.glob("/proc/%d/task/*/schedstat" % self.pid)
+        return sum(int(pathlib.Path(path).read_text(encoding="ascii").split()[1])
+                   for path in paths) / 1e9
+
     def send(self, signal_number):
         """Sends a signal to this process only."""
         if self.is_running:
--- a/test/soak/deployment.py
+++ b/test/soak/deployment.py
@@ -169,6 +169,11 @@
             except asyncio.TimeoutError:
                 process.kill()
 
+    def starved_seconds(self):
+        """Returns the longest time that an instance waited for a processor."""
+        return max((daemon.run_delay_seconds() for daemon in self._running),
+                   default=0.0)
+
     # Actions of the injector.
 
     def leader(self):
