--- a/test/soak/deployment.py
+++ b/test/soak/deployment.py
@@ -110,7 +110,15 @@
         self.checker.report("READY", time.monotonic(), "not ready after 20 s")
 
     def _spawn(self, *coroutines):
-        self._tasks += map(asyncio.ensure_future, coroutines)
+        for coroutine in coroutines:
+            self._tasks.append(asyncio.ensure_future(coroutine))
+            self._tasks[-1].add_done_callback(self.report_failure)
+
+    def report_failure(self, task):
+        """Reports a task of the soak that failed, which is a fault of its own."""
+        if not task.cancelled() and task.exception():
+            self.checker.report("HARNESS", time.monotonic(), "%r in %s" % (
+                task.exception(), task.get_coro().__qualname__))
 
     async def _start_workers(self):
         _, workers, hosts, cores = self._shape
@@ -295,6 +303,7 @@
                 else:
                     self._note_worker(kind, fields)
                     self.checker.add(kind, *fields)
+        raise RuntimeError("a worker host has ended")
 
     def _note_worker(self, kind, fields):
         if kind == "up":
--- a/test/soak/faults.py
+++ b/test/soak/faults.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 import random
-import signal
 import time
 
 from checker import CORE, stop_of
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -31,6 +31,9 @@
     deployment = Deployment(seed, arguments.size, folder, arguments.program,
                             arguments.cpu_share, arguments.load_share)
     checker = deployment.checker
+    asyncio.get_running_loop().set_exception_handler(
+        lambda loop, context: checker.report(
+            "HARNESS", time.monotonic(), str(context)))
     try:
         await deployment.start()
         injector = Injector(deployment, seed, seconds,
--- a/test/soak/traffic.py
+++ b/test/soak/traffic.py
@@ -30,6 +30,7 @@
         task = asyncio.ensure_future(coroutine)
         self._pending.add(task)
         task.add_done_callback(self._pending.discard)
+        task.add_done_callback(self._deployment.report_failure)
 
     def _step(self, rng, count, milliseconds, **fields):
         return {"count": count, "cpu": rng.choice([250, 500, 1000]),
