--- a/test/soak/checker.py
+++ b/test/soak/checker.py
@@ -46,6 +46,7 @@
         self.rejections = 0
         self.open_attempts = 0    # submissions without an answer
         self.runs = {}            # (task, worker, attempt) -> start time
+        self.reported = set()     # runs that were reported to run on
         self.last_active = 0.0    # when a run last ended
         self.started = False
 
@@ -261,15 +262,16 @@
         for job in self.jobs.values():
             if job.cancelled_at is None or not job.runs:
                 continue
-            for run, started in list(job.runs.items()):
+            for run, started in job.runs.items():
                 since = max(job.cancelled_at, started + CONTACT
                             if started > job.cancelled_at else 0.0)
                 end = now - CANCEL - KILL_GRACE
                 end -= self.lag(end, now)
-                if since < end and self.is_calm(end - CONTACT, now):
+                if (run not in job.reported and since < end and
+                        self.is_calm(end - CONTACT, now)):
                     self.report("UNASKED", now, "%s runs on %.2f s after the "
                                 "cancel" % (run, now - job.cancelled_at))
-                    del job.runs[run]
+                    job.reported.add(run)
 
     def _check_cancels(self, now):
         """Checks the share of cancels that are answered in calm."""
