--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -22,6 +22,7 @@
     "--seed 25 --seconds 12 --size wide --cpu-share 0.03 --load-share 0.8 "
     "--kinds burst,cancel_wave",
 ]
+MAX_LINE = 240         # characters of a violation that are printed
 FINISH_SECONDS = 14.0  # for the jobs that are left when the load ends
 
 
@@ -70,7 +71,7 @@
     verdict = ", ".join("%s %d" % rule for rule in rules.items()) or "ok"
     print("seed %d: %s (%s)" % (seed, verdict, summary), flush=True)
     for line in violations[:arguments.lines]:
-        print("  " + line, flush=True)
+        print("  " + line[:MAX_LINE], flush=True)
     if arguments.keep and (violations or arguments.keep_all):
         target = pathlib.Path(arguments.keep, "seed-%d" % seed)
         shutil.copytree(folder, target, dirs_exist_ok=True)
@@ -117,9 +118,11 @@
     lines = (CI_RUNS if arguments.ci else
              regression_runs() if arguments.regression else None)
     if lines is not None:
-        rest = ["--program", arguments.program] + (
-            ["--keep", arguments.keep] if arguments.keep else [])
-        rows = [(parser.parse_args(line.split() + rest), line) for line in lines]
+        rest = ["--program", arguments.program, "--lines",
+                str(arguments.lines)]
+        rest += ["--keep", arguments.keep] if arguments.keep else []
+        rows = [(parser.parse_args(line.split() + rest), line)
+                for line in lines]
         return [(row.seed, row, line) for row, line in rows]
     seeds = [arguments.seed]
     if arguments.seeds:
