--- a/test/manager/manager_fixture.h
+++ b/test/manager/manager_fixture.h
@@ -36,6 +36,7 @@
   struct Sent {
     job::TaskId task;
     core::TimePoint at;
+    core::InstanceId worker{};
   };
   /** @brief Returns how long a task runs. */
   using RunTime = std::function<std::chrono::milliseconds(const job::TaskId&)>;
@@ -86,7 +87,7 @@
   }
 
   void Start(execution::StartCommand command) override {
-    starts.push_back({command.task, clock.Now()});
+    starts.push_back({command.task, clock.Now(), command.to.worker});
     After(kReplyTime, [this, command] {
       m_workers[command.to.worker].running.emplace(
           RunId(command.task, command.attempt),
--- a/test/scheduling/store_view_test.cc
+++ b/test/scheduling/store_view_test.cc
@@ -26,6 +26,8 @@
   CPPUNIT_TEST(DeferredStartOfCancelledJobIsNeverSent);
   CPPUNIT_TEST(UnansweredStartIsNotRepeatedOnOldStoreState);
   CPPUNIT_TEST(PollsContinueOnOldStoreState);
+  CPPUNIT_TEST(ConfirmedRunIsNotStoppedForItsDeferredRepeat);
+  CPPUNIT_TEST(ConfirmedRunIsNotStartedAgainForItsDeferredRepeat);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -97,7 +99,39 @@
     CPPUNIT_ASSERT(fixture.worker_port.polls.back().lease_until.has_value());
   }
 
+  // A repeat of an unanswered start that was deferred must be forgotten once a
+  // poll shows the run; else the run is stopped when its worker drains.
+  void ConfirmedRunIsNotStoppedForItsDeferredRepeat() {
+    Fixture fixture;
+    BeginWithConfirmedRunOfDeferredRepeat(fixture);
+    execution::WorkerRecord draining = MakeWorker("w-1");
+    draining.is_draining = true;
+    fixture.scheduler.Handle(scheduling::WorkerUpdated{draining});
+    fixture.RunCycles();
+    CPPUNIT_ASSERT(fixture.worker_port.stops.empty());
+  }
+
+  void ConfirmedRunIsNotStartedAgainForItsDeferredRepeat() {
+    Fixture fixture;
+    BeginWithConfirmedRunOfDeferredRepeat(fixture);
+    fixture.RunCycles();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.worker_port.starts.size());
+  }
+
  private:
+  /** @brief A start without a reply, whose repeat was deferred, and a poll that
+   * shows that the run is there. */
+  static void BeginWithConfirmedRunOfDeferredRepeat(Fixture& fixture) {
+    Begin(fixture);
+    fixture.scheduler.AddJob(MakeJob(kJob, {MakeStep(1)}));
+    fixture.RunCycles();
+    const execution::StartCommand start = fixture.worker_port.starts.at(0);
+    fixture.clock.Advance(kCancelLimit - kStartTimeout);
+    fixture.ReplyToStart(start, WorkerCallOutcome::kUnknown);
+    RunCyclesOnOldState(fixture);
+    fixture.ReplyToPoll({Fixture::ActiveRun(start)}, {});
+  }
+
   static void Begin(Fixture& fixture) {
     fixture.BeginTerm();
     fixture.SetWorkers({MakeWorker("w-1")});
