--- a/test/manager/late_drain_test.cc
+++ b/test/manager/late_drain_test.cc
@@ -61,9 +61,9 @@
     }
     CPPUNIT_ASSERT_MESSAGE(
         "the last start there was sent " +
-            std::to_string(std::chrono::duration_cast<milliseconds>(
-                               last - draining_at)
-                               .count()) +
+            std::to_string(
+                std::chrono::duration_cast<milliseconds>(last - draining_at)
+                    .count()) +
             " ms after the worker's change arrived",
         last <= draining_at + kDrainLimit - kStartTimeout);
   }
