Do not repeat or stop a confirmed run whose start was deferred

Found in review; new with the limit on the store state's age. A repeat of an unanswered start that was deferred stayed due after a poll had confirmed the run: the task was started twice, or stopped if its worker was draining by then.

Change: only runs that no poll has confirmed have a start that is due.

ConfirmedRunIsNotStoppedForItsDeferredRepeat and ConfirmedRunIsNotStartedAgainForItsDeferredRepeat failed before.

--- a/src/crocusmast/scheduling/scheduler_runs.cc
+++ b/src/crocusmast/scheduling/scheduler_runs.cc
@@ -283,8 +283,9 @@
     const AssignedRun* run = worker.Find(key);
     const bool needs_retry =
         run != nullptr && !run->is_stop_acknowledged &&
-        (run->is_stopping || run->is_start_deferred ||
-         (run->has_unanswered_start && !run->is_confirmed));
+        (run->is_stopping ||
+         ((run->is_start_deferred || run->has_unanswered_start) &&
+          !run->is_confirmed));
     is_pending = is_pending || needs_retry;
     if (!needs_retry || run->is_command_pending) {
       continue;
