Let changes of workers overtake replies of workers

Found in review: the membership list is control input like jobs and cancels, but its changes waited in the ring behind replies.

Change: lists, updates and removals of workers are urgent; the ring has room for several replies of the membership watch.

NoTaskStartsWhileDrainingWaitsBehindReplies failed before. What remains: a stalled membership watch (2.2 s until its time-out) still delays the change.

--- a/src/crocusmast/manager/messages.h
+++ b/src/crocusmast/manager/messages.h
@@ -101,9 +101,9 @@
 /**
  * @brief Returns the priority of a message in the manager's ring.
  *
- * What the store says is urgent: cancellations, who leads, the configuration.
- * It comes in few messages, while replies of workers and requests of callers
- * grow with the load.
+ * What the store says is urgent: cancellations, who leads, the configuration,
+ * which workers drain. It grows less with the load than replies of workers and
+ * requests of callers.
  */
 inline core::Priority PriorityOf(const Message& message) {
   const bool is_urgent =
@@ -111,6 +111,9 @@
       std::holds_alternative<StoreChangesReceived>(message) ||
       std::holds_alternative<QueueCatalogLoaded>(message) ||
       std::holds_alternative<ShutdownRequested>(message) ||
+      std::holds_alternative<scheduling::WorkerListReceived>(message) ||
+      std::holds_alternative<scheduling::WorkerUpdated>(message) ||
+      std::holds_alternative<scheduling::WorkerRemoved>(message) ||
       std::holds_alternative<leadership::LeaseGrantReply>(message) ||
       std::holds_alternative<leadership::LeadershipClaimReply>(message) ||
       std::holds_alternative<leadership::LeaseRenewalReply>(message);
--- a/test/manager/manager_fixture.h
+++ b/test/manager/manager_fixture.h
@@ -199,7 +199,7 @@
 
   static constexpr int kWorkers = 12;
   static constexpr std::size_t kRingCapacity = 8192;
-  static constexpr std::size_t kUrgentRingCapacity = 256;
+  static constexpr std::size_t kUrgentRingCapacity = 2048;
   static constexpr std::chrono::milliseconds kReplyTime{5};
   static constexpr std::chrono::milliseconds kTickInterval{50};
   static constexpr std::chrono::milliseconds kWatchInterval{100};
