Give a reply more time for progress only, and send no expired call

Found in review. 1. Any byte of a reply extended its time, so a watch reply that trickles kept the state old for 11 s, though a new connection may work. Now 4 KB have to arrive for each extension (TricklingReplyIsAbandonedBeforeTheViewIsTooOld failed before with 11.2 s). 2. A call that expired while its connection was being established was still sent, so a start could leave 0.95 s after its decision instead of 0.5 s (CallThatExpiredWhileConnectingIsNotSent failed before).

--- a/src/crocusmast/adapters/async/http_client.cc
+++ b/src/crocusmast/adapters/async/http_client.cc
@@ -206,6 +206,12 @@
           self->Fail(connection, CallResult::kNotSent, error);
           return;
         }
+        if (connection->pending.expires_at <=
+            std::chrono::steady_clock::now()) {
+          connection->is_expired = true;
+          self->Fail(connection, CallResult::kNotSent, error);
+          return;
+        }
         boost::system::error_code option_error;
         connection->socket.set_option(internal::Tcp::no_delay(true),
                                       option_error);
@@ -239,6 +245,7 @@
   current.parser.emplace();
   current.parser->body_limit(limits.response_bytes);
   current.parser->eager(true);
+  current.progress = 0;
   ReceivePart(std::move(connection));
 }
 
@@ -247,8 +254,7 @@
   internal::http::async_read_some(
       current.socket, current.buffer, *current.parser,
       [self = shared_from_this(), connection = std::move(connection)](
-          const boost::system::error_code& error,
-          std::size_t /*read*/) mutable {
+          const boost::system::error_code& error, std::size_t read) mutable {
         if (error) {
           self->Fail(connection, CallResult::kUnknown, error);
           return;
@@ -258,7 +264,7 @@
           return;
         }
         ReserveForBody(connection->buffer, *connection->parser);
-        connection->ExtendExpiry();
+        connection->ExtendExpiry(read);
         self->ReceivePart(std::move(connection));
       });
 }
--- a/src/crocusmast/adapters/async/http_connection.h
+++ b/src/crocusmast/adapters/async/http_connection.h
@@ -48,7 +48,9 @@
  * idle connections too.
  */
 inline constexpr std::chrono::seconds kMaxIdleTime{10};
-/** @brief Time-out for the next part of a response that has begun to arrive. */
+/** @brief Progress for which a response that is arriving gets more time. */
+inline constexpr std::size_t kMinReceiveProgressBytes = 4096;
+/** @brief The additional time for each such progress. */
 inline constexpr std::chrono::milliseconds kReceiveStallTimeout{500};
 /** @brief Time limit of a call whose response keeps arriving. */
 inline constexpr std::chrono::seconds kMaxReceiveTime{10};
@@ -92,9 +94,19 @@
     return got >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
   }
 
-  /** @brief Grants more time to a response that is arriving. A large one would
-   * otherwise be discarded and requested again over the same slow link. */
-  void ExtendExpiry() {
+  /**
+   * @brief Grants more time to a response that is arriving.
+   *
+   * A large one would otherwise be discarded and requested again over the same
+   * slow link.
+   * @param received Number of bytes that have arrived since the last call.
+   */
+  void ExtendExpiry(std::size_t received) {
+    progress += received;
+    if (progress < kMinReceiveProgressBytes) {
+      return;
+    }
+    progress = 0;
     const SteadyTime stalled_at =
         std::chrono::steady_clock::now() + kReceiveStallTimeout;
     expires_at = std::max(
@@ -107,6 +119,8 @@
   PendingCall pending;
   std::string request;
   std::optional<http::response_parser<http::string_body>> parser;
+  /** @brief Bytes of the response for which no more time was granted yet. */
+  std::size_t progress = 0;
   /** @brief When the last reply was received. */
   SteadyTime idle_since;
   /** @brief Deadline of the connect, write or read in progress. */
