Take test ports outside the range of outgoing connections

RefusedChangeTest failed at times with an address in use (three runs, each beside other runs of the suite or thousands of connections): FindFreePort returned an ephemeral port, which an outgoing connection could take before the test bound it. Ports now come from 20000 to 29999, each process beginning elsewhere. FullMailboxTest::DroppedCancelIsReadAgain failed once in the same runs (its first message was no list); the same cause is suspected, not shown.

--- a/test/support/scripted_tcp_server.h
+++ b/test/support/scripted_tcp_server.h
@@ -95,10 +95,34 @@
   std::thread m_thread;
 };
 
-/** @brief Returns a port on which no process listens. */
+/**
+ * @brief Returns a port of the loopback interface on which nobody listens.
+ *
+ * It lies outside the range from which the system takes ports for outgoing
+ * connections, and processes begin at different ports, so that it is still free
+ * when it is used.
+ */
 inline std::uint16_t FindFreePort() {
-  ScriptedTcpServer server([](int) {});
-  return server.Port();
+  constexpr std::uint16_t kFirstPort = 20000;
+  constexpr std::uint16_t kPortCount = 10000;
+  constexpr std::uint16_t kPortsPerProcess = 50;
+  static std::atomic<std::uint32_t> next{static_cast<std::uint32_t>(getpid()) *
+                                         kPortsPerProcess};
+  while (true) {
+    const auto port =
+        static_cast<std::uint16_t>(kFirstPort + next++ % kPortCount);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    const int probe = socket(AF_INET, SOCK_STREAM, 0);
+    const bool is_free =
+        bind(probe, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0;
+    close(probe);
+    if (is_free) {
+      return port;
+    }
+  }
 }
 
 }  // namespace test
