--- a/src/crocusmast/intake/request_handler.cc
+++ b/src/crocusmast/intake/request_handler.cc
@@ -238,18 +238,16 @@
 
 void RequestHandler::EndExpired(core::TimePoint now) {
   for (auto next = m_pending.begin(); next != m_pending.end();) {
-    if (now < next->second.deadline + kLostReplyGrace) {
-      ++next;
-      continue;
+    const auto current = next++;
+    const PendingRequest& pending = current->second;
+    if (pending.deadline + kLostReplyGrace <= now) {
+      Reply(job::ExchangeId(current->first),
+            pending.operation == JobOperation::kGet
+                ? ResponseStatus::kTemporarilyUnavailable
+                : ResponseStatus::kUnknown,
+            pending.job.id, "the store did not reply before the deadline");
+      m_pending.erase(current);
     }
-    const job::ExchangeId exchange(next->first);
-    const PendingRequest pending = std::move(next->second);
-    next = m_pending.erase(next);
-    Reply(exchange,
-          pending.operation == JobOperation::kGet
-              ? ResponseStatus::kTemporarilyUnavailable
-              : ResponseStatus::kUnknown,
-          pending.job.id, "the store did not reply before the deadline");
   }
 }
 
@@ -378,9 +376,7 @@
     if (response.status == ResponseStatus::kJobState) {
       sentence += ": " + std::string(job::JobStateName(response.state));
     }
-    if (!response.detail.empty()) {
-      sentence += ": " + response.detail;
-    }
+    sentence += response.detail.empty() ? "" : ": " + response.detail;
     const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
         m_ports.clock.Now() - m_jobs_complete_at);
     std::vector<core::LogField> fields{
--- a/test/platform/full_mailbox_test.cc
+++ b/test/platform/full_mailbox_test.cc
@@ -12,9 +12,9 @@
 #include "crocusmast/core/boot_clock.h"
 #include "platform/keys.h"
 #include "platform/store_client.h"
+#include "test/platform/scripted_store.h"
 #include "test/support/factories.h"
 #include "test/support/mocks.h"
-#include "test/support/scripted_store.h"
 #include "test/support/scripted_tcp_server.h"
 
 namespace {
--- a/test/platform/late_cancel_test.cc
+++ b/test/platform/late_cancel_test.cc
@@ -21,11 +21,11 @@
 #include "platform/store_client.h"
 #include "platform/ticket_client.h"
 #include "platform/worker_client.h"
+#include "test/platform/scripted_store.h"
+#include "test/platform/scripted_worker.h"
 #include "test/support/busy_loop.h"
 #include "test/support/port_fakes.h"
-#include "test/support/scripted_store.h"
 #include "test/support/scripted_tcp_server.h"
-#include "test/support/scripted_worker.h"
 
 namespace {
 
--- a/test/support/scripted_store.h
+++ b/test/platform/scripted_store.h
@@ -1,5 +1,5 @@
-#ifndef TEST_SUPPORT_SCRIPTED_STORE_H_
-#define TEST_SUPPORT_SCRIPTED_STORE_H_
+#ifndef TEST_PLATFORM_SCRIPTED_STORE_H_
+#define TEST_PLATFORM_SCRIPTED_STORE_H_
 
 #include <chrono>
 #include <cstdint>
@@ -223,4 +223,4 @@
 
 }  // namespace test
 
-#endif  // TEST_SUPPORT_SCRIPTED_STORE_H_
+#endif  // TEST_PLATFORM_SCRIPTED_STORE_H_
--- a/test/support/scripted_worker.h
+++ b/test/platform/scripted_worker.h
@@ -1,5 +1,5 @@
-#ifndef TEST_SUPPORT_SCRIPTED_WORKER_H_
-#define TEST_SUPPORT_SCRIPTED_WORKER_H_
+#ifndef TEST_PLATFORM_SCRIPTED_WORKER_H_
+#define TEST_PLATFORM_SCRIPTED_WORKER_H_
 
 #include <algorithm>
 #include <atomic>
@@ -175,4 +175,4 @@
 
 }  // namespace test
 
-#endif  // TEST_SUPPORT_SCRIPTED_WORKER_H_
+#endif  // TEST_PLATFORM_SCRIPTED_WORKER_H_
