--- a/src/crocusmast/job/job_store.h
+++ b/src/crocusmast/job/job_store.h
@@ -118,6 +118,8 @@
   HandoverState handover;
   /** @brief Store revision of the last commit; 0 for none. */
   core::Revision last_commit;
+  /** @brief Store revision of the handover state; 0 for none. */
+  core::Revision revision{};
 };
 
 /**
--- a/src/crocusmast/scheduling/scheduler.cc
+++ b/src/crocusmast/scheduling/scheduler.cc
@@ -32,10 +32,13 @@
   m_is_active = true;
   m_term = term;
   const core::TimePoint now = m_ports.clock.Now();
+  m_term_began_at = now;
   m_fleet_handover = handover.fleet;
   m_fleet_handover.machine_cooldowns.reset();
   m_committer.BeginTerm(stored.last_commit);
+  std::chrono::milliseconds longest_lease{};
   for (const job::LeasedWorker& leased : handover.workers) {
+    longest_lease = std::max(longest_lease, leased.lease_remaining);
     m_unreconciled[leased.worker] = {leased.incarnation, leased.pool,
                                      now + leased.lease_remaining};
   }
@@ -74,7 +77,10 @@
       {{"event", "scheduling_begins"},
        {"token", std::to_string(term.token.Count())},
        {"jobs", std::to_string(m_jobs.size())},
-       {"workers", std::to_string(handover.workers.size())}});
+       {"workers", std::to_string(handover.workers.size())},
+       {"handover", handover.fleet.machine_cooldowns ? "resigned" : "active"},
+       {"handover_revision", std::to_string(stored.revision.Count())},
+       {"longest_lease_ms", std::to_string(longest_lease.count())}});
   m_ports.worker_watch.Subscribe();
 }
 
--- a/src/crocusmast/scheduling/scheduler.h
+++ b/src/crocusmast/scheduling/scheduler.h
@@ -318,6 +318,7 @@
    * reply to a poll of an earlier term is taken for a later one. */
   std::uint64_t m_last_poll_sequence = 0;
   SchedulingTerm m_term;
+  core::TimePoint m_term_began_at;
   StoreView m_store_view;
   std::map<core::QueueId, queue::Queue> m_queues;
   std::map<core::PoolId, queue::Pool> m_pools;
--- a/src/crocusmast/scheduling/scheduler_workers.cc
+++ b/src/crocusmast/scheduling/scheduler_workers.cc
@@ -167,10 +167,16 @@
   if (unreconciled == m_unreconciled.end()) {
     return;
   }
+  const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(
+      m_ports.clock.Now() - m_term_began_at);
   Log(core::Severity::kInfo,
       "Reconciled worker " + id.Text() +
           " with the previous leader's runs: " + reason + ".",
-      {{"event", "worker_settled"}, {"worker", id.Text()}});
+      {{"event", "worker_settled"},
+       {"worker", id.Text()},
+       {"pool", unreconciled->second.pool.Text()},
+       {"evidence", reason},
+       {"waited_ms", std::to_string(waited.count())}});
   m_pools_to_place.insert(unreconciled->second.pool);
   m_unreconciled.erase(unreconciled);
 }
