Share the instance of the late cancel test

The manager with its threads and clients moves to test/platform/test_instance.h, so that tests of other incidents can use it.

--- a/test/platform/late_cancel_test.cc
+++ b/test/platform/late_cancel_test.cc
@@ -10,19 +10,11 @@
 #include <thread>
 #include <vector>
 
-#include "crocusmast/adapters/metrics_registry.h"
 #include "crocusmast/adapters/records/job_records.h"
-#include "crocusmast/core/boot_clock.h"
-#include "crocusmast/core/message_thread.h"
-#include "crocusmast/manager/job_manager.h"
 #include "platform/keys.h"
-#include "platform/machine_client.h"
-#include "platform/membership_watcher.h"
-#include "platform/store_client.h"
-#include "platform/ticket_client.h"
-#include "platform/worker_client.h"
 #include "test/platform/scripted_store.h"
 #include "test/platform/scripted_worker.h"
+#include "test/platform/test_instance.h"
 #include "test/support/busy_loop.h"
 #include "test/support/port_fakes.h"
 #include "test/support/scripted_tcp_server.h"
@@ -81,16 +73,6 @@
   std::vector<std::string> m_losses;
 };
 
-class SilentResponsePort final : public intake::ResponsePort {
- public:
-  void Send(intake::JobResponse response) override {}
-};
-
-class SilentReadinessPort final : public manager::ReadinessPort {
- public:
-  void SetReady(bool is_ready) override {}
-};
-
 /** @brief A scheduling leader with its threads and clients, between a scripted
  * store and a scripted worker. */
 class LateCancelTest : public CppUnit::TestFixture {
@@ -120,7 +102,9 @@
           records::EncodeJob(job)},
          {std::string(keys::kWorkerPrefix) + "worker",
           m_scripted_worker->MembershipEntry("pool", 10000)}});
-    StartLeader(store_port);
+    m_leader =
+        std::make_unique<test::TestInstance>("leader", store_port, m_logger);
+    m_leader->Start(MakeCatalog());
   }
 
   void tearDown() override { Stop(); }
@@ -161,39 +145,12 @@
         queue::CallerLimits());
   }
 
-  void StartLeader(std::uint16_t store_port) {
-    m_io = async::IoThread::Create(16384);
-    m_thread = std::make_unique<core::MessageThread<manager::Message>>(
-        "manager", 8192, milliseconds(50));
-    Mailbox& mailbox = m_thread->Ring();
-    m_kv = KvClient::Create(*m_io, {"127.0.0.1", store_port}, *m_metrics);
-    m_store = StoreClient::Create(*m_kv, mailbox, m_clock, m_logger);
-    m_workers = WorkerClient::Create(*m_io, mailbox, m_clock, m_logger);
-    m_membership = MembershipWatcher::Create(*m_kv, mailbox, m_clock, m_logger);
-    m_machines =
-        MachineClient::Create(*m_kv, std::nullopt, "leader", mailbox, m_logger);
-    m_tickets = TicketClient::Create(*m_io, std::nullopt, mailbox, m_logger);
-    manager::JobManagerSettings settings;
-    settings.self = {"leader", "1"};
-    m_manager = std::make_unique<manager::JobManager>(
-        settings,
-        manager::JobManagerPorts{*m_store, *m_store, *m_workers, *m_membership,
-                                 *m_tickets, *m_machines, m_responses,
-                                 m_readiness, m_clock, m_logger, *m_metrics});
-    m_thread->Start(*m_manager, m_clock);
-    mailbox.TryPush(
-        manager::Message(manager::QueueCatalogLoaded{MakeCatalog()}));
-    m_io->Post([this] { m_store->StartWatching(); });
-    m_io->Start();
-  }
-
   void Stop() {
-    if (m_thread) {
-      m_thread->Stop();
-      m_io->Stop();
+    if (m_leader) {
+      m_leader->Stop();
       m_outside->Stop();
       m_loop.reset();
-      m_thread.reset();
+      m_leader.reset();
     }
   }
 
@@ -227,7 +184,7 @@
       std::this_thread::sleep_for(milliseconds(10));
     }
     if (turn) {
-      m_loop = std::make_unique<test::BusyLoop>(*m_io, *turn);
+      m_loop = std::make_unique<test::BusyLoop>(m_leader->Io(), *turn);
     }
     StoreOtherJobs(kBurstJobs, payload_bytes);
     StoreOtherJobsUntil(SteadyClock::now() + kLoadBeforeCancel, payload_bytes);
@@ -289,24 +246,11 @@
     return seen;
   }
 
-  core::BootClock m_clock;
   RecordingLogger m_logger;
-  std::unique_ptr<crocusmast::adapters::MetricsRegistry> m_metrics =
-      crocusmast::adapters::MetricsRegistry::Create();
-  SilentResponsePort m_responses;
-  SilentReadinessPort m_readiness;
   std::unique_ptr<async::IoThread> m_outside;
   std::unique_ptr<test::ScriptedStore> m_scripted_store;
   std::unique_ptr<test::ScriptedWorker> m_scripted_worker;
-  std::unique_ptr<async::IoThread> m_io;
-  std::unique_ptr<core::MessageThread<manager::Message>> m_thread;
-  std::unique_ptr<KvClient> m_kv;
-  std::unique_ptr<StoreClient> m_store;
-  std::unique_ptr<WorkerClient> m_workers;
-  std::unique_ptr<MembershipWatcher> m_membership;
-  std::unique_ptr<MachineClient> m_machines;
-  std::unique_ptr<TicketClient> m_tickets;
-  std::unique_ptr<manager::JobManager> m_manager;
+  std::unique_ptr<test::TestInstance> m_leader;
   std::unique_ptr<test::BusyLoop> m_loop;
   int m_other_jobs = 0;
 };
