Test that a stopping leader's handover state is stored by a slow store

The new test fails on this code, with 'stored by a leader that resigned': the release of the lease removes the leader key while the transaction of the handover still waits, so its condition fails. The scripted store learns to take time for transactions, and to end leases that are released.

--- a/test/platform/scripted_store.h
+++ b/test/platform/scripted_store.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <cstring>
 #include <list>
 #include <map>
 #include <memory>
@@ -17,7 +18,7 @@
 namespace test {
 
 /** @brief A key-value store with watches, which speaks the platform's protocol;
- * its leases never expire. */
+ * its leases end only when they are released. */
 class ScriptedStore {
  public:
   using Items = std::vector<std::pair<std::string, std::string>>;
@@ -46,6 +47,22 @@
     });
   }
 
+  /** @brief Sets the time from the arrival of a transaction until it is applied
+   * and answered. Releases of leases are not delayed. */
+  void SetTransactionTime(std::chrono::milliseconds time) {
+    m_io.Post([this, time] { m_transaction_time = time; });
+  }
+
+  /** @brief Returns the value of a key, or an empty string; the I/O thread must
+   * be stopped. */
+  std::string Value(const std::string& key) const {
+    const auto found = m_items.find(key);
+    return found == m_items.end()
+               ? ""
+               : websocketpp::base64_decode(
+                     found->second.at("value").get<std::string>());
+  }
+
   /** @brief Returns the sizes of the replies to watches that had changes; the
    * I/O thread must be stopped. */
   const std::vector<std::size_t>& WatchReplyBytes(
@@ -61,6 +78,7 @@
   using Json = nlohmann::json;
 
   static constexpr std::size_t kPageItems = 500;
+  static constexpr char kReleasePath[] = "/crocusmast/kv-lease-end/";
 
   struct Watch {
     ExchangePtr exchange;
@@ -102,10 +120,14 @@
     } else if (HasPrefix(path, "/crocusmast/kv-watch")) {
       AddWatch(exchange);
     } else if (path == "/crocusmast/kv-txn") {
-      RespondToTransaction(exchange);
+      m_io.RunAfter(m_transaction_time,
+                    [this, exchange] { RespondToTransaction(exchange); });
     } else if (path == "/crocusmast/kv-lease") {
-      Respond(exchange, {{"lease", 1},
+      Respond(exchange, {{"lease", ++m_last_lease},
                          {"ttl_ms", Json::parse(exchange->Body())["ttl_ms"]}});
+    } else if (HasPrefix(path, kReleasePath)) {
+      EndLease(std::stoull(path.substr(std::strlen(kReleasePath))));
+      Respond(exchange, Json::object());
     } else {
       Respond(exchange, Json::object());
     }
@@ -189,6 +211,9 @@
     }
     for (const Json& write : txn.at("writes")) {
       Apply(write.at("key"), write.at("value"));
+      if (write.contains("lease")) {
+        m_leased_keys[write.at("lease")] = write.at("key");
+      }
     }
     for (const Json& key : txn.at("deletes")) {
       Remove(key);
@@ -212,7 +237,20 @@
     }
   }
 
+  void EndLease(std::uint64_t lease) {
+    if (const auto found = m_leased_keys.find(lease);
+        found != m_leased_keys.end()) {
+      Remove(found->second);
+      m_leased_keys.erase(found);
+      ReplyToWatches();
+    }
+  }
+
   crocusmast::adapters::async::IoThread& m_io;
+  std::chrono::milliseconds m_transaction_time{};
+  std::uint64_t m_last_lease = 0;
+  /** @brief The key that is attached to each lease. */
+  std::map<std::uint64_t, std::string> m_leased_keys;
   std::uint64_t m_revision = 1;
   std::map<std::string, Json> m_items;
   std::map<std::uint64_t, Json> m_events;
