Release the leader's lease after its handover state is stored

Cause: a stopping leader sent its handover state and the release of its lease at once, on two connections. If the release came first it removed the claim that the handover is conditional on, so the successor read the state of a leader that stays active and waited 9.6 s and more for each worker that did not reply. Nobody read the outcome of either call, or repeated a handover that was refused or left unanswered.

Change: manager::Resignation sends the handover until the store has answered, with the leases that are left by then, for up to 4 s; the leader has stopped acting but keeps its lease, and releases it only after that. The same goes for a term that ends because messages were lost. An instance waits for it within its grace period. Outcome, number of calls and duration are logged and counted.

--- a/src/crocusmast/adapters/metrics_registry.cc
+++ b/src/crocusmast/adapters/metrics_registry.cc
@@ -48,6 +48,8 @@
     "peer_messages_rejected_total",
     "peer_messages_dropped_total",
     "replies_dropped_total",
+    "handovers_stored_total",
+    "handovers_failed_total",
 };
 
 constexpr std::array<std::string_view, kTimingCount> kTimingNames{
--- a/src/crocusmast/core/meter.h
+++ b/src/crocusmast/core/meter.h
@@ -32,6 +32,11 @@
   kPeerMessagesRejected,
   kPeerMessagesDropped,
   kRepliesDropped,
+  /** @brief Terms that ended with the final handover state stored. */
+  kHandoversStored,
+  /** @brief Terms whose final handover state was not stored; the successor
+   * assumes the longest leases. */
+  kHandoversFailed,
   kCount,
 };
 
--- a/src/crocusmast/job/job_store.h
+++ b/src/crocusmast/job/job_store.h
@@ -158,6 +158,13 @@
   bool is_still_leader = true;
 };
 
+/** @brief Reply to JobStore::HandOver. */
+struct HandoverReply {
+  /** @brief kConflict if the caller no longer leads, or an earlier call for the
+   * same term took effect. */
+  StoreOutcome outcome = StoreOutcome::kUnknown;
+};
+
 /** @brief Stores jobs; replies arrive as messages. */
 class JobStore {
  public:
@@ -171,7 +178,8 @@
   /** @brief Stores a commit of the leader; replies with CommitReply. */
   virtual void Write(Commit commit) = 0;
   /**
-   * @brief Stores the final handover state and resigns; no reply.
+   * @brief Stores the final handover state and removes the leader's claim;
+   * replies with HandoverReply.
    * @param token The leader's fencing token.
    * @param handover The handover state.
    */
--- a/src/crocusmast/leadership/leader_elector.cc
+++ b/src/crocusmast/leadership/leader_elector.cc
@@ -106,7 +106,9 @@
 }
 
 void LeaderElector::Handle(const LeaseRenewalReply& reply) {
-  if (m_phase != Phase::kLeading || !(reply.lease == m_lease_id)) {
+  const bool holds_lease =
+      m_phase == Phase::kLeading || m_phase == Phase::kHandingOver;
+  if (!holds_lease || !(reply.lease == m_lease_id)) {
     return;
   }
   if (reply.outcome == LeaseOutcome::kDone) {
@@ -118,7 +120,7 @@
 
 void LeaderElector::Tick() {
   const core::TimePoint now = m_clock.Now();
-  if (m_phase == Phase::kLeading) {
+  if (m_phase == Phase::kLeading || m_phase == Phase::kHandingOver) {
     if (!m_lease.MayAct(now)) {
       LoseLeadership("the lease was not renewed before the renew deadline");
     } else if (m_lease.IsRenewalDue(now)) {
@@ -156,8 +158,24 @@
   m_token = {};
 }
 
+void LeaderElector::StopActing() {
+  if (m_phase == Phase::kLeading) {
+    m_phase = Phase::kHandingOver;
+  }
+}
+
+void LeaderElector::ReleaseLease() {
+  if (m_phase == Phase::kHandingOver) {
+    m_port.Release(m_lease_id);
+    m_phase = Phase::kFollowing;
+    m_lease.MarkLost();
+    m_token = {};
+  }
+}
+
 void LeaderElector::Resign() {
-  if (m_phase == Phase::kLeading || m_phase == Phase::kClaiming) {
+  if (m_phase == Phase::kLeading || m_phase == Phase::kClaiming ||
+      m_phase == Phase::kHandingOver) {
     m_port.Release(m_lease_id);
     Log(core::Severity::kInfo, "The scheduling leadership is released.");
   }
--- a/src/crocusmast/leadership/leader_elector.h
+++ b/src/crocusmast/leadership/leader_elector.h
@@ -79,6 +79,16 @@
    */
   void StepDown(const std::string& reason);
 
+  /**
+   * @brief Ends the term but keeps the lease, so that the claim stays in the
+   * store until the term is handed over; ReleaseLease() follows.
+   */
+  void StopActing();
+
+  /** @brief Releases the lease of a term that was handed over; the leadership
+   * may be acquired again. */
+  void ReleaseLease();
+
   /** @brief Releases the leadership permanently, for shutdown. */
   void Resign();
 
@@ -103,6 +113,7 @@
     kRequestingLease,
     kClaiming,
     kLeading,
+    kHandingOver,
     kResigned
   };
 
--- a/src/crocusmast/manager/job_manager.cc
+++ b/src/crocusmast/manager/job_manager.cc
@@ -27,6 +27,7 @@
                 ports.leases,
                 ports.clock,
                 ports.logger),
+      m_resignation({ports.store, ports.clock, ports.logger, ports.meter}),
       m_scheduler({ports.workers, ports.store, ports.worker_watch,
                    ports.tickets, ports.clock, ports.logger, ports.meter}),
       m_machine_port(ports.machines,
@@ -46,9 +47,13 @@
 }
 
 void JobManager::Tick() {
-  if (!m_is_stopping) {
+  if (!m_is_stopping || m_resignation.IsPending()) {
     m_elector.Tick();
   }
+  if (m_resignation.IsPending()) {
+    m_resignation.Tick();
+    FinishResignation();
+  }
   m_request_handler.Tick();
   UpdateReadiness();
   RemoveFinishedJobs();
@@ -69,17 +74,34 @@
       "Messages to the manager were lost because a queue was full.",
       {{"event", "messages_lost"}});
   if (!m_is_stopping) {
-    HandOver();
-    m_elector.StepDown("messages were lost");
-    UpdateLeadership();
+    BeginResignation();
+    if (!m_resignation.IsPending()) {
+      m_elector.StepDown("messages were lost");
+      UpdateLeadership();
+    }
+  }
+}
+
+void JobManager::BeginResignation() {
+  if (!m_scheduler.IsActive()) {
+    return;
   }
+  job::HandoverState handover = m_scheduler.FinalHandoverState();
+  handover.fleet.machine_cooldowns = m_machine_port.RemainingCooldowns();
+  m_elector.StopActing();
+  UpdateLeadership();
+  m_resignation.Begin(m_token, std::move(handover));
 }
 
-void JobManager::HandOver() {
-  if (m_scheduler.IsActive()) {
-    job::HandoverState handover = m_scheduler.FinalHandoverState();
-    handover.fleet.machine_cooldowns = m_machine_port.RemainingCooldowns();
-    m_ports.store.HandOver(m_token, handover);
+void JobManager::FinishResignation() {
+  if (m_resignation.IsPending()) {
+    return;
+  }
+  if (m_is_stopping) {
+    m_elector.Resign();
+    m_has_resigned.store(true);
+  } else {
+    m_elector.ReleaseLease();
   }
 }
 
@@ -147,11 +169,18 @@
 void JobManager::On(ShutdownRequested&& message) {
   m_is_stopping = true;
   UpdateReadiness();
-  HandOver();
-  m_elector.Resign();
+  BeginResignation();
+  FinishResignation();
   UpdateLeadership();
 }
 
+void JobManager::On(job::HandoverReply&& reply) {
+  if (m_resignation.IsPending()) {
+    m_resignation.Handle(reply);
+    FinishResignation();
+  }
+}
+
 void JobManager::On(QueueCatalogLoaded&& loaded) {
   if (m_queue_catalog &&
       !(m_queue_catalog->Version() < loaded.catalog->Version())) {
--- a/src/crocusmast/manager/job_manager.h
+++ b/src/crocusmast/manager/job_manager.h
@@ -14,6 +14,7 @@
 #include "crocusmast/job/job_catalog.h"
 #include "crocusmast/leadership/leader_elector.h"
 #include "crocusmast/manager/messages.h"
+#include "crocusmast/manager/resignation.h"
 #include "crocusmast/scheduling/scheduler.h"
 #include "crocusmast/upkeep/upkeep_controller.h"
 
@@ -93,8 +94,13 @@
    */
   core::TimePoint ViewCompleteAt() const { return m_view_complete_at.load(); }
 
+  /** @brief Tells whether this instance, after ShutdownRequested, holds no
+   * leadership that is still to be handed over; called on any thread. */
+  bool HasResigned() const { return m_has_resigned.load(); }
+
  private:
   void On(ShutdownRequested&& message);
+  void On(job::HandoverReply&& reply);
   void On(StoreListReceived&& list);
   void On(StoreChangesReceived&& changes);
   void On(StoreConnectionChanged&& message);
@@ -111,7 +117,8 @@
   void Apply(StoreEvent&& event);
   void ApplyJob(job::JobEvent&& event);
   void UpdateLeadership();
-  void HandOver();
+  void BeginResignation();
+  void FinishResignation();
   void ManageMachines();
   void UpdateReadiness();
   void RemoveFinishedJobs();
@@ -133,6 +140,7 @@
   core::TimePoint m_next_cleanup_at;
   std::shared_ptr<const queue::QueueCatalog> m_queue_catalog;
   leadership::LeaderElector m_elector;
+  Resignation m_resignation;
   scheduling::Scheduler m_scheduler;
   upkeep::CooldownMachinePort m_machine_port;
   upkeep::UpkeepController m_upkeep;
@@ -143,6 +151,7 @@
   core::FencingToken m_refresh_requested_for;
   bool m_is_ready = false;
   bool m_is_stopping = false;
+  std::atomic<bool> m_has_resigned{false};
 };
 
 }  // namespace crocusmast::manager
--- a/src/crocusmast/manager/messages.h
+++ b/src/crocusmast/manager/messages.h
@@ -82,6 +82,7 @@
                              CpuShareReplyReceived,
                              execution::PollReply,
                              job::CommitReply,
+                             job::HandoverReply,
                              job::JobWriteReply,
                              job::JobReadReply,
                              intake::CallerRequest,
@@ -111,6 +112,7 @@
       std::holds_alternative<StoreChangesReceived>(message) ||
       std::holds_alternative<QueueCatalogLoaded>(message) ||
       std::holds_alternative<ShutdownRequested>(message) ||
+      std::holds_alternative<job::HandoverReply>(message) ||
       std::holds_alternative<scheduling::WorkerListReceived>(message) ||
       std::holds_alternative<scheduling::WorkerUpdated>(message) ||
       std::holds_alternative<scheduling::WorkerRemoved>(message) ||
--- a/test/support/port_fakes.h
+++ b/test/support/port_fakes.h
@@ -69,6 +69,7 @@
   void HandOver(core::FencingToken token,
                 const job::HandoverState& handover) override {
     last_handover = handover;
+    ++handover_calls;
   }
   void SetFastPolling(bool is_fast) override {}
   void Refresh() override { ++refreshes; }
@@ -86,6 +87,7 @@
   std::vector<job::Commit> commits;
   std::vector<core::JobId> removed;
   job::HandoverState last_handover;
+  int handover_calls = 0;
   int refreshes = 0;
 };
 
