Move the workers of an earlier leader into an aggregate of their own

The scheduler kept the workers that may still have runs of an earlier leader in a map and spread their rules over four files. InheritedWorkers now keeps them and answers what the scheduler asks: whether an incarnation may have such runs, whether a pool is reconciled, which leases have expired. No change of behaviour.

--- a/src/crocusmast/scheduling/fwd.h
+++ b/src/crocusmast/scheduling/fwd.h
@@ -4,6 +4,7 @@
 namespace crocusmast::scheduling {
 
 class Committer;
+class InheritedWorkers;
 class RunTimeEstimator;
 class Scheduler;
 
--- /dev/null
+++ b/src/crocusmast/scheduling/inherited_workers.h
@@ -0,0 +1,86 @@
+#ifndef CROCUSMAST_SCHEDULING_INHERITED_WORKERS_H_
+#define CROCUSMAST_SCHEDULING_INHERITED_WORKERS_H_
+
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "crocusmast/core/clock.h"
+#include "crocusmast/core/ids.h"
+#include "crocusmast/job/job_store.h"
+
+namespace crocusmast::scheduling {
+
+/**
+ * @brief Workers that may still have runs of an earlier leader.
+ *
+ * A worker leaves when it is reconciled: it replied to this leader, which
+ * fences it against earlier ones and tells its runs; a later incarnation of it
+ * has joined; or every lease that it may hold has expired.
+ */
+class InheritedWorkers {
+ public:
+  /** @brief A worker that is not reconciled yet. */
+  struct Worker {
+    core::Incarnation incarnation;
+    core::PoolId pool;
+    /** @brief When every lease of an earlier leader has expired. */
+    core::TimePoint leased_until;
+  };
+
+  /** @brief Creates an empty set. */
+  InheritedWorkers() = default;
+
+  /**
+   * @brief Creates the set of the workers that a predecessor handed over.
+   * @param workers Workers that may hold leases of the predecessor.
+   * @param now When the handover state was read.
+   */
+  static InheritedWorkers Create(const std::vector<job::LeasedWorker>& workers,
+                                 core::TimePoint now);
+
+  /**
+   * @brief Finds a worker that is not reconciled.
+   * @param id The worker.
+   * @return The worker, or null if it is reconciled or was not handed over.
+   */
+  const Worker* Find(const core::InstanceId& id) const;
+
+  /**
+   * @brief Tells whether an incarnation of a worker may have runs of an earlier
+   * leader.
+   * @param id The worker.
+   * @param incarnation The incarnation that has joined.
+   */
+  bool MayHaveRuns(const core::InstanceId& id,
+                   core::Incarnation incarnation) const;
+
+  /**
+   * @brief Tells whether every worker of a pool is reconciled.
+   * @param pool The pool.
+   */
+  bool IsPoolReconciled(const core::PoolId& pool) const;
+
+  /**
+   * @brief Returns the workers of which every lease has expired.
+   * @param now The current time.
+   */
+  std::vector<core::InstanceId> Expired(core::TimePoint now) const;
+
+  /**
+   * @brief Removes a worker that is reconciled.
+   * @param id The worker.
+   * @return The worker; empty if it was reconciled before.
+   */
+  std::optional<Worker> Remove(const core::InstanceId& id);
+
+  /** @brief Returns the workers that are not reconciled. */
+  const std::map<core::InstanceId, Worker>& All() const { return m_workers; }
+
+ private:
+  std::map<core::InstanceId, Worker> m_workers;
+};
+
+}  // namespace crocusmast::scheduling
+
+#endif  // CROCUSMAST_SCHEDULING_INHERITED_WORKERS_H_
--- a/src/crocusmast/scheduling/scheduler.cc
+++ b/src/crocusmast/scheduling/scheduler.cc
@@ -39,9 +39,8 @@
   std::chrono::milliseconds longest_lease{};
   for (const job::LeasedWorker& leased : handover.workers) {
     longest_lease = std::max(longest_lease, leased.lease_remaining);
-    m_unreconciled[leased.worker] = {leased.incarnation, leased.pool,
-                                     now + leased.lease_remaining};
   }
+  m_inherited_workers = InheritedWorkers::Create(handover.workers, now);
   const core::WallTime wall = m_ports.clock.WallNow();
   for (const auto& [id, entry] : catalog.Entries()) {
     // A cancelled job is kept until its final state is stored.
@@ -105,7 +104,7 @@
   m_demand.Clear();
   m_workers_by_pool.clear();
   m_workers.clear();
-  m_unreconciled.clear();
+  m_inherited_workers = {};
   m_pools_to_place.clear();
   m_committer.Reset();
   m_ports.worker_watch.Unsubscribe();
--- a/src/crocusmast/scheduling/scheduler.h
+++ b/src/crocusmast/scheduling/scheduler.h
@@ -24,6 +24,7 @@
 #include "crocusmast/job/job_store.h"
 #include "crocusmast/queue/queue_catalog.h"
 #include "crocusmast/scheduling/committer.h"
+#include "crocusmast/scheduling/inherited_workers.h"
 #include "crocusmast/scheduling/messages.h"
 #include "crocusmast/scheduling/run_time_estimator.h"
 #include "crocusmast/scheduling/ticket_cache.h"
@@ -214,14 +215,6 @@
     std::optional<core::Duration> remaining_critical_path;
   };
 
-  /** @brief A worker that may still have runs of an earlier leader. */
-  struct UnreconciledWorker {
-    core::Incarnation incarnation;
-    core::PoolId pool;
-    /** @brief When every lease of an earlier leader has expired. */
-    core::TimePoint until;
-  };
-
   struct Candidate;
 
   execution::Worker* FindWorker(const core::InstanceId& id);
@@ -236,7 +229,6 @@
   void HandleHandoverStored();
   void MoveLongRunningTasks(execution::Worker& worker);
   bool MayInterrupt(const ActiveJob& active, const job::TaskKey& key) const;
-  bool IsPoolReconciled(const core::PoolId& pool) const;
 
   void EndIncarnation(execution::Worker& worker, const char* reason);
   void EndRun(execution::Worker& worker,
@@ -324,7 +316,7 @@
   std::map<core::PoolId, queue::Pool> m_pools;
   std::unordered_map<core::JobId, ActiveJob> m_jobs;
   std::map<core::InstanceId, std::unique_ptr<execution::Worker>> m_workers;
-  std::map<core::InstanceId, UnreconciledWorker> m_unreconciled;
+  InheritedWorkers m_inherited_workers;
   std::map<core::PoolId, std::vector<execution::Worker*>> m_workers_by_pool;
   std::map<core::PoolId, std::unordered_set<ActiveJob*>> m_jobs_by_pool;
   /** @brief Jobs with scheduled occurrences. */
--- a/src/crocusmast/scheduling/scheduler_placement.cc
+++ b/src/crocusmast/scheduling/scheduler_placement.cc
@@ -85,7 +85,8 @@
   }
   for (const Candidate& candidate : SortedCandidates()) {
     ActiveJob& active = *candidate.active;
-    if (!active.is_inherited || IsPoolReconciled(active.pool)) {
+    if (!active.is_inherited ||
+        m_inherited_workers.IsPoolReconciled(active.pool)) {
       PlaceJob(active);
     }
   }
--- a/src/crocusmast/scheduling/scheduler_polls.cc
+++ b/src/crocusmast/scheduling/scheduler_polls.cc
@@ -71,10 +71,11 @@
   if (reply.clock) {
     worker->UpdateClock(*reply.clock, now);
   }
-  if (const auto unreconciled = m_unreconciled.find(reply.worker);
-      unreconciled != m_unreconciled.end()) {
+  if (const InheritedWorkers::Worker* inherited =
+          m_inherited_workers.Find(reply.worker);
+      inherited != nullptr) {
     // The runs it reports are covered by leases of an earlier leader.
-    worker->AssumeLeaseUntil(unreconciled->second.until);
+    worker->AssumeLeaseUntil(inherited->leased_until);
   }
   ProcessEndedRuns(*worker, reply);
   ProcessRunningRuns(*worker, reply);
--- a/src/crocusmast/scheduling/scheduler_upkeep.cc
+++ b/src/crocusmast/scheduling/scheduler_upkeep.cc
@@ -41,7 +41,7 @@
 bool Scheduler::IsConfirmedIdle(const core::InstanceId& id) const {
   const auto worker = m_workers.find(id);
   const bool may_have_runs =
-      m_unreconciled.count(id) > 0 ||
+      m_inherited_workers.Find(id) != nullptr ||
       (worker != m_workers.end() && !worker->second->Runs().empty());
   return !may_have_runs;
 }
--- a/src/crocusmast/scheduling/scheduler_workers.cc
+++ b/src/crocusmast/scheduling/scheduler_workers.cc
@@ -63,12 +63,9 @@
        {"worker", id.Text()},
        {"pool", pool.Text()},
        {"incarnation", std::to_string(known->Record().incarnation.Count())}});
-  const auto unreconciled = m_unreconciled.find(id);
-  const bool may_hold_runs =
-      unreconciled != m_unreconciled.end() &&
-      !(unreconciled->second.incarnation < known->Record().incarnation);
-  known->is_reconciled = !may_hold_runs;
-  if (unreconciled != m_unreconciled.end() && !may_hold_runs) {
+  known->is_reconciled =
+      !m_inherited_workers.MayHaveRuns(id, known->Record().incarnation);
+  if (known->is_reconciled) {
     MarkReconciled(id, "a later incarnation has joined");
   }
   if (m_has_worker_list) {
@@ -102,25 +99,23 @@
   handover.fleet = m_fleet_handover;
   for (const auto& [id, worker] : m_workers) {
     // An empty worker that is cordoned or unlisted gets no further runs.
-    const bool is_empty =
-        worker->Runs().empty() && m_unreconciled.count(id) == 0;
+    const InheritedWorkers::Worker* inherited = m_inherited_workers.Find(id);
+    const bool is_empty = worker->Runs().empty() && inherited == nullptr;
     if (is_empty && (worker->is_cordoned || !worker->IsListed())) {
       continue;
     }
-    const auto unreconciled = m_unreconciled.find(id);
     std::chrono::milliseconds lease = remaining(worker->LeaseExpiresAt());
-    if (unreconciled != m_unreconciled.end()) {
-      lease = std::max(lease, remaining(unreconciled->second.until));
+    if (inherited != nullptr) {
+      lease = std::max(lease, remaining(inherited->leased_until));
     }
     handover.workers.push_back(
         {id, worker->Record().incarnation, worker->Record().pool,
          stays_active ? std::max(lease, longest_lease) : lease});
   }
-  for (const auto& [id, unreconciled] : m_unreconciled) {
+  for (const auto& [id, inherited] : m_inherited_workers.All()) {
     if (m_workers.count(id) == 0) {
-      handover.workers.push_back({id, unreconciled.incarnation,
-                                  unreconciled.pool,
-                                  remaining(unreconciled.until)});
+      handover.workers.push_back({id, inherited.incarnation, inherited.pool,
+                                  remaining(inherited.leased_until)});
     }
   }
   return handover;
@@ -163,8 +158,9 @@
 }
 
 void Scheduler::MarkReconciled(const core::InstanceId& id, const char* reason) {
-  const auto unreconciled = m_unreconciled.find(id);
-  if (unreconciled == m_unreconciled.end()) {
+  const std::optional<InheritedWorkers::Worker> reconciled =
+      m_inherited_workers.Remove(id);
+  if (!reconciled) {
     return;
   }
   const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -174,27 +170,14 @@
           " with the previous leader's runs: " + reason + ".",
       {{"event", "worker_settled"},
        {"worker", id.Text()},
-       {"pool", unreconciled->second.pool.Text()},
+       {"pool", reconciled->pool.Text()},
        {"evidence", reason},
        {"waited_ms", std::to_string(waited.count())}});
-  m_pools_to_place.insert(unreconciled->second.pool);
-  m_unreconciled.erase(unreconciled);
-}
-
-bool Scheduler::IsPoolReconciled(const core::PoolId& pool) const {
-  return std::none_of(
-      m_unreconciled.begin(), m_unreconciled.end(),
-      [&pool](const auto& one) { return one.second.pool == pool; });
+  m_pools_to_place.insert(reconciled->pool);
 }
 
 void Scheduler::ExpireWorkers(core::TimePoint confirmed_at) {
-  std::vector<core::InstanceId> expired;
-  for (const auto& [id, unreconciled] : m_unreconciled) {
-    if (unreconciled.until <= confirmed_at) {
-      expired.push_back(id);
-    }
-  }
-  for (const core::InstanceId& id : expired) {
+  for (const core::InstanceId& id : m_inherited_workers.Expired(confirmed_at)) {
     if (Worker* worker = FindWorker(id); worker != nullptr) {
       worker->is_reconciled = true;
     }
@@ -206,7 +189,7 @@
       EndIncarnation(worker, "its lease has expired");
     }
     const bool is_removable = !worker.IsListed() && worker.Runs().empty() &&
-                              m_unreconciled.count(next->first) == 0;
+                              m_inherited_workers.Find(next->first) == nullptr;
     if (!is_removable) {
       ++next;
       continue;
