Extend no lease of a worker that has not replied to a new leader

Cause: the first poll of a new leader asks for a lease of 4.5 s, and after a planned stop the inherited lease may end within milliseconds. A worker that gets the poll, but whose reply is lost, keeps its runs for 4.5 s while the leader takes them for ended and starts their tasks elsewhere.

LeaseHandoverTest::PollOfUnreconciledWorkerExtendsNoLease fails without the change.

--- a/src/crocusmast/scheduling/scheduler.cc
+++ b/src/crocusmast/scheduling/scheduler.cc
@@ -330,8 +330,10 @@
                           worker->received_end == worker->recorded_end;
     command.max_wait = may_wait ? kPollWait : std::chrono::milliseconds(0);
     // The lease of a worker that does not reply is not extended, so that its
-    // runs are certain to end.
-    if (worker->failed_polls == 0) {
+    // runs are certain to end; neither is that of one that has not replied to
+    // this leader yet, whose runs count as ended when the inherited lease
+    // expires.
+    if (worker->failed_polls == 0 && worker->is_reconciled) {
       command.lease_until = worker->ExtendLease(kWorkerLeaseLength, now);
     }
     worker->is_poll_pending = true;
