Store how long the lease of a silent worker lasts

The order of the handover explains planned stops; a leader that is killed, or whose handover finds no store, leaves the same state behind, in which each worker may get a lease until 5 s after the claim is gone.

Change: when a worker has been silent for 1 s, whose lease is not extended any more, the leader stores what is left of it; before it grants the worker another lease it stores the longest one again. So a successor, and the successor of a successor, waits for what such a worker may still run, 3.6 s at most. Costs one write when workers turn silent for that long and one when they reply again.

--- a/src/crocusmast/execution/worker.cc
+++ b/src/crocusmast/execution/worker.cc
@@ -44,6 +44,7 @@
   is_recorded_in_store = false;
   backoff_until = {};
   failed_polls = 0;
+  is_lease_frozen = false;
   failed_runs = 0;
   is_cordoned = false;
 }
--- a/src/crocusmast/execution/worker.h
+++ b/src/crocusmast/execution/worker.h
@@ -189,6 +189,10 @@
   core::TimePoint backoff_until;
   /** @brief Consecutive polls that failed. */
   std::uint32_t failed_polls = 0;
+  /** @brief When the first of them failed. */
+  core::TimePoint silent_since;
+  /** @brief No lease is granted, as the handover state tells a successor. */
+  bool is_lease_frozen = false;
   /** @brief Consecutive runs that failed. */
   std::uint32_t failed_runs = 0;
   /** @brief Cordoned for maintenance or a move: no task is placed here. */
--- a/src/crocusmast/scheduling/scheduler.cc
+++ b/src/crocusmast/scheduling/scheduler.cc
@@ -235,6 +235,7 @@
   const core::TimePoint now = m_ports.clock.Now();
   m_next_sweep_at = now + kSweepInterval;
   ExpireWorkers(confirmed_at);
+  FreezeLeasesOfSilentWorkers();
   const core::WallTime wall = m_ports.clock.WallNow();
   for (const core::JobId& id : m_scheduled_jobs) {
     ActiveJob* active = FindJob(id);
@@ -333,7 +334,8 @@
     // runs are certain to end; neither is that of one that has not replied to
     // this leader yet, whose runs count as ended when the inherited lease
     // expires.
-    if (worker->failed_polls == 0 && worker->is_reconciled) {
+    if (worker->failed_polls == 0 && worker->is_reconciled &&
+        !worker->is_lease_frozen) {
       command.lease_until = worker->ExtendLease(kWorkerLeaseLength, now);
     }
     worker->is_poll_pending = true;
--- a/src/crocusmast/scheduling/scheduler.h
+++ b/src/crocusmast/scheduling/scheduler.h
@@ -41,6 +41,9 @@
 inline constexpr std::chrono::milliseconds kPollWait{1000};
 /** @brief Delay before the next poll after one that failed. */
 inline constexpr std::chrono::milliseconds kPollRetryDelay{150};
+/** @brief How long a worker must be silent until the handover state says that
+ * its lease is not extended; keeps short interruptions from causing writes. */
+inline constexpr std::chrono::milliseconds kLeaseFreezeDelay{1000};
 /** @brief Delay before a poll that only acknowledges ended runs. */
 inline constexpr std::chrono::milliseconds kAcknowledgeDelay{250};
 /** @brief Delay between polls while ended runs are not recorded yet. */
@@ -225,6 +228,8 @@
   void ApplyQueue(ActiveJob& active, core::TimePoint accepted_at);
   void MarkReconciled(const core::InstanceId& id, const char* reason);
   void StoreHandover();
+  void FreezeLeasesOfSilentWorkers();
+  std::chrono::milliseconds LongestLease() const;
   job::HandoverState MakeHandover(bool stays_active) const;
   void HandleHandoverStored();
   void MoveLongRunningTasks(execution::Worker& worker);
--- a/src/crocusmast/scheduling/scheduler_placement.cc
+++ b/src/crocusmast/scheduling/scheduler_placement.cc
@@ -191,7 +191,7 @@
   return worker.IsListed() && worker.is_reconciled &&
          worker.is_recorded_in_store && !worker.Record().is_draining &&
          !worker.is_cordoned && worker.failed_polls == 0 &&
-         worker.backoff_until <= m_ports.clock.Now();
+         !worker.is_lease_frozen && worker.backoff_until <= m_ports.clock.Now();
 }
 
 void Scheduler::RequestTickets(const ActiveJob& active,
--- a/src/crocusmast/scheduling/scheduler_polls.cc
+++ b/src/crocusmast/scheduling/scheduler_polls.cc
@@ -53,6 +53,7 @@
     worker->next_poll_at = now + kPollRetryDelay;
     worker->backoff_until = now + kWorkerBackoff;
     if (worker->failed_polls == 1) {
+      worker->silent_since = now;
       Log(core::Severity::kWarning,
           "Poll of worker " + reply.worker.Text() + " failed: " +
               std::string(WorkerCallOutcomeName(reply.outcome)) + ".",
@@ -66,6 +67,9 @@
         {{"event", "worker_answers"}, {"worker", reply.worker.Text()}});
   }
   worker->failed_polls = 0;
+  if (worker->is_lease_frozen) {
+    StoreHandover();
+  }
   worker->acknowledged_end = worker->acknowledging_end;
   worker->next_poll_at = now;
   if (reply.clock) {
--- a/src/crocusmast/scheduling/scheduler_workers.cc
+++ b/src/crocusmast/scheduling/scheduler_workers.cc
@@ -91,10 +91,6 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(
         std::max(until - now, core::Duration::zero()));
   };
-  // A leader that stays active may grant its last lease right before it stops.
-  const std::chrono::milliseconds longest_lease =
-      m_term.deposed_leader_grace +
-      kWorkerLeaseLength * (100 + execution::kMaxClockDriftPercent + 1) / 100;
   job::HandoverState handover;
   handover.fleet = m_fleet_handover;
   for (const auto& [id, worker] : m_workers) {
@@ -108,9 +104,11 @@
     if (inherited != nullptr) {
       lease = std::max(lease, remaining(inherited->leased_until));
     }
+    const bool may_grant_leases =
+        stays_active && !(worker->is_lease_frozen && worker->failed_polls > 0);
     handover.workers.push_back(
         {id, worker->Record().incarnation, worker->Record().pool,
-         stays_active ? std::max(lease, longest_lease) : lease});
+         may_grant_leases ? std::max(lease, LongestLease()) : lease});
   }
   for (const auto& [id, inherited] : m_inherited_workers.All()) {
     if (m_workers.count(id) == 0) {
@@ -121,6 +119,28 @@
   return handover;
 }
 
+std::chrono::milliseconds Scheduler::LongestLease() const {
+  // A leader that stays active may grant its last lease right before it stops.
+  return m_term.deposed_leader_grace +
+         kWorkerLeaseLength * (100 + execution::kMaxClockDriftPercent + 1) /
+             100;
+}
+
+void Scheduler::FreezeLeasesOfSilentWorkers() {
+  const core::TimePoint now = m_ports.clock.Now();
+  bool has_frozen = false;
+  for (const auto& [id, worker] : m_workers) {
+    if (worker->failed_polls > 0 && !worker->is_lease_frozen &&
+        worker->silent_since + kLeaseFreezeDelay <= now) {
+      worker->is_lease_frozen = true;
+      has_frozen = true;
+    }
+  }
+  if (has_frozen && m_has_worker_list) {
+    StoreHandover();
+  }
+}
+
 job::HandoverState Scheduler::FinalHandoverState() const {
   return MakeHandover(false);
 }
@@ -136,9 +156,14 @@
   for (const job::LeasedWorker& stored :
        std::exchange(m_handover_workers, {})) {
     Worker* worker = FindWorker(stored.worker);
-    if (worker != nullptr &&
-        worker->Record().incarnation == stored.incarnation &&
-        !worker->is_recorded_in_store) {
+    if (worker == nullptr ||
+        worker->Record().incarnation != stored.incarnation) {
+      continue;
+    }
+    const bool may_thaw =
+        worker->is_lease_frozen && LongestLease() <= stored.lease_remaining;
+    if (may_thaw || !worker->is_recorded_in_store) {
+      worker->is_lease_frozen = worker->is_lease_frozen && !may_thaw;
       worker->is_recorded_in_store = true;
       m_pools_to_place.insert(stored.pool);
     }
--- a/test/scheduling/lease_handover_test.cc
+++ b/test/scheduling/lease_handover_test.cc
@@ -7,17 +7,28 @@
 namespace {
 
 using namespace crocusmast;
+using execution::WorkerCallOutcome;
 using std::chrono::milliseconds;
 using Fixture = test::SchedulerFixture;
 using test::MakeId;
+using test::MakeJob;
+using test::MakeStep;
 using test::MakeWorker;
 
 constexpr char kJob[] = "0123456789abcdef";
+/** @brief The longest lease of a worker, 4,500 ms on a slow clock. */
+constexpr milliseconds kLongestWorkerLease{4635};
+/** @brief That, after the 5 s for which a deposed leader may stay active. */
+constexpr milliseconds kLongestHandoverLease{9635};
 
 /** @brief What a successor learns of the leases of workers. */
 class LeaseHandoverTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(LeaseHandoverTest);
   CPPUNIT_TEST(PollOfUnreconciledWorkerExtendsNoLease);
+  CPPUNIT_TEST(SilentWorkerIsHandedOverWithItsRemainingLease);
+  CPPUNIT_TEST(FrozenLeaseIsExtendedOnceTheHandoverSaysSo);
+  CPPUNIT_TEST(FrozenLeaseStaysFrozenWithoutReplyOfTheStore);
+  CPPUNIT_TEST(WorkerWithFrozenLeaseGetsNoTasks);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -45,7 +56,92 @@
     CPPUNIT_ASSERT(m_fixture.worker_port.polls[1].lease_until);
   }
 
+  // Issue 21: the successor of a leader that was killed waited for the longest
+  // leases, also on a worker that had been gone long before.
+  void SilentWorkerIsHandedOverWithItsRemainingLease() {
+    StartOnSilentWorker();
+    const milliseconds lease = StoredLease();
+    CPPUNIT_ASSERT(milliseconds(0) < lease);
+    CPPUNIT_ASSERT(lease <=
+                   kLongestWorkerLease - scheduling::kLeaseFreezeDelay);
+  }
+
+  // A successor may already count with the end of the lease that was stored.
+  void FrozenLeaseIsExtendedOnceTheHandoverSaysSo() {
+    const execution::StartCommand start = StartOnSilentWorker();
+    m_fixture.ReplyToPoll({Fixture::ActiveRun(start)}, {});
+    m_fixture.scheduler.RunCycle(m_fixture.clock.Now());
+    CPPUNIT_ASSERT(!m_fixture.worker_port.polls.back().lease_until);
+    m_fixture.ReplyToPoll({Fixture::ActiveRun(start)}, {});
+    m_fixture.RunCycles();
+    CPPUNIT_ASSERT(kLongestHandoverLease == StoredLease());
+    m_fixture.ReplyToPoll({Fixture::ActiveRun(start)}, {});
+    m_fixture.RunCycles();
+    CPPUNIT_ASSERT(m_fixture.worker_port.polls.back().lease_until);
+  }
+
+  // Without a reply the store may still hold the frozen lease.
+  void FrozenLeaseStaysFrozenWithoutReplyOfTheStore() {
+    const execution::StartCommand start = StartOnSilentWorker();
+    m_fixture.ReplyToPoll({Fixture::ActiveRun(start)}, {});
+    m_fixture.scheduler.RunCycle(m_fixture.clock.Now());
+    m_fixture.ReplyToCommit(job::StoreOutcome::kUnknown);
+    m_fixture.ReplyToPoll({Fixture::ActiveRun(start)}, {});
+    m_fixture.scheduler.RunCycle(m_fixture.clock.Now());
+    CPPUNIT_ASSERT(!m_fixture.worker_port.polls.back().lease_until);
+  }
+
+  // The start command would extend the lease.
+  void WorkerWithFrozenLeaseGetsNoTasks() {
+    const execution::StartCommand start = StartOnSilentWorker();
+    m_fixture.clock.Advance(scheduling::kWorkerBackoff);
+    m_fixture.ReplyToPoll({Fixture::ActiveRun(start)}, {});
+    m_fixture.scheduler.AddJob(MakeJob("fedcba9876543210", {MakeStep(1)}));
+    m_fixture.clock.Advance(scheduling::kSweepInterval);
+    m_fixture.scheduler.RunCycle(m_fixture.clock.Now());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_fixture.worker_port.starts.size());
+    m_fixture.RunCycles();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_fixture.worker_port.starts.size());
+  }
+
  private:
+  /** @brief Starts a task on a worker that then fails polls for longer than
+   * kLeaseFreezeDelay. */
+  execution::StartCommand StartOnSilentWorker() {
+    m_fixture.BeginTerm();
+    m_fixture.SetWorkers({MakeWorker("w-1")});
+    m_fixture.scheduler.AddJob(MakeJob(kJob, {MakeStep(1)}));
+    m_fixture.RunCycles();
+    const execution::StartCommand start = m_fixture.worker_port.starts[0];
+    m_fixture.ReplyToStart(start, WorkerCallOutcome::kDone);
+    const core::TimePoint end = m_fixture.clock.Now() +
+                                scheduling::kLeaseFreezeDelay +
+                                scheduling::kPollRetryDelay * 2;
+    while (m_fixture.clock.Now() < end) {
+      execution::PollReply reply;
+      reply.worker = start.to.worker;
+      reply.incarnation = start.to.incarnation;
+      reply.sequence = m_fixture.worker_port.polls.back().sequence;
+      reply.outcome = WorkerCallOutcome::kUnknown;
+      m_fixture.scheduler.Handle(reply);
+      m_fixture.clock.Advance(scheduling::kPollRetryDelay);
+      m_fixture.RunCycles();
+    }
+    return start;
+  }
+
+  /** @brief Returns the lease of the worker in the last handover state that was
+   * sent to the store. */
+  milliseconds StoredLease() const {
+    for (auto commit = m_fixture.store.commits.rbegin();
+         commit != m_fixture.store.commits.rend(); ++commit) {
+      if (commit->handover) {
+        return commit->handover->workers.at(0).lease_remaining;
+      }
+    }
+    return {};
+  }
+
   Fixture m_fixture;
 };
 
