Place no task on a worker whose runs exceed its capacity

What callers would see: a worker whose capacity has shrunk below what its runs use gets one more task, and everything on it slows down or ends if the pool's workers don't guard their capacity.

Cause: placement compares a task with capacity minus use, which saturates at zero. In a component that is exceeded, zero still covers a task that reserves none of it: a best-effort task reserves no processor, and a task may reserve no memory.

Change: Worker::CanFit compares the capacity with the use and the task together, so a worker that is over its capacity in any component fits nothing.

Failed before, one start more than the runs there: BestEffortTaskIsNotPlacedOnWorkerOverItsCapacity 'Expected: 2, Actual: 3' and TaskWithoutMemoryIsNotPlacedOnWorkerOverItsMemory 'Expected: 2, Actual: 3'.

The other tests of the new file passed before: subtraction doesn't wrap around, placement follows a capacity that shrinks and grows, a run that is being stopped counts until its end is listed, a gang waits for room.

--- a/src/crocusmast/execution/worker.cc
+++ b/src/crocusmast/execution/worker.cc
@@ -92,6 +92,10 @@
   return m_record.capacity - m_used;
 }
 
+bool Worker::CanFit(const job::Resources& required) const {
+  return m_record.capacity.CanFit(m_used + required);
+}
+
 void Worker::Add(const RunKey& key, const AssignedRun& run) {
   if (m_runs.emplace(key, run).second) {
     m_used = m_used + run.resources;
--- a/src/crocusmast/execution/worker.h
+++ b/src/crocusmast/execution/worker.h
@@ -134,6 +134,13 @@
   /** @brief Returns the resources that no run reserves. */
   job::Resources FreeResources() const;
 
+  /**
+   * @brief Tells whether the capacity covers a further run beside the assigned
+   * ones; false for every run if they exceed it in any component.
+   * @param required The resources that the run reserves.
+   */
+  bool CanFit(const job::Resources& required) const;
+
   /**
    * @brief Assigns a run and reserves its resources.
    * @param key The run.
--- a/src/crocusmast/scheduling/scheduler_placement.cc
+++ b/src/crocusmast/scheduling/scheduler_placement.cc
@@ -254,11 +254,10 @@
   bool is_best_on_preferred_rack = false;
   for (Worker* worker : m_workers_by_pool[active.pool]) {
     const execution::WorkerRecord& record = worker->Record();
-    const bool is_usable =
-        IsUsable(*worker) && worker->FreeResources().CanFit(need) &&
-        (!active.needs_tickets ||
-         m_tickets.Find(StepId::Of(task), record.id, record.incarnation, now) !=
-             nullptr);
+    const bool is_usable = IsUsable(*worker) && worker->CanFit(need) &&
+                           (!active.needs_tickets ||
+                            m_tickets.Find(StepId::Of(task), record.id,
+                                           record.incarnation, now) != nullptr);
     if (!is_usable ||
         (!step.required_label.empty() &&
          !record.HasLabel(step.required_label)) ||
--- /dev/null
+++ b/test/scheduling/shrunk_capacity_test.cc
@@ -0,0 +1,143 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "test/scheduling/scheduler_fixture.h"
+
+namespace {
+
+using namespace crocusmast;
+using execution::WorkerCallOutcome;
+using job::RunOutcome;
+using Fixture = test::SchedulerFixture;
+using test::MakeId;
+using test::MakeJob;
+using test::MakeStep;
+using test::MakeWorker;
+
+constexpr char kJob[] = "0123456789abcdef";
+constexpr char kOtherJob[] = "fedcba9876543210";
+
+/** @brief Workers whose capacity changes while they have runs. */
+class ShrunkCapacityTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ShrunkCapacityTest);
+  CPPUNIT_TEST(SubtractionSaturatesInEachComponent);
+  CPPUNIT_TEST(PlacementFollowsCapacity);
+  CPPUNIT_TEST(StoppingRunCountsAgainstShrunkCapacity);
+  CPPUNIT_TEST(GangWaitsWhileCapacityIsShrunk);
+  CPPUNIT_TEST(BestEffortTaskIsNotPlacedOnWorkerOverItsCapacity);
+  CPPUNIT_TEST(TaskWithoutMemoryIsNotPlacedOnWorkerOverItsMemory);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void SubtractionSaturatesInEachComponent() {
+    const job::Resources capacity{core::MilliCores(1000), core::Megabytes(500),
+                                  core::Accelerators(1)};
+    const job::Resources used{core::MilliCores(2000), core::Megabytes(200),
+                              core::Accelerators(2)};
+    const job::Resources expected{core::MilliCores(0), core::Megabytes(300),
+                                  core::Accelerators(0)};
+    CPPUNIT_ASSERT(capacity - used == expected);
+  }
+
+  void PlacementFollowsCapacity() {
+    Fixture fixture;
+    BeginWithRuns(fixture, MakeStep(2));
+    SetCapacity(fixture, 2000);
+    fixture.scheduler.AddJob(MakeJob(kOtherJob, {MakeStep(2)}));
+    fixture.RunCycles();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fixture.worker_port.starts.size());
+    SetCapacity(fixture, 3000);
+    fixture.RunCycles();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, fixture.worker_port.starts.size());
+    SetCapacity(fixture, 4000);
+    fixture.RunCycles();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{4}, fixture.worker_port.starts.size());
+  }
+
+  void StoppingRunCountsAgainstShrunkCapacity() {
+    Fixture fixture;
+    BeginWithRuns(fixture, MakeStep(1, 2000));
+    const execution::StartCommand start = fixture.worker_port.starts.at(0);
+    fixture.scheduler.CancelJob(MakeId<core::JobId>(kJob));
+    fixture.scheduler.HandleStopReply(fixture.MakeReply(
+        fixture.worker_port.stops.at(0), WorkerCallOutcome::kDone));
+    SetCapacity(fixture, 3000);
+    fixture.scheduler.AddJob(MakeJob(kOtherJob, {MakeStep(1, 2000)}));
+    fixture.RunCycles();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.worker_port.starts.size());
+    fixture.ReplyToPoll({},
+                        {Fixture::EndedRun(start, 1, RunOutcome::kStopped)});
+    fixture.RunCycles();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fixture.worker_port.starts.size());
+  }
+
+  void GangWaitsWhileCapacityIsShrunk() {
+    Fixture fixture;
+    Begin(fixture);
+    SetCapacity(fixture, 3000);
+    job::Step gang = MakeStep(2, 2000);
+    gang.is_gang = true;
+    fixture.scheduler.AddJob(MakeJob(kJob, {gang}));
+    fixture.RunCycles();
+    CPPUNIT_ASSERT(fixture.worker_port.starts.empty());
+    SetCapacity(fixture, 4000);
+    fixture.RunCycles();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fixture.worker_port.starts.size());
+  }
+
+  // A worker whose runs exceed its processor capacity must not get a task that
+  // reserves no processor; it is over its capacity with any further start.
+  void BestEffortTaskIsNotPlacedOnWorkerOverItsCapacity() {
+    Fixture fixture;
+    BeginWithRuns(fixture, MakeStep(2));
+    SetCapacity(fixture, 1000);
+    job::Step best_effort = MakeStep(1);
+    best_effort.is_best_effort = true;
+    fixture.scheduler.AddJob(MakeJob(kOtherJob, {best_effort}));
+    fixture.RunCycles();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fixture.worker_port.starts.size());
+    SetCapacity(fixture, 2000);
+    fixture.RunCycles();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, fixture.worker_port.starts.size());
+  }
+
+  // The same for memory and a task that reserves none.
+  void TaskWithoutMemoryIsNotPlacedOnWorkerOverItsMemory() {
+    Fixture fixture;
+    BeginWithRuns(fixture, MakeStep(2));
+    execution::WorkerRecord worker = MakeWorker("w-1");
+    worker.capacity.memory = core::Megabytes(150);
+    fixture.scheduler.Handle(scheduling::WorkerUpdated{worker});
+    job::Step step = MakeStep(1);
+    step.resources.memory = {};
+    fixture.scheduler.AddJob(MakeJob(kOtherJob, {step}));
+    fixture.RunCycles();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fixture.worker_port.starts.size());
+  }
+
+ private:
+  static void Begin(Fixture& fixture) {
+    fixture.BeginTerm();
+    fixture.SetWorkers({MakeWorker("w-1")});
+  }
+
+  /** @brief Starts the tasks of one step; the worker confirms them. */
+  static void BeginWithRuns(Fixture& fixture, const job::Step& step) {
+    Begin(fixture);
+    fixture.scheduler.AddJob(MakeJob(kJob, {step}));
+    fixture.RunCycles();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{step.count},
+                         fixture.worker_port.starts.size());
+    for (const execution::StartCommand& start : fixture.worker_port.starts) {
+      fixture.ReplyToStart(start, WorkerCallOutcome::kDone);
+    }
+  }
+
+  static void SetCapacity(Fixture& fixture, std::uint64_t processor) {
+    fixture.scheduler.Handle(
+        scheduling::WorkerUpdated{MakeWorker("w-1", 1, processor)});
+  }
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(ShrunkCapacityTest, "scheduling");
+
+}  // namespace
