Let a run of an unknown job reserve its worker whatever the capacity

What callers would see: tasks start beside a run whose size the leader doesn't know, and the worker is over its capacity.

Cause: such a run reserved the capacity that the worker had when the run was found. When the worker grew afterwards, the difference counted as free.

Change: the run is marked as reserving the whole worker, and the worker has no free resources while it has such a run.

Failed before: RunOfUnknownJobOccupiesGrownWorker, 'Expression: fixture.worker_port.starts.empty()'.

--- a/src/crocusmast/execution/worker.cc
+++ b/src/crocusmast/execution/worker.cc
@@ -32,6 +32,7 @@
   m_lease_expires_at = core::TimePoint();
   m_runs.clear();
   m_used = {};
+  m_whole_worker_runs = 0;
   recorded_end = {};
   received_end = {};
   acknowledged_end = {};
@@ -89,16 +90,19 @@
 }
 
 job::Resources Worker::FreeResources() const {
-  return m_record.capacity - m_used;
+  return m_whole_worker_runs > 0 ? job::Resources()
+                                 : m_record.capacity - m_used;
 }
 
 bool Worker::CanFit(const job::Resources& required) const {
-  return m_record.capacity.CanFit(m_used + required);
+  return m_whole_worker_runs == 0 &&
+         m_record.capacity.CanFit(m_used + required);
 }
 
 void Worker::Add(const RunKey& key, const AssignedRun& run) {
   if (m_runs.emplace(key, run).second) {
     m_used = m_used + run.resources;
+    m_whole_worker_runs += run.reserves_whole_worker ? 1 : 0;
   }
 }
 
@@ -113,6 +117,7 @@
     return false;
   }
   m_used = m_used - found->second.resources;
+  m_whole_worker_runs -= found->second.reserves_whole_worker ? 1 : 0;
   m_runs.erase(found);
   return true;
 }
--- a/src/crocusmast/execution/worker.h
+++ b/src/crocusmast/execution/worker.h
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -28,6 +29,8 @@
   job::Resources resources;
   /** @brief It only uses processor time that other runs leave idle. */
   bool is_best_effort = false;
+  /** @brief What it uses is not known, so it reserves the whole worker. */
+  bool reserves_whole_worker = false;
   /** @brief The worker has confirmed the run. */
   bool is_confirmed = false;
   /** @brief A start command got no reply and may still be executed. */
@@ -217,8 +220,11 @@
   /** @brief When every lease has certainly expired. */
   core::TimePoint m_lease_expires_at;
   std::map<RunKey, AssignedRun> m_runs;
-  /** @brief Resources that the assigned runs reserve. */
+  /** @brief Resources that the assigned runs reserve, without those that
+   * reserve the whole worker. */
   job::Resources m_used;
+  /** @brief Number of assigned runs that reserve the whole worker. */
+  std::size_t m_whole_worker_runs = 0;
 };
 
 }  // namespace crocusmast::execution
--- a/src/crocusmast/scheduling/scheduler_polls.cc
+++ b/src/crocusmast/scheduling/scheduler_polls.cc
@@ -169,8 +169,7 @@
   if (task != nullptr) {
     run = MakeAssignedRun(active->job.StepOf(report.task.key));
   } else {
-    // It may use the whole worker.
-    run.resources = worker.Record().capacity;
+    run.reserves_whole_worker = true;
   }
   run.is_confirmed = true;
   run.confirmed_at_poll = worker.poll_sequence;
--- a/test/scheduling/shrunk_capacity_test.cc
+++ b/test/scheduling/shrunk_capacity_test.cc
@@ -25,6 +25,7 @@
   CPPUNIT_TEST(GangWaitsWhileCapacityIsShrunk);
   CPPUNIT_TEST(BestEffortTaskIsNotPlacedOnWorkerOverItsCapacity);
   CPPUNIT_TEST(TaskWithoutMemoryIsNotPlacedOnWorkerOverItsMemory);
+  CPPUNIT_TEST(RunOfUnknownJobOccupiesGrownWorker);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -114,6 +115,28 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fixture.worker_port.starts.size());
   }
 
+  // A run of a job that this leader doesn't know must count as the whole worker
+  // also after the worker has grown.
+  void RunOfUnknownJobOccupiesGrownWorker() {
+    Fixture fixture;
+    fixture.BeginTerm(10, HandoverWithWorker());
+    execution::WorkerRecord shrunk = MakeWorker("w-1", 1, 2000);
+    shrunk.capacity.memory = core::Megabytes(5000);
+    fixture.SetWorkers({shrunk});
+    execution::RunReport unknown;
+    unknown.task.job = MakeId<core::JobId>(kOtherJob);
+    unknown.attempt = core::Attempt(3);
+    fixture.ReplyToPoll({unknown}, {});
+    SetCapacity(fixture, 4000);
+    fixture.scheduler.AddJob(MakeJob(kJob, {MakeStep(1)}));
+    fixture.RunCycles();
+    CPPUNIT_ASSERT(fixture.worker_port.starts.empty());
+    fixture.ReplyToPoll({}, {{core::RunEndNumber(1), unknown.task,
+                              unknown.attempt, RunOutcome::kStopped, ""}});
+    fixture.RunCycles();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.worker_port.starts.size());
+  }
+
  private:
   static void Begin(Fixture& fixture) {
     fixture.BeginTerm();
@@ -136,6 +159,14 @@
     fixture.scheduler.Handle(
         scheduling::WorkerUpdated{MakeWorker("w-1", 1, processor)});
   }
+
+  static job::HandoverState HandoverWithWorker() {
+    const execution::WorkerRecord worker = MakeWorker("w-1");
+    job::HandoverState handover;
+    handover.workers.push_back(
+        {worker.id, worker.incarnation, worker.pool, std::chrono::seconds(10)});
+    return handover;
+  }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(ShrunkCapacityTest, "scheduling");
