Ignore a worker's entry that is older than the known one

What callers would see: a task starts on a worker that has shrunk, because an entry from before the change was taken for the latest.

Cause: within an incarnation the worker's entry replaced the known one in the order of arrival. Lists and changes of one watch arrive in order, but a list of several pages is followed by the changes since its first page, which may hold entries that are older than those on the later pages.

Change: an entry whose clock reading is lower than that of the known entry is ignored; the clock doesn't go back within an incarnation. An entry of an earlier incarnation was ignored before.

Failed before: OlderEntryDoesNotChangeCapacity, 'Expression: fixture.worker_port.starts.empty()'. This is the rule on the entries; no run with a list of several pages has shown the case.

--- a/src/crocusmast/execution/worker.cc
+++ b/src/crocusmast/execution/worker.cc
@@ -58,6 +58,9 @@
     return true;
   }
   m_is_listed = true;
+  if (record.clock < m_record.clock) {
+    return false;
+  }
   m_record = std::move(record);
   // The record may be stale when it is read, so it only moves the clock
   // forward.
--- a/src/crocusmast/execution/worker.h
+++ b/src/crocusmast/execution/worker.h
@@ -87,7 +87,8 @@
   bool IsListed() const { return m_is_listed; }
 
   /**
-   * @brief Updates the membership record; ignores one of an older incarnation.
+   * @brief Updates the membership record; ignores one of an older incarnation,
+   * and one that this incarnation wrote before the known one.
    * @param record The membership record.
    * @param now The current time.
    * @return True if a new incarnation began, which discards all runs.
--- a/test/scheduling/shrunk_capacity_test.cc
+++ b/test/scheduling/shrunk_capacity_test.cc
@@ -26,6 +26,8 @@
   CPPUNIT_TEST(BestEffortTaskIsNotPlacedOnWorkerOverItsCapacity);
   CPPUNIT_TEST(TaskWithoutMemoryIsNotPlacedOnWorkerOverItsMemory);
   CPPUNIT_TEST(RunOfUnknownJobOccupiesGrownWorker);
+  CPPUNIT_TEST(EntryOfEarlierIncarnationDoesNotChangeCapacity);
+  CPPUNIT_TEST(OlderEntryDoesNotChangeCapacity);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -137,6 +139,32 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.worker_port.starts.size());
   }
 
+  void EntryOfEarlierIncarnationDoesNotChangeCapacity() {
+    Fixture fixture;
+    fixture.BeginTerm();
+    fixture.SetWorkers({MakeWorker("w-1", 2, 1000)});
+    SetCapacity(fixture, 4000);
+    fixture.scheduler.AddJob(MakeJob(kJob, {MakeStep(1, 2000)}));
+    fixture.RunCycles();
+    CPPUNIT_ASSERT(fixture.worker_port.starts.empty());
+  }
+
+  // A list of several pages is followed by the changes since its first page,
+  // which may hold entries that are older than the listed ones.
+  void OlderEntryDoesNotChangeCapacity() {
+    Fixture fixture;
+    Begin(fixture);
+    execution::WorkerRecord shrunk = MakeWorker("w-1", 1, 1000);
+    shrunk.clock += std::chrono::seconds(2);
+    fixture.scheduler.Handle(scheduling::WorkerUpdated{shrunk});
+    execution::WorkerRecord older = MakeWorker("w-1");
+    older.clock += std::chrono::seconds(1);
+    fixture.scheduler.Handle(scheduling::WorkerUpdated{older});
+    fixture.scheduler.AddJob(MakeJob(kJob, {MakeStep(1, 2000)}));
+    fixture.RunCycles();
+    CPPUNIT_ASSERT(fixture.worker_port.starts.empty());
+  }
+
  private:
   static void Begin(Fixture& fixture) {
     fixture.BeginTerm();
