Stop the other members of a gang when one is not started

What callers would see: a gang of which one worker rejected a member, as one that has just shrunk does, holds its other workers until the members there end as incomplete, and only then starts again.

Cause: a rejected start ended only that member's run. A gang is placed as a whole once none of its members has a run, so the others waited for a member that couldn't come. The same after a start without a reply that was stopped rather than repeated.

Change: when a member's start is rejected, or is stopped rather than repeated, the other members of the same attempt are given up: stopped if a command for them was sent, ended as rejected otherwise.

--- a/src/crocusmast/execution/worker.h
+++ b/src/crocusmast/execution/worker.h
@@ -52,6 +52,12 @@
   core::TimePoint command_sent_at;
   /** @brief A command for it is in flight. */
   bool is_command_pending = false;
+
+  /** @brief Tells whether no command for it was sent, so that it can't be
+   * active. */
+  bool IsUnsent() const {
+    return !is_confirmed && command_sent_at == core::TimePoint();
+  }
 };
 
 /** @brief Identifies one run of a task. */
--- a/src/crocusmast/scheduling/scheduler.h
+++ b/src/crocusmast/scheduling/scheduler.h
@@ -265,6 +265,8 @@
   bool RetryWorkerCommands(execution::Worker& worker);
   void SendStart(execution::Worker& worker, const execution::RunKey& key);
   void SendDeferredStarts(ActiveJob& active);
+  void GiveUpRun(execution::Worker& worker, const execution::RunKey& key);
+  void GiveUpOtherGangMembers(const execution::RunKey& key);
   void SendStop(execution::Worker& worker, const execution::RunKey& key);
   void StopRuns(ActiveJob& active);
   void ReportCancelSettled(const ActiveJob& active);
--- a/src/crocusmast/scheduling/scheduler_runs.cc
+++ b/src/crocusmast/scheduling/scheduler_runs.cc
@@ -86,6 +86,9 @@
     StopRuns(*active);
     return;
   }
+  if (outcome == job::RunOutcome::kRejected) {
+    GiveUpOtherGangMembers(key);
+  }
   // Speculative copies of a finished task are stopped.
   task = active->job.Find(key.task.key);
   if (task != nullptr && task->is_done) {
@@ -97,6 +100,40 @@
   }
 }
 
+void Scheduler::GiveUpRun(Worker& worker, const RunKey& key) {
+  const AssignedRun* run = worker.Find(key);
+  if (run == nullptr || run->is_stopping) {
+    return;
+  }
+  if (run->IsUnsent()) {
+    EndRun(worker, key, job::RunOutcome::kRejected, "");
+  } else {
+    SendStop(worker, key);
+    GiveUpOtherGangMembers(key);
+  }
+}
+
+void Scheduler::GiveUpOtherGangMembers(const RunKey& key) {
+  const ActiveJob* active = FindJob(key.task.job);
+  if (active == nullptr || active->job.Find(key.task.key) == nullptr ||
+      !active->job.StepOf(key.task.key).is_gang) {
+    return;
+  }
+  std::vector<std::pair<core::InstanceId, RunKey>> others;
+  active->job.ForEachRun([&](const job::TaskKey& other, const job::Run& run) {
+    if (other.occurrence == key.task.key.occurrence &&
+        other.step == key.task.key.step && run.attempt == key.attempt) {
+      others.emplace_back(run.worker,
+                          RunKey{{key.task.job, other}, run.attempt});
+    }
+  });
+  for (const auto& [id, other] : others) {
+    if (Worker* worker = FindWorker(id); worker != nullptr) {
+      GiveUpRun(*worker, other);
+    }
+  }
+}
+
 void Scheduler::StopRuns(ActiveJob& active) {
   std::vector<std::pair<core::InstanceId, RunKey>> runs;
   active.job.ForEachRun([&](const job::TaskKey& key, const job::Run& run) {
@@ -214,6 +251,7 @@
   if (worker.Find(key)->has_unanswered_start) {
     // An earlier start command of this attempt may still be executed.
     SendStop(worker, key);
+    GiveUpOtherGangMembers(key);
     return;
   }
   EndRun(worker, key, job::RunOutcome::kRejected, "");
@@ -304,6 +342,7 @@
       SendStart(worker, key);
     } else {
       SendStop(worker, key);
+      GiveUpOtherGangMembers(key);
     }
   }
   return is_pending;
