Give up starts not sent yet on a worker that has shrunk

What callers would see: a task starts on a worker that has shrunk since the task was placed; a worker that doesn't guard its capacity is then over it, others reject the start.

Cause: a start waits for the commit of its job's first start, or for a recent state of the store. Its room was checked only at placement.

Change: when an entry, or a run found in a poll, brings the worker's assigned runs over its capacity, the runs whose start hasn't been sent end as rejected, a gang as a whole. Their tasks are placed again at once, in the usual order of priority and deadline, so the tasks that still fit are the most urgent ones.

Failed before: StartThatWaitsForCommitIsNotSentToShrunkWorker and StartThatWaitsForStoreStateIsNotSentToShrunkWorker 'Expected: w-2, Actual: w-1', DeferredStartsThatFitAreSent and DeferredStartOfHigherPriorityIsKept 'Expected: 1, Actual: 2', DeferredGangIsGivenUpAsAWhole and DeferredStartIsNotSentBesideRunOfUnknownJob 'Expression: fixture.worker_port.starts.empty()'.

--- a/src/crocusmast/execution/worker.cc
+++ b/src/crocusmast/execution/worker.cc
@@ -102,6 +102,11 @@
          m_record.capacity.CanFit(m_used + required);
 }
 
+bool Worker::IsOverCapacity() const {
+  const bool is_shared = m_whole_worker_runs > 0 && m_runs.size() > 1;
+  return is_shared || !m_record.capacity.CanFit(m_used);
+}
+
 void Worker::Add(const RunKey& key, const AssignedRun& run) {
   if (m_runs.emplace(key, run).second) {
     m_used = m_used + run.resources;
--- a/src/crocusmast/execution/worker.h
+++ b/src/crocusmast/execution/worker.h
@@ -151,6 +151,10 @@
    */
   bool CanFit(const job::Resources& required) const;
 
+  /** @brief Tells whether the assigned runs exceed the capacity, which may
+   * shrink while the worker has runs. */
+  bool IsOverCapacity() const;
+
   /**
    * @brief Assigns a run and reserves its resources.
    * @param key The run.
--- a/src/crocusmast/scheduling/scheduler.h
+++ b/src/crocusmast/scheduling/scheduler.h
@@ -267,6 +267,7 @@
   void SendDeferredStarts(ActiveJob& active);
   void GiveUpRun(execution::Worker& worker, const execution::RunKey& key);
   void GiveUpOtherGangMembers(const execution::RunKey& key);
+  void GiveUpUnsentRunsOverCapacity(execution::Worker& worker);
   void SendStop(execution::Worker& worker, const execution::RunKey& key);
   void StopRuns(ActiveJob& active);
   void ReportCancelSettled(const ActiveJob& active);
--- a/src/crocusmast/scheduling/scheduler_polls.cc
+++ b/src/crocusmast/scheduling/scheduler_polls.cc
@@ -179,6 +179,7 @@
                          (task->runs.empty() ||
                           active->job.StepOf(report.task.key).is_speculative);
   worker.Add(key, run);
+  GiveUpUnsentRunsOverCapacity(worker);
   Log(core::Severity::kInfo,
       "Found task " + Describe(report.task) + " running on worker " +
           worker.Record().id.Text() + (is_wanted ? "." : "; stopping it."),
--- a/src/crocusmast/scheduling/scheduler_runs.cc
+++ b/src/crocusmast/scheduling/scheduler_runs.cc
@@ -113,6 +113,19 @@
   }
 }
 
+void Scheduler::GiveUpUnsentRunsOverCapacity(Worker& worker) {
+  if (!worker.IsOverCapacity()) {
+    return;
+  }
+  // The next placement decides which of the tasks get the remaining room.
+  for (const RunKey& key : worker.Keys()) {
+    const AssignedRun* run = worker.Find(key);
+    if (run != nullptr && run->IsUnsent()) {
+      GiveUpRun(worker, key);
+    }
+  }
+}
+
 void Scheduler::GiveUpOtherGangMembers(const RunKey& key) {
   const ActiveJob* active = FindJob(key.task.job);
   if (active == nullptr || active->job.Find(key.task.key) == nullptr ||
--- a/src/crocusmast/scheduling/scheduler_workers.cc
+++ b/src/crocusmast/scheduling/scheduler_workers.cc
@@ -53,6 +53,7 @@
       Log(core::Severity::kInfo, "Worker " + id.Text() + " is draining.",
           {{"event", "worker_leaving"}, {"worker", id.Text()}});
     }
+    GiveUpUnsentRunsOverCapacity(*known);
   }
   m_pools_to_place.insert(pool);
   if (!is_new_incarnation) {
--- a/test/scheduling/given_up_start_test.cc
+++ b/test/scheduling/given_up_start_test.cc
@@ -7,17 +7,25 @@
 using namespace crocusmast;
 using execution::WorkerCallOutcome;
 using Fixture = test::SchedulerFixture;
+using test::MakeId;
 using test::MakeJob;
 using test::MakeStep;
 using test::MakeWorker;
 
 constexpr char kJob[] = "0123456789abcdef";
+constexpr char kOtherJob[] = "fedcba9876543210";
 
 /** @brief Starts that a worker has no room for when they are due. */
 class GivenUpStartTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(GivenUpStartTest);
   CPPUNIT_TEST(RejectedGangMemberStopsOtherMembers);
   CPPUNIT_TEST(StoppedRepeatOfGangMemberStopsOtherMembers);
+  CPPUNIT_TEST(StartThatWaitsForCommitIsNotSentToShrunkWorker);
+  CPPUNIT_TEST(StartThatWaitsForStoreStateIsNotSentToShrunkWorker);
+  CPPUNIT_TEST(DeferredStartsThatFitAreSent);
+  CPPUNIT_TEST(DeferredStartOfHigherPriorityIsKept);
+  CPPUNIT_TEST(DeferredGangIsGivenUpAsAWhole);
+  CPPUNIT_TEST(DeferredStartIsNotSentBesideRunOfUnknownJob);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -53,7 +61,97 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fixture.worker_port.stops.size());
   }
 
+  // A worker that has shrunk below what is reserved must not get the start; the
+  // task is placed on another worker.
+  void StartThatWaitsForCommitIsNotSentToShrunkWorker() {
+    Fixture fixture;
+    BeginWithDeferredStarts(fixture, {MakeStep(1, 2000)});
+    SetCapacity(fixture, 1000);
+    fixture.scheduler.Handle(scheduling::WorkerUpdated{MakeWorker("w-2")});
+    fixture.RunCycles();
+    AssertOnlyStartIsOn("w-2", fixture);
+  }
+
+  // The same for a start that waits for a recent state of the store.
+  void StartThatWaitsForStoreStateIsNotSentToShrunkWorker() {
+    Fixture fixture;
+    BeginWithDeferredStarts(fixture, {MakeStep(1, 2000)});
+    RunCycleOnOldState(fixture);
+    CPPUNIT_ASSERT(fixture.worker_port.starts.empty());
+    SetCapacity(fixture, 1000);
+    fixture.scheduler.Handle(scheduling::WorkerUpdated{MakeWorker("w-2")});
+    fixture.RunCycles();
+    AssertOnlyStartIsOn("w-2", fixture);
+  }
+
+  // Of several deferred starts, those that still fit are sent.
+  void DeferredStartsThatFitAreSent() {
+    Fixture fixture;
+    BeginWithDeferredStarts(fixture, {MakeStep(1, 500), MakeStep(1, 3000)});
+    SetCapacity(fixture, 1000);
+    fixture.RunCycles();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.worker_port.starts.size());
+    CPPUNIT_ASSERT_EQUAL(0U, fixture.worker_port.starts[0].task.key.step);
+    SetCapacity(fixture, 4000);
+    fixture.RunCycles();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fixture.worker_port.starts.size());
+  }
+
+  // Of two deferred starts, of which one fits, the more urgent one is sent,
+  // whatever the ids of their jobs.
+  void DeferredStartOfHigherPriorityIsKept() {
+    Fixture fixture;
+    Begin(fixture);
+    job::AcceptedJob urgent = MakeJob(kOtherJob, {MakeStep(1, 2000)});
+    job::AcceptedJob other = MakeJob(kJob, {MakeStep(1, 2000)});
+    fixture.scheduler.AddJob(urgent);
+    fixture.clock.Advance(std::chrono::milliseconds(10));
+    fixture.scheduler.AddJob(other);
+    PlaceWithoutCommit(fixture);
+    SetCapacity(fixture, 2000);
+    fixture.RunCycles();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.worker_port.starts.size());
+    CPPUNIT_ASSERT(fixture.worker_port.starts[0].task.job == urgent.id);
+  }
+
+  // No member of a gang is started when the worker of another has shrunk.
+  void DeferredGangIsGivenUpAsAWhole() {
+    Fixture fixture;
+    fixture.BeginTerm();
+    fixture.SetWorkers(
+        {MakeWorker("w-1", 1, 3000), MakeWorker("w-2", 1, 3000)});
+    fixture.scheduler.AddJob(MakeJob(kJob, {MakeGang()}));
+    PlaceWithoutCommit(fixture);
+    SetCapacity(fixture, 1000);
+    fixture.RunCycles();
+    CPPUNIT_ASSERT(fixture.worker_port.starts.empty());
+    SetCapacity(fixture, 3000);
+    fixture.RunCycles();
+    const auto& starts = fixture.worker_port.starts;
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, starts.size());
+    CPPUNIT_ASSERT(starts[0].attempt == starts[1].attempt);
+    CPPUNIT_ASSERT(starts[0].to.worker != starts[1].to.worker);
+  }
+
+  // A poll that shows a run of an unknown job takes the room of deferred
+  // starts.
+  void DeferredStartIsNotSentBesideRunOfUnknownJob() {
+    Fixture fixture;
+    BeginWithDeferredStarts(fixture, {MakeStep(1)});
+    execution::RunReport unknown;
+    unknown.task.job = MakeId<core::JobId>(kOtherJob);
+    unknown.attempt = core::Attempt(3);
+    fixture.ReplyToPoll({unknown}, {});
+    fixture.RunCycles();
+    CPPUNIT_ASSERT(fixture.worker_port.starts.empty());
+  }
+
  private:
+  static void Begin(Fixture& fixture) {
+    fixture.BeginTerm();
+    fixture.SetWorkers({MakeWorker("w-1")});
+  }
+
   /** @brief Makes a gang of two whose members fit on a worker of 3000 each. */
   static job::Step MakeGang() {
     job::Step gang = MakeStep(2, 2000);
@@ -70,6 +168,42 @@
     fixture.RunCycles();
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fixture.worker_port.starts.size());
   }
+
+  /** @brief Places tasks, whose starts then wait for the commit. */
+  static void PlaceWithoutCommit(Fixture& fixture) {
+    fixture.ReceiveStoreState();
+    fixture.scheduler.RunCycle(fixture.clock.Now());
+    CPPUNIT_ASSERT(fixture.worker_port.starts.empty());
+  }
+
+  static void BeginWithDeferredStarts(Fixture& fixture,
+                                      std::vector<job::Step> steps) {
+    Begin(fixture);
+    fixture.scheduler.AddJob(MakeJob(kJob, std::move(steps)));
+    PlaceWithoutCommit(fixture);
+  }
+
+  /** @brief Lets the store's state grow old, then runs a cycle. */
+  static void RunCycleOnOldState(Fixture& fixture) {
+    fixture.clock.Advance(scheduling::kMaxStartViewAge);
+    while (fixture.replied_commits < fixture.store.commits.size()) {
+      fixture.ReplyToCommit(job::StoreOutcome::kDone);
+    }
+    fixture.scheduler.RunCycle(fixture.clock.Now());
+  }
+
+  static void SetCapacity(Fixture& fixture, std::uint64_t processor) {
+    fixture.scheduler.Handle(
+        scheduling::WorkerUpdated{MakeWorker("w-1", 1, processor)});
+  }
+
+  static void AssertOnlyStartIsOn(const std::string& worker,
+                                  const Fixture& fixture) {
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.worker_port.starts.size());
+    CPPUNIT_ASSERT_EQUAL(worker,
+                         fixture.worker_port.starts[0].to.worker.Text());
+    CPPUNIT_ASSERT(fixture.worker_port.stops.empty());
+  }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(GivenUpStartTest, "scheduling");
