Don't repeat a start on a worker that is over its capacity

What callers would see: a start that got no reply is sent again to a worker that has shrunk meanwhile; a worker that doesn't guard its capacity is then over it.

Cause: a repeat was checked only against a worker that drains or has left.

Change: the run is stopped instead, as on a draining worker, since the first command may still be executed. It counts until its end is known.

Failed before: UnansweredStartIsStoppedOnShrunkWorker and UnansweredStartIsStoppedWhenItsRepeatWasDeferred, 'Expected: 1, Actual: 2' starts. UnansweredStartIsRepeatedOnWorkerWithRoom passed before.

--- a/src/crocusmast/scheduling/scheduler_runs.cc
+++ b/src/crocusmast/scheduling/scheduler_runs.cc
@@ -350,7 +350,8 @@
     const ActiveJob* active = FindJob(key.task.job);
     const bool may_start = active != nullptr &&
                            !job::IsFinal(active->job.State()) &&
-                           worker.IsListed() && !worker.Record().is_draining;
+                           worker.IsListed() && !worker.Record().is_draining &&
+                           !worker.IsOverCapacity();
     if (may_start) {
       SendStart(worker, key);
     } else {
--- a/test/scheduling/given_up_start_test.cc
+++ b/test/scheduling/given_up_start_test.cc
@@ -6,6 +6,7 @@
 
 using namespace crocusmast;
 using execution::WorkerCallOutcome;
+using job::RunOutcome;
 using Fixture = test::SchedulerFixture;
 using test::MakeId;
 using test::MakeJob;
@@ -26,6 +27,9 @@
   CPPUNIT_TEST(DeferredStartOfHigherPriorityIsKept);
   CPPUNIT_TEST(DeferredGangIsGivenUpAsAWhole);
   CPPUNIT_TEST(DeferredStartIsNotSentBesideRunOfUnknownJob);
+  CPPUNIT_TEST(UnansweredStartIsStoppedOnShrunkWorker);
+  CPPUNIT_TEST(UnansweredStartIsStoppedWhenItsRepeatWasDeferred);
+  CPPUNIT_TEST(UnansweredStartIsRepeatedOnWorkerWithRoom);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -146,6 +150,46 @@
     CPPUNIT_ASSERT(fixture.worker_port.starts.empty());
   }
 
+  // A start without a reply must not be sent again to a worker that has no room
+  // for it any more.
+  void UnansweredStartIsStoppedOnShrunkWorker() {
+    Fixture fixture;
+    BeginWithUnansweredStart(fixture);
+    SetCapacity(fixture, 1000);
+    fixture.RunCycles();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.worker_port.starts.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.worker_port.stops.size());
+    fixture.scheduler.Handle(scheduling::WorkerUpdated{MakeWorker("w-2")});
+    fixture.ReplyToPoll({}, {Fixture::EndedRun(fixture.worker_port.starts[0], 1,
+                                               RunOutcome::kStopped)});
+    fixture.RunCycles();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fixture.worker_port.starts.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("w-2"),
+                         fixture.worker_port.starts[1].to.worker.Text());
+  }
+
+  // A start that was sent once may be executed, so it must not be given up
+  // without a stop.
+  void UnansweredStartIsStoppedWhenItsRepeatWasDeferred() {
+    Fixture fixture;
+    BeginWithUnansweredStart(fixture);
+    RunCycleOnOldState(fixture);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.worker_port.starts.size());
+    SetCapacity(fixture, 1000);
+    fixture.RunCycles();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.worker_port.starts.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.worker_port.stops.size());
+  }
+
+  void UnansweredStartIsRepeatedOnWorkerWithRoom() {
+    Fixture fixture;
+    BeginWithUnansweredStart(fixture);
+    SetCapacity(fixture, 2000);
+    fixture.RunCycles();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fixture.worker_port.starts.size());
+    CPPUNIT_ASSERT(fixture.worker_port.stops.empty());
+  }
+
  private:
   static void Begin(Fixture& fixture) {
     fixture.BeginTerm();
@@ -183,6 +227,16 @@
     PlaceWithoutCommit(fixture);
   }
 
+  /** @brief Starts a task of 2000; the start gets no reply. */
+  static void BeginWithUnansweredStart(Fixture& fixture) {
+    Begin(fixture);
+    fixture.scheduler.AddJob(MakeJob(kJob, {MakeStep(1, 2000)}));
+    fixture.RunCycles();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.worker_port.starts.size());
+    fixture.ReplyToStart(fixture.worker_port.starts[0],
+                         WorkerCallOutcome::kUnknown);
+  }
+
   /** @brief Lets the store's state grow old, then runs a cycle. */
   static void RunCycleOnOldState(Fixture& fixture) {
     fixture.clock.Advance(scheduling::kMaxStartViewAge);
