--- a/test/scheduling/given_up_start_test.cc
+++ b/test/scheduling/given_up_start_test.cc
@@ -21,6 +21,7 @@
   CPPUNIT_TEST_SUITE(GivenUpStartTest);
   CPPUNIT_TEST(RejectedGangMemberStopsOtherMembers);
   CPPUNIT_TEST(StoppedRepeatOfGangMemberStopsOtherMembers);
+  CPPUNIT_TEST(RejectedGangStartsAgainAsAWhole);
   CPPUNIT_TEST(StartThatWaitsForCommitIsNotSentToShrunkWorker);
   CPPUNIT_TEST(StartThatWaitsForStoreStateIsNotSentToShrunkWorker);
   CPPUNIT_TEST(DeferredStartsThatFitAreSent);
@@ -65,6 +66,23 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fixture.worker_port.stops.size());
   }
 
+  void RejectedGangStartsAgainAsAWhole() {
+    Fixture fixture;
+    BeginWithGang(fixture);
+    const std::vector<execution::StartCommand> starts =
+        fixture.worker_port.starts;
+    fixture.ReplyToStart(starts.at(1),
+                         WorkerCallOutcome::kInsufficientResources);
+    // The stop arrived before the start.
+    fixture.ReplyToStart(starts.at(0), WorkerCallOutcome::kStaleAttempt);
+    fixture.clock.Advance(scheduling::kWorkerBackoff);
+    fixture.RunCycles();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{4}, fixture.worker_port.starts.size());
+    CPPUNIT_ASSERT(fixture.worker_port.starts[2].attempt ==
+                   fixture.worker_port.starts[3].attempt);
+    CPPUNIT_ASSERT(starts[0].attempt < fixture.worker_port.starts[2].attempt);
+  }
+
   // A worker that has shrunk below what is reserved must not get the start; the
   // task is placed on another worker.
   void StartThatWaitsForCommitIsNotSentToShrunkWorker() {
--- a/test/scheduling/shrunk_capacity_test.cc
+++ b/test/scheduling/shrunk_capacity_test.cc
@@ -28,6 +28,7 @@
   CPPUNIT_TEST(RunOfUnknownJobOccupiesGrownWorker);
   CPPUNIT_TEST(EntryOfEarlierIncarnationDoesNotChangeCapacity);
   CPPUNIT_TEST(OlderEntryDoesNotChangeCapacity);
+  CPPUNIT_TEST(PoolLoadFollowsCapacity);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -165,6 +166,20 @@
     CPPUNIT_ASSERT(fixture.worker_port.starts.empty());
   }
 
+  void PoolLoadFollowsCapacity() {
+    Fixture fixture;
+    BeginWithRuns(fixture, MakeStep(1));
+    for (const std::uint64_t cores : {2, 4}) {
+      SetCapacity(fixture, cores * 1000);
+      const std::vector<capacity::PoolLoad> loads =
+          fixture.scheduler.PoolLoads();
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, loads.size());
+      CPPUNIT_ASSERT_DOUBLES_EQUAL(static_cast<double>(cores),
+                                   loads[0].capacity_cores, 0.001);
+      CPPUNIT_ASSERT_DOUBLES_EQUAL(1, loads[0].running_cores, 0.001);
+    }
+  }
+
  private:
   static void Begin(Fixture& fixture) {
     fixture.BeginTerm();
