--- a/src/crocusmast/execution/worker.cc
+++ b/src/crocusmast/execution/worker.cc
@@ -32,6 +32,7 @@
   m_lease_expires_at = core::TimePoint();
   m_runs.clear();
   m_used = {};
+  m_whole_worker_runs = 0;
   recorded_end = {};
   received_end = {};
   acknowledged_end = {};
@@ -58,6 +59,9 @@
     return true;
   }
   m_is_listed = true;
+  if (record.clock < m_record.clock) {
+    return false;
+  }
   m_record = std::move(record);
   // The record may be stale when it is read, so it only moves the clock
   // forward.
@@ -90,12 +94,24 @@
 }
 
 job::Resources Worker::FreeResources() const {
-  return m_record.capacity - m_used;
+  return m_whole_worker_runs > 0 ? job::Resources()
+                                 : m_record.capacity - m_used;
+}
+
+bool Worker::CanFit(const job::Resources& required) const {
+  return m_whole_worker_runs == 0 &&
+         m_record.capacity.CanFit(m_used + required);
+}
+
+bool Worker::IsOverCapacity() const {
+  const bool is_shared = m_whole_worker_runs > 0 && m_runs.size() > 1;
+  return is_shared || !m_record.capacity.CanFit(m_used);
 }
 
 void Worker::Add(const RunKey& key, const AssignedRun& run) {
   if (m_runs.emplace(key, run).second) {
     m_used = m_used + run.resources;
+    m_whole_worker_runs += run.reserves_whole_worker ? 1 : 0;
   }
 }
 
@@ -110,6 +126,7 @@
     return false;
   }
   m_used = m_used - found->second.resources;
+  m_whole_worker_runs -= found->second.reserves_whole_worker ? 1 : 0;
   m_runs.erase(found);
   return true;
 }
--- a/src/crocusmast/execution/worker.h
+++ b/src/crocusmast/execution/worker.h
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -28,6 +29,8 @@
   job::Resources resources;
   /** @brief It only uses processor time that other runs leave idle. */
   bool is_best_effort = false;
+  /** @brief What it uses is not known, so it reserves the whole worker. */
+  bool reserves_whole_worker = false;
   /** @brief The worker has confirmed the run. */
   bool is_confirmed = false;
   /** @brief A start command got no reply and may still be executed. */
@@ -49,6 +52,12 @@
   core::TimePoint command_sent_at;
   /** @brief A command for it is in flight. */
   bool is_command_pending = false;
+
+  /** @brief Tells whether no command for it was sent, so that it can't be
+   * active. */
+  bool IsUnsent() const {
+    return !is_confirmed && command_sent_at == core::TimePoint();
+  }
 };
 
 /** @brief Identifies one run of a task. */
@@ -84,7 +93,8 @@
   bool IsListed() const { return m_is_listed; }
 
   /**
-   * @brief Updates the membership record; ignores one of an older incarnation.
+   * @brief Updates the membership record; ignores one of an older incarnation,
+   * and one that this incarnation wrote before the known one.
    * @param record The membership record.
    * @param now The current time.
    * @return True if a new incarnation began, which discards all runs.
@@ -134,6 +144,17 @@
   /** @brief Returns the resources that no run reserves. */
   job::Resources FreeResources() const;
 
+  /**
+   * @brief Tells whether the capacity covers a further run beside the assigned
+   * ones; false for every run if they exceed it in any component.
+   * @param required The resources that the run reserves.
+   */
+  bool CanFit(const job::Resources& required) const;
+
+  /** @brief Tells whether the assigned runs exceed the capacity, which may
+   * shrink while the worker has runs. */
+  bool IsOverCapacity() const;
+
   /**
    * @brief Assigns a run and reserves its resources.
    * @param key The run.
@@ -214,8 +235,11 @@
   /** @brief When every lease has certainly expired. */
   core::TimePoint m_lease_expires_at;
   std::map<RunKey, AssignedRun> m_runs;
-  /** @brief Resources that the assigned runs reserve. */
+  /** @brief Resources that the assigned runs reserve, without those that
+   * reserve the whole worker. */
   job::Resources m_used;
+  /** @brief Number of assigned runs that reserve the whole worker. */
+  std::size_t m_whole_worker_runs = 0;
 };
 
 }  // namespace crocusmast::execution
--- a/src/crocusmast/scheduling/scheduler_polls.cc
+++ b/src/crocusmast/scheduling/scheduler_polls.cc
@@ -174,8 +174,7 @@
   if (task != nullptr) {
     run = MakeAssignedRun(active->job.StepOf(report.task.key));
   } else {
-    // It may use the whole worker.
-    run.resources = worker.Record().capacity;
+    run.reserves_whole_worker = true;
   }
   run.is_confirmed = true;
   run.confirmed_at_poll = worker.poll_sequence;
@@ -185,6 +184,7 @@
                          (task->runs.empty() ||
                           active->job.StepOf(report.task.key).is_speculative);
   worker.Add(key, run);
+  GiveUpUnsentRunsOverCapacity(worker);
   Log(core::Severity::kInfo,
       "Found task " + Describe(report.task) + " running on worker " +
           worker.Record().id.Text() + (is_wanted ? "." : "; stopping it."),
