Soak: check that long-running tasks restart beside planned stops

The scenario planned_stops crashes workers of long-running tasks, which stay away, and stops leaders in series, 2 s apart, on a store whose transactions take longer than the release of a lease. The check finds a task that waits for more than 6 s after its last run, and then 3 s with room for two of it, once 7 s were free of disturbances other than planned stops.

--- a/test/soak/checker.py
+++ b/test/soak/checker.py
@@ -18,11 +18,12 @@
 MAX_ATTEMPTS = 4
 MIN_LATE_CANCELS = 3    # and a tenth of them, before they break a promise
 CORE = "core"
+PLANNED_STOP = "stop of "  # begins the scope of a planned stop
 
 
 def stop_of(instance):
     """Returns the scope of a planned stop of an instance."""
-    return "stop of %s" % instance
+    return PLANNED_STOP + instance
 
 
 class Job:
@@ -48,6 +49,7 @@
         self.runs = {}            # (task, worker, attempt) -> start time
         self.reported = set()     # runs that were reported to run on
         self.last_active = 0.0    # when a run last ended
+        self.ended_at = {}        # task -> when its last run ended
         self.started = False
 
     @property
@@ -69,6 +71,7 @@
         self.disturbances = []  # [scope, start, end or None]
         self.lags = []          # (end, seconds) in which a stand-in was late
         self._workers = {}      # worker -> machine
+        self.up_at = {}         # worker -> when it started
         self._used = collections.Counter()  # worker -> thousandths of a core
         self._ends = collections.defaultdict(list)  # task -> done ends
         self._unacknowledged = collections.defaultdict(dict)
@@ -101,6 +104,12 @@
         """Returns whether nothing was disturbed in a span."""
         return not self._overlaps(start, end)
 
+    def is_undisturbed(self, start, end):
+        """Returns whether nothing but planned stops disturbed a span."""
+        return not self._overlaps(start, end, {
+            scope for scope, _, _ in self.disturbances
+            if not scope.startswith(PLANNED_STOP)})
+
     def lag(self, start, end):
         """Returns how long stand-ins were late in a span, in seconds."""
         return sum(seconds for at, seconds in self.lags
@@ -110,6 +119,16 @@
         """Records a broken promise."""
         self.violations.append("%s at %.3f: %s" % (rule, time, text))
 
+    def free_cpu(self, worker):
+        """Returns the free thousandths of a core of a worker."""
+        machine = self.machines[self._workers[worker]]
+        return machine["cores"] * 1000 - self._used[worker]
+
+    def machines_of_long_running_tasks(self):
+        """Returns the machines that run long-running tasks."""
+        return {self._workers[worker] for job in self.jobs.values()
+                if job.is_long_running for _, worker, _ in job.runs}
+
     # Events.
 
     def add(self, kind, time, *fields):
@@ -125,6 +144,7 @@
 
     def _on_up(self, time, worker, machine):
         self._workers[worker] = machine
+        self.up_at[worker] = time
 
     def _on_gone(self, time, worker):
         self._unacknowledged.pop(worker, None)
@@ -200,7 +220,7 @@
         job = self.jobs.get(task.split(".")[0])
         if job is None or job.runs.pop((task, worker, attempt), None) is None:
             return
-        job.last_active = time
+        job.last_active = job.ended_at[task] = time
         self._used[worker] -= job.steps[int(task.split(".")[2])]["cpu"]
         end = {"at": time, "void": False, "restarted": None, "how": outcome}
         if outcome == "done":
--- a/test/soak/deployment.py
+++ b/test/soak/deployment.py
@@ -16,6 +16,7 @@
 from daemons import Daemon
 from http_server import Reply, serve
 from proxy import Link, proxy
+from restart_check import RestartCheck
 from store import Store
 from traffic import LABEL, Traffic
 
@@ -24,6 +25,7 @@
 LAG_SECONDS = 0.1      # delay of a stand-in that extends the time bounds
 LONG_LAG_SECONDS = 1.0  # delay of a stand-in that counts as a slow core
 TICK_SECONDS = 0.05
+ENTRY_SECONDS = 4.5    # after which the entry of a silent worker is removed
 MAX_MESSAGE_BYTES = 1 << 26
 SIZES = {  # daemons, workers, worker hosts of a zone, cores of a worker
     "small": (6, 24, 1, 8), "wide": (5, 180, 2, 2), "large": (40, 180, 2, 8)}
@@ -58,6 +60,7 @@
         self.cpu_share = cpu_share or drawn[0]
         self._load_share = load_share or drawn[1]
         self.checker = Checker()
+        self.restarts = RestartCheck(self.checker)
         self.store = Store(time.monotonic)
         self.store.write_hook = self._on_write
         self.store_faults = []
@@ -233,6 +236,27 @@
         self._start_worker(self.checker.machines[machine])
         disturbance[2] = time.monotonic()
 
+    async def interrupt_worker(self, machine, seconds):
+        """Crashes a worker; another starts on its machine some seconds later."""
+        worker = self.checker.machines[machine]["worker"]
+        if not worker:
+            return
+        self.tell_machine(machine, do="crash")
+        await self.restore_worker(machine, worker, seconds)
+
+    async def restore_worker(self, machine, worker, seconds):
+        """Lets the entry of a crashed worker expire, and starts another."""
+        now = time.monotonic()
+        self.checker.disturb("worker", now)[2] = now
+
+        async def expire():
+            await asyncio.sleep(ENTRY_SECONDS)
+            self.store.remove("servers/" + worker)
+        expiry = asyncio.ensure_future(expire())
+        await asyncio.sleep(seconds)
+        self._start_worker(self.checker.machines[machine])
+        await expiry
+
     # The operator.
 
     def queues(self):
@@ -337,3 +361,4 @@
             watermark = min(self._ticks.values())
             self.checker.advance(watermark)
             self.checker.check_runs(watermark)
+            self.restarts.check(watermark)
--- a/test/soak/faults.py
+++ b/test/soak/faults.py
@@ -43,7 +43,7 @@
     def __init__(self, deployment, seed, seconds, kinds):
         self._deployment = deployment
         self._checker = deployment.checker
-        self._plan = plan(seed, seconds, kinds)
+        self._plan = plan(seed, seconds, kinds) if kinds else []
         self._seconds = seconds
         self._ends_at = 0.0
         self._struck = set()  # instances with a hard fault
--- /dev/null
+++ b/test/soak/scenarios.py
@@ -0,0 +1,97 @@
+"""Series of faults that random plans seldom bring together, from a seed."""
+
+import asyncio
+import random
+
+from checker import CORE
+from faults import Injector
+
+STOP_INTERVAL_SECONDS = 2.0  # between planned stops of a series
+CYCLE_SECONDS = 17.0         # a series, and the calm in which it is judged
+LONG_RUNNING_JOBS = 12
+
+
+class ScenarioInjector(Injector):
+    """Plays a scenario beside the planned faults of a seed."""
+
+    def __init__(self, deployment, seed, seconds, kinds, scenario):
+        super().__init__(deployment, seed, seconds, kinds)
+        self._rng = random.Random("%s %d" % (scenario, seed))
+        self._play = SCENARIOS[scenario]
+        self._stopping = set()
+
+    async def run(self):
+        """Injects all faults; returns when the last has ended."""
+        await asyncio.gather(super().run(), self._play(self))
+
+    # Planned stops beside crashed workers.
+
+    async def play_planned_stops(self):
+        """Stops leaders in series while workers of long-running tasks are gone."""
+        rng = self._rng
+        transaction_s = rng.choice([0.0, 0.03, 0.06, 0.1, 0.15])
+        self._note("store", "transactions take %.2f s" % transaction_s)
+        self._deployment.store_faults.insert(
+            0, slow_transactions(lambda: transaction_s))
+        for _ in range(LONG_RUNNING_JOBS):
+            self._deployment.load.add_long_running(rng)
+        for _ in range(max(1, int(self._seconds / CYCLE_SECONDS))):
+            await asyncio.sleep(rng.uniform(2.0, 3.0))
+            await asyncio.gather(self._crash_workers(), self._stop_leaders(),
+                                 self._slow_store(),
+                                 asyncio.sleep(CYCLE_SECONDS - 3.0))
+
+    async def _crash_workers(self):
+        rng = self._rng
+        await asyncio.sleep(rng.uniform(0.0, 2.0))
+        machines = sorted(self._checker.machines_of_long_running_tasks())
+        for machine in rng.sample(machines, min(len(machines),
+                                                rng.randint(1, 5))):
+            seconds = rng.uniform(10.0, 30.0)
+            self._note("worker_outage", "%s %.1f" % (machine, seconds))
+            asyncio.ensure_future(
+                self._deployment.interrupt_worker(machine, seconds))
+            await asyncio.sleep(rng.choice([0.0, rng.uniform(0.0, 0.8)]))
+
+    async def _stop_leaders(self):
+        rng = self._rng
+        await asyncio.sleep(rng.uniform(0.5, 4.0))
+        stops = []
+        for _ in range(rng.randint(1, 3)):
+            stops.append(asyncio.ensure_future(self._stop_leader()))
+            await asyncio.sleep(STOP_INTERVAL_SECONDS)
+        await asyncio.gather(*stops)
+
+    async def _stop_leader(self):
+        running = [daemon for daemon in self._deployment.daemons
+                   if daemon.is_running and daemon not in self._stopping]
+        leader = self._deployment.leader()
+        daemon = leader if leader in running else self._rng.choice(running)
+        self._stopping.add(daemon)
+        await self._terminate(self._rng, daemon)
+        self._stopping.discard(daemon)
+
+    async def _slow_store(self):
+        rng = self._rng
+        if rng.random() < 0.6:
+            return
+        await asyncio.sleep(rng.uniform(0.5, 3.0))
+        seconds = rng.uniform(0.5, 2.0)
+        self._note("store", "slow transactions %.1f" % seconds)
+        slow = slow_transactions(lambda: rng.uniform(0.2, 1.0))
+        with self._disturbance(CORE):
+            self._deployment.store_faults.append(slow)
+            await asyncio.sleep(seconds)
+            self._deployment.store_faults.remove(slow)
+
+
+def slow_transactions(delay):
+    """Returns a fault of the store: its transactions take longer."""
+    async def slow(instance, request, dispatch):
+        if request.path.endswith("/kv-txn"):
+            await asyncio.sleep(delay())
+        return await dispatch(request)
+    return slow
+
+
+SCENARIOS = {"planned_stops": ScenarioInjector.play_planned_stops}
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -13,6 +13,7 @@
 
 from deployment import ANY, SIZES, Deployment
 from faults import KINDS, Injector
+from scenarios import SCENARIOS, ScenarioInjector
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 SEEDS = pathlib.Path(__file__).parent / "seeds.txt"
@@ -26,6 +27,16 @@
 FINISH_SECONDS = 14.0  # for the jobs that are left when the load ends
 
 
+def make_injector(deployment, seed, arguments):
+    """Returns the injector of the planned faults and of a scenario."""
+    if arguments.scenario is None:
+        return Injector(deployment, seed, arguments.seconds,
+                        (arguments.kinds or ",".join(KINDS)).split(","))
+    kinds = arguments.kinds.split(",") if arguments.kinds else []
+    return ScenarioInjector(deployment, seed, arguments.seconds, kinds,
+                            arguments.scenario)
+
+
 async def run_seed(seed, folder, arguments):
     """Runs one seed; returns the broken promises and a summary."""
     seconds = arguments.seconds
@@ -37,8 +48,7 @@
             "HARNESS", time.monotonic(), str(context)))
     try:
         await deployment.start()
-        injector = Injector(deployment, seed, seconds,
-                            arguments.kinds.split(","))
+        injector = make_injector(deployment, seed, arguments)
         await asyncio.gather(deployment.load.steady(seconds), injector.run())
         await deployment.load.drain(FINISH_SECONDS)
         await asyncio.sleep(0.5)  # until the last events have arrived
@@ -56,10 +66,12 @@
                       for key in sorted(counts) if " " in key)
     return checker.violations, (
         "%s, %d faults, %d jobs, %d cancelled, %d starts, share %.2f, latest "
-        "start %.2f s after a cancel, lags %.1f s, starved %.1f s; %s" % (
+        "start %.2f s after a cancel, longest wait of a long-running task "
+        "%.2f s, lags %.1f s, starved %.1f s; %s" % (
             deployment.size, len(injector.log), len(checker.jobs),
             sum(job.cancelled_at is not None for job in checker.jobs.values()),
             counts["start"], deployment.cpu_share, checker.latest_start,
+            deployment.restarts.longest_wait,
             sum(seconds for _, seconds in checker.lags), starved, calls))
 
 
@@ -91,8 +103,10 @@
                         help="the seeds of seeds.txt")
     parser.add_argument("--seconds", type=float, default=20, help="of load")
     parser.add_argument("--size", choices=[ANY, *SIZES], default=ANY)
-    parser.add_argument("--kinds", default=",".join(KINDS),
-                        help="of faults, separated by commas")
+    parser.add_argument("--kinds", help="of faults, separated by commas; "
+                        "all, or none beside a scenario, if not given")
+    parser.add_argument("--scenario", choices=list(SCENARIOS),
+                        help="a series of faults")
     parser.add_argument("--cpu-share", type=float,
                         help="of a core for an instance, instead of the seed's")
     parser.add_argument("--load-share", type=float,
--- a/test/soak/traffic.py
+++ b/test/soak/traffic.py
@@ -80,6 +80,11 @@
             job, rng.uniform(0.0, 4.0) if is_cancelled else None))
         return sum(step["count"] for step in job.steps)
 
+    def add_long_running(self, rng):
+        """Submits a job whose tasks run until the load ends."""
+        self._spawn(self._handle(self._make_job(rng, [self._step(
+            rng, rng.randint(1, 3), 0, long_running=True)]), None))
+
     async def steady(self, seconds):
         """Submits jobs at a steady rate of tasks and reads their states."""
         started, tasks, reads = time.monotonic(), 0, 0
