Soak: check how often tasks start that crash their workers

The scenario deadly submits jobs with a task that crashes each worker 10 ms after its start; another incarnation starts after 1.5 to 4 s. Leaders are killed or stopped meanwhile. BUDGET is broken by the third start by an instance in touch after three workers have crashed under a task. A job with a deadly task may be shown as failed after two crashes, and is not missed at the end; all other jobs keep their checks.

--- a/test/soak/checker.py
+++ b/test/soak/checker.py
@@ -4,6 +4,8 @@
 import heapq
 import itertools
 
+from crash_check import CrashCheck
+
 # Bounds in seconds, from the settings of a standard deployment.
 CONTACT = 3.0
 CANCEL = 3.0
@@ -29,7 +31,7 @@
 class Job:
     """A job as its submitter knows it."""
 
-    def __init__(self, job_id, queue, pool, spec, steps):
+    def __init__(self, job_id, queue, pool, spec, steps, deadly=()):
         self.id = job_id
         self.queue = queue
         self.pool = pool
@@ -38,6 +40,7 @@
         self.tasks = ["%s.0.%d.%d" % (job_id, number, index)
                       for number, step in enumerate(steps)
                       for index in range(step["count"])]
+        self.deadly = {self.tasks[index] for index in deadly}  # crash workers
         self.accepted_at = None
         self.cancel_sent_at = None
         self.cancel_answered_at = None
@@ -77,6 +80,7 @@
         self._unacknowledged = collections.defaultdict(dict)
         self._failures = collections.Counter()  # task -> failed ends noted
         self._acknowledged = {}
+        self.crashes = CrashCheck(self.report)
         self.latest_start = 0.0  # the longest time from a cancel to a start
         self._queue = []
         self._sequence = itertools.count()
@@ -146,6 +150,9 @@
         self._workers[worker] = machine
         self.up_at[worker] = time
 
+    def _on_crash(self, time, worker, task):
+        self.crashes.on_crash(worker)
+
     def _on_gone(self, time, worker):
         self._unacknowledged.pop(worker, None)
 
@@ -177,6 +184,7 @@
                 where, self._acknowledged[task]))
         if self._failures[task] >= MAX_ATTEMPTS:
             self.report("BUDGET", time, where)
+        self.crashes.on_start(time, job, task, where, timely)
         for end in self._ends[task]:
             end["restarted"] = where
         self._check_place(time, job, task, worker, machine, where)
@@ -225,7 +233,9 @@
         end = {"at": time, "void": False, "restarted": None, "how": outcome}
         if outcome == "done":
             self._ends[task].append(end)
-        if outcome != "gone":
+        if outcome == "gone":
+            self.crashes.on_gone(job, task, worker)
+        else:
             self._unacknowledged[worker][(task, attempt)] = end
 
     def _on_ack(self, time, task, worker, attempt, outcome):
@@ -255,8 +265,8 @@
                 self.report("MIXED", time, "%s at %s without %s" % (
                     job.id, instance, missing[:3]))
         elif state == "cancelled" and not job.cancel_sent_at or (
-                state == "failed" and not any(
-                    self._failed_runs(task) for task in job.tasks)):
+                state == "failed" and not self.crashes.may_fail(job) and
+                not any(self._failed_runs(task) for task in job.tasks)):
             self.report("LOST", time, "%s is %s without cause" % (job.id, state))
 
     def _failed_runs(self, task):
@@ -310,7 +320,8 @@
             if job.started and job.rejections and not job.open_attempts and (
                     job.accepted_at is None):
                 self.report("REFUSED", now, "%s has started" % job.id)
-            done = job.shown in ("succeeded", "failed", "cancelled")
+            done = (job.shown in ("succeeded", "failed", "cancelled") or
+                    job.deadly)
             if (job.accepted_at and not job.cancel_sent_at and not done and
                     not job.is_long_running and not job.runs and
                     now > job.last_active + IDLE):
--- a/test/soak/deployment.py
+++ b/test/soak/deployment.py
@@ -25,6 +25,7 @@
 LAG_SECONDS = 0.1      # delay of a stand-in that extends the time bounds
 LONG_LAG_SECONDS = 1.0  # delay of a stand-in that counts as a slow core
 TICK_SECONDS = 0.05
+RESTART_SECONDS = (1.5, 4.0)  # from the crash under a task to the next worker
 ENTRY_SECONDS = 4.5    # after which the entry of a silent worker is removed
 MAX_MESSAGE_BYTES = 1 << 26
 SIZES = {  # daemons, workers, worker hosts of a zone, cores of a worker
@@ -53,6 +54,7 @@
             is_wide = random.Random("size %d" % seed).random() < WIDE_SHARE
             size = "wide" if is_wide else "small"
         self.size = size
+        self._restarts = random.Random("restarts %d" % seed)
         self._shape = SIZES[size]
         self.zones = ZONES
         drawn = (self._random.choice(SHARES[size]),
@@ -244,6 +246,12 @@
         self.tell_machine(machine, do="crash")
         await self.restore_worker(machine, worker, seconds)
 
+    def _restart_crashed(self, worker):
+        machine = next(m["id"] for m in self.checker.machines.values()
+                       if m["worker"] == worker)
+        self._spawn(self.restore_worker(
+            machine, worker, self._restarts.uniform(*RESTART_SECONDS)))
+
     async def restore_worker(self, machine, worker, seconds):
         """Lets the entry of a crashed worker expire, and starts another."""
         now = time.monotonic()
@@ -326,6 +334,8 @@
                     self.store.remove(*fields)
                 else:
                     self._note_worker(kind, fields)
+                    if kind == "crash" and fields[2]:
+                        self._restart_crashed(fields[1])
                     self.checker.add(kind, *fields)
         raise RuntimeError("a worker host has ended")
 
--- a/test/soak/scenarios.py
+++ b/test/soak/scenarios.py
@@ -9,6 +9,7 @@
 STOP_INTERVAL_SECONDS = 2.0  # between planned stops of a series
 CYCLE_SECONDS = 17.0         # a series, and the calm in which it is judged
 LONG_RUNNING_JOBS = 12
+DEADLY_SECONDS = (2.0, 12.0)   # in which deadly jobs are submitted
 
 
 class ScenarioInjector(Injector):
@@ -24,6 +25,31 @@
         """Injects all faults; returns when the last has ended."""
         await asyncio.gather(super().run(), self._play(self))
 
+    async def play_deadly(self):
+        """Submits jobs with deadly tasks, and kills or stops leaders."""
+        await asyncio.sleep(DEADLY_SECONDS[0])
+        await asyncio.gather(self._submit_deadly(), self._replace_leaders())
+
+    async def _submit_deadly(self):
+        rng = self._rng
+        pause, end = rng.uniform(0.5, 4.0), DEADLY_SECONDS[1]
+        at = DEADLY_SECONDS[0]
+        while at < end:
+            self._note("deadly", "")
+            self._deployment.load.add_deadly(rng)
+            seconds = rng.uniform(0.5, 1.5) * pause
+            await asyncio.sleep(seconds)
+            at += seconds
+
+    async def _replace_leaders(self):
+        rng = self._rng
+        for _ in range(rng.randint(0, 3)):
+            await asyncio.sleep(rng.uniform(1.0, 5.0))
+            if rng.random() < 0.5:
+                await self._stop_leader()
+            elif (leader := self._deployment.leader()) and leader.is_running:
+                await self._kill(rng, leader)
+
     # Planned stops beside crashed workers.
 
     async def play_planned_stops(self):
@@ -94,4 +120,5 @@
     return slow
 
 
-SCENARIOS = {"planned_stops": ScenarioInjector.play_planned_stops}
+SCENARIOS = {"planned_stops": ScenarioInjector.play_planned_stops,
+             "deadly": ScenarioInjector.play_deadly}
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -67,11 +67,12 @@
     return checker.violations, (
         "%s, %d faults, %d jobs, %d cancelled, %d starts, share %.2f, latest "
         "start %.2f s after a cancel, longest wait of a long-running task "
-        "%.2f s, lags %.1f s, starved %.1f s; %s" % (
+        "%.2f s, at most %d crashes under a task, lags %.1f s, starved %.1f s; "
+        "%s" % (
             deployment.size, len(injector.log), len(checker.jobs),
             sum(job.cancelled_at is not None for job in checker.jobs.values()),
             counts["start"], deployment.cpu_share, checker.latest_start,
-            deployment.restarts.longest_wait,
+            deployment.restarts.longest_wait, checker.crashes.most_crashes,
             sum(seconds for _, seconds in checker.lags), starved, calls))
 
 
--- a/test/soak/traffic.py
+++ b/test/soak/traffic.py
@@ -53,14 +53,16 @@
                 100, 500), after=[len(steps) - 1]))
         return steps
 
-    def _make_job(self, rng, steps):
+    def _make_job(self, rng, steps, deadly=()):
         queue, pool = rng.choice(self._deployment.queues())
         spec = json.dumps({"steps": [{
             "cpu": step["cpu"], "ms": step["estimate_ms"],
             "ck": step.get("checkpointing", False), "fail": rng.choice([0, 0.03]),
-            **({"long_running": True} if step.get("long_running") else {})}
-            for step in steps], "pad": "x" * rng.randint(0, MAX_PADDING_BYTES)})
-        return Job("%016x" % rng.getrandbits(64), queue, pool, spec, steps)
+            **({"long_running": True} if step.get("long_running") else {}),
+            **({"deadly": deadly} if deadly and not number else {})}
+            for number, step in enumerate(steps)], "pad": "x" * rng.randint(0, MAX_PADDING_BYTES)})
+        return Job("%016x" % rng.getrandbits(64), queue, pool, spec, steps,
+                   deadly)
 
     async def _handle(self, job, cancel_after):
         await self._callers.submit(job)
@@ -85,6 +87,13 @@
         self._spawn(self._handle(self._make_job(rng, [self._step(
             rng, rng.randint(1, 3), 0, long_running=True)]), None))
 
+    def add_deadly(self, rng):
+        """Submits a job with a task that crashes each worker that starts it."""
+        count = rng.randint(1, 8)
+        step = self._step(rng, count, rng.randint(100, 700))
+        self._spawn(self._handle(self._make_job(
+            rng, [step], [rng.randrange(count)]), None))
+
     async def steady(self, seconds):
         """Submits jobs at a steady rate of tasks and reads their states."""
         started, tasks, reads = time.monotonic(), 0, 0
--- a/test/soak/worker_host.py
+++ b/test/soak/worker_host.py
@@ -18,6 +18,7 @@
 TICK_SECONDS = 0.02
 RESTORE_SECONDS = 0.1  # before a run resumes from a checkpoint
 CHECKPOINT_MS = 2000   # work between two checkpoints
+CRASH_SECONDS = 0.01   # from the start of a deadly task to the crash
 
 
 @functools.lru_cache(maxsize=4096)
@@ -91,6 +92,10 @@
         """Reports a start."""
         self._emit("start", task, worker.id, attempt, command["fencing_token"],
                    command.get("spec"), command.get("checkpoint") or "")
+        step = self.step_of(task, command)
+        if int(task.split(".")[3]) in step.get("deadly", ()):
+            asyncio.get_running_loop().call_later(
+                CRASH_SECONDS, self._crash, worker, task)
 
     def record_end(self, task, attempt, outcome, worker, at=None):
         """Reports the end of a run."""
@@ -126,6 +131,12 @@
             self._emit("gone", worker.id)
             (worker.deregister if graceful else worker.terminate)()
 
+    def _crash(self, worker, task=""):
+        for machine in self._machines.values():
+            if machine.worker is worker:
+                self._emit("crash", worker.id, task)
+                self._end_worker(machine, False)
+
     async def execute(self, command):
         """Executes one command."""
         kind = command["do"]
@@ -137,8 +148,10 @@
             machine = self._machines[command["machine"]]
             if kind == "drain" and machine.worker:
                 machine.worker.is_draining = True
-            elif kind in ("crash", "leave"):
-                self._end_worker(machine, kind == "leave")
+            elif kind == "crash" and machine.worker:
+                self._crash(machine.worker)
+            elif kind == "leave":
+                self._end_worker(machine, True)
 
     async def run(self):
         """Serves commands until the input ends."""
