Soak: let workers start again under their address or their id

A crashed worker of the scenario deadly returns at its old address under another id, or at another address. The scenario same_ids crashes workers that return under the ids that they had.

In the one that was read with start times the new incarnation was up at 35.194, executed the start of an earlier attempt at 35.292, and the task was started on another worker at 35.299: a start carries no more than the id, so a repeated one reaches the new incarnation, and the leader counts it as lost when it learns of the restart.

--- a/test/soak/checker.py
+++ b/test/soak/checker.py
@@ -149,6 +149,8 @@
     def _on_up(self, time, worker, machine):
         self._workers[worker] = machine
         self.up_at[worker] = time
+        self.draining.pop(worker, None)
+        self.crashes.on_up(worker)
 
     def _on_crash(self, time, worker, task):
         self.crashes.on_crash(worker)
--- a/test/soak/crash_check.py
+++ b/test/soak/crash_check.py
@@ -25,6 +25,10 @@
         """Notes that a worker crashes; the ends of its runs follow."""
         self._crashed.add(worker)
 
+    def on_up(self, worker):
+        """Notes that a worker starts, perhaps again under the id it had."""
+        self._crashed.discard(worker)
+
     def on_gone(self, job, task, worker):
         """Notes that a run ended with its worker."""
         if task in job.deadly and worker in self._crashed:
--- a/test/soak/deployment.py
+++ b/test/soak/deployment.py
@@ -55,6 +55,8 @@
             size = "wide" if is_wide else "small"
         self.size = size
         self._restarts = random.Random("restarts %d" % seed)
+        # What a worker that starts again keeps: its address, its id, or None.
+        self.restart_keeps = [None, "address"]
         self._shape = SIZES[size]
         self.zones = ZONES
         drawn = (self._random.choice(SHARES[size]),
@@ -223,11 +225,11 @@
         self._host_of(self.checker.machines[machine]).stdin.write(
             json.dumps({**command, "machine": machine}).encode() + b"\n")
 
-    def _start_worker(self, machine):
+    def _start_worker(self, machine, keeps=None):
         self._workers += 1
         self._host_of(machine).stdin.write(json.dumps(
-            {"do": "start", "worker": self._workers,
-             "machine": machine}).encode() + b"\n")
+            {"do": "start", "worker": self._workers, "machine": machine,
+             "keeps": keeps}).encode() + b"\n")
 
     async def replace_worker(self, machine, how, seconds):
         """Ends a worker and starts another on its machine."""
@@ -257,12 +259,15 @@
         now = time.monotonic()
         self.checker.disturb("worker", now)[2] = now
 
+        keeps = self._restarts.choice(self.restart_keeps)
+
         async def expire():
             await asyncio.sleep(ENTRY_SECONDS)
-            self.store.remove("servers/" + worker)
+            if seconds > ENTRY_SECONDS or keeps != "id":
+                self.store.remove("servers/" + worker)
         expiry = asyncio.ensure_future(expire())
         await asyncio.sleep(seconds)
-        self._start_worker(self.checker.machines[machine])
+        self._start_worker(self.checker.machines[machine], keeps)
         await expiry
 
     # The operator.
--- a/test/soak/scenarios.py
+++ b/test/soak/scenarios.py
@@ -30,6 +30,22 @@
         await asyncio.sleep(DEADLY_SECONDS[0])
         await asyncio.gather(self._submit_deadly(), self._replace_leaders())
 
+    async def play_same_ids(self):
+        """Crashes workers that start again under the ids that they had."""
+        self._deployment.restart_keeps = ["id"]
+        rng = self._rng
+        for _ in range(LONG_RUNNING_JOBS):
+            self._deployment.load.add_long_running(rng)
+        restarts = []
+        for _ in range(int(self._seconds)):
+            await asyncio.sleep(rng.uniform(0.3, 1.2))
+            machine = rng.choice(sorted(self._checker.machines))
+            self._note("worker_restart", machine)
+            restarts.append(asyncio.ensure_future(
+                self._deployment.interrupt_worker(machine,
+                                                  rng.uniform(0.5, 3.0))))
+        await asyncio.gather(*restarts)
+
     async def _submit_deadly(self):
         rng = self._rng
         pause, end = rng.uniform(0.5, 4.0), DEADLY_SECONDS[1]
@@ -121,4 +137,5 @@
 
 
 SCENARIOS = {"planned_stops": ScenarioInjector.play_planned_stops,
-             "deadly": ScenarioInjector.play_deadly}
+             "deadly": ScenarioInjector.play_deadly,
+             "same_ids": ScenarioInjector.play_same_ids}
--- a/test/soak/worker_host.py
+++ b/test/soak/worker_host.py
@@ -51,6 +51,7 @@
         self.link = Link()
         self._random = random.Random(seed)
         self._machines = {}
+        self._ended = {}  # machine id -> its worker that ended last
         self._events = []
         self.store = _Store(lambda *event: self._events.append(event))
 
@@ -111,7 +112,7 @@
 
     # Commands.
 
-    async def _start(self, number, spec):
+    async def _start(self, number, spec, keeps):
         machine = self._machines.get(spec["id"])
         if machine is None:
             machine = Machine(spec["number"], spec["pool"], spec["zone"],
@@ -121,13 +122,16 @@
             machine.enforces_capacity = spec["enforces"]
             machine.stop_seconds = self._random.uniform(0.02, 0.3)
             self._machines[machine.id] = machine
-        machine.worker = Worker(self, machine, number)
+        previous = self._ended.get(machine.id) if keeps else None
+        machine.worker = Worker(
+            self, machine, previous.number if keeps == "id" else number, number)
         self._emit("up", machine.worker.id, machine.id)
-        await machine.worker.start()
+        await machine.worker.start(previous)
 
     def _end_worker(self, machine, graceful):
         worker, machine.worker = machine.worker, None
         if worker:
+            self._ended[machine.id] = worker
             self._emit("gone", worker.id)
             (worker.deregister if graceful else worker.terminate)()
 
@@ -141,7 +145,8 @@
         """Executes one command."""
         kind = command["do"]
         if kind == "start":
-            await self._start(command["worker"], command["machine"])
+            await self._start(command["worker"], command["machine"],
+                              command.get("keeps"))
         elif kind == "link":
             self.link.apply(command["how"], command.get("delay_s", 0.0))
         else:
--- a/test/soak/workers.py
+++ b/test/soak/workers.py
@@ -25,17 +25,19 @@
 class Worker:
     """One incarnation of a worker."""
 
-    def __init__(self, simulation, machine, number):
+    def __init__(self, simulation, machine, number, incarnation=None):
         self._simulation = simulation
         self._machine = machine
+        self.number = number
         self.id = "i-%06x" % number
-        self.incarnation = 1_700_000_000_000 + number
+        self.incarnation = 1_700_000_000_000 + (incarnation or number)
         self._started_at = simulation.clock()
         self.pool = machine.pool
         self.is_draining = False
         self.is_alive = True
         self.is_partitioned = False
         self.address = None
+        self.port = 0
         self._server = None
         self._highest_token = 0
         self._lease_end = 0.0
@@ -47,10 +49,13 @@
         self._sequence = 0
         self._end_event = asyncio.Event()
 
-    async def start(self):
-        """Starts the server and the heartbeat to the membership list."""
-        self._server, address = await serve(self._handle)
-        self.address = await self._simulation.expose(address)
+    async def start(self, previous=None):
+        """Starts the server, at the address of a previous incarnation if any."""
+        self._server, address = await serve(
+            self._handle, port=previous.port if previous else 0)
+        self.port = int(address.rsplit(":", 1)[1])
+        self.address = (previous.address if previous
+                        else await self._simulation.expose(address))
         asyncio.ensure_future(self._heartbeat())
 
     def clock_ms(self):
