Soak: check starts against capacities that shrink and grow

The scenario capacity changes the capacity of a third of the machines every 1 to 8 s, beside bursts and replaced leaders. LIMIT holds for workers that do not check their capacity; what has shrunk counts 4.5 s later (contact_ms and one heartbeat), for instances in touch. Without a change the limit is the capacity of the machine, as before.

--- a/test/soak/checker.py
+++ b/test/soak/checker.py
@@ -4,6 +4,7 @@
 import heapq
 import itertools
 
+from capacity_check import GRACE, CapacityCheck
 from crash_check import CrashCheck
 
 # Bounds in seconds, from the settings of a standard deployment.
@@ -81,6 +82,7 @@
         self._failures = collections.Counter()  # task -> failed ends noted
         self._acknowledged = {}
         self.crashes = CrashCheck(self.report)
+        self.capacities = CapacityCheck()
         self.latest_start = 0.0  # the longest time from a cancel to a start
         self._queue = []
         self._sequence = itertools.count()
@@ -126,7 +128,7 @@
     def free_cpu(self, worker):
         """Returns the free thousandths of a core of a worker."""
         machine = self.machines[self._workers[worker]]
-        return machine["cores"] * 1000 - self._used[worker]
+        return self.capacities.current(machine) - self._used[worker]
 
     def machines_of_long_running_tasks(self):
         """Returns the machines that run long-running tasks."""
@@ -152,6 +154,9 @@
         self.draining.pop(worker, None)
         self.crashes.on_up(worker)
 
+    def _on_capacity(self, time, machine, before, cpu):
+        self.capacities.on_change(time, machine, before, cpu)
+
     def _on_crash(self, time, worker, task):
         self.crashes.on_crash(worker)
 
@@ -192,10 +197,11 @@
         self._check_place(time, job, task, worker, machine, where)
         job.runs[(task, worker, attempt)] = time
         self._used[worker] += job.steps[int(task.split(".")[2])]["cpu"]
-        if not machine["enforces"] and (
-                self._used[worker] > machine["cores"] * 1000):
-            self.report("LIMIT", time, "%s: %d thousandths of a core beside %s" % (
-                where, self._used[worker], [
+        limit = self.capacities.limit(machine, time, timely,
+                                      self.lag(time - GRACE, time))
+        if not machine["enforces"] and self._used[worker] > limit:
+            self.report("LIMIT", time, "%s: %d of %d thousandths of a core "
+                        "beside %s" % (where, self._used[worker], limit, [
                     run[0] for other in self.jobs.values()
                     for run in other.runs if run[1] == worker]))
 
--- a/test/soak/deployment.py
+++ b/test/soak/deployment.py
@@ -322,7 +322,8 @@
         return Reply(200, {"next_token": None, "machines": [
             {"machine_id": m["id"], "pool": m["pool"], "zone": m["zone"],
              "state": "up" if m["worker"] else "down", "labels": m["labels"],
-             "capacity": {"cpu": m["cores"] * 1000, "mem_mb": 32768, "gpu": 0},
+             "capacity": {"cpu": self.checker.capacities.current(m),
+                          "mem_mb": 32768, "gpu": 0},
              "id": m["worker"]} for m in self.checker.machines.values()]})
 
     async def _read_events(self, process, zone):
--- a/test/soak/scenarios.py
+++ b/test/soak/scenarios.py
@@ -46,6 +46,33 @@
                                                   rng.uniform(0.5, 3.0))))
         await asyncio.gather(*restarts)
 
+    async def play_capacity(self):
+        """Shrinks and grows capacities of workers, beside bursts and stops."""
+        await asyncio.gather(self._change_capacities(), self._replace_leaders(),
+                             self._burst_often())
+
+    async def _change_capacities(self):
+        rng = self._rng
+        machines = self._checker.machines
+        end = self._seconds - 1.0
+        while end > 0:
+            for machine in rng.sample(sorted(machines), len(machines) // 3):
+                cpu = int(machines[machine]["cores"] * 1000 *
+                          rng.choice([0.2, 0.4, 0.6, 1.0, 1.0]))
+                self._note("capacity", "%s %d" % (machine, cpu))
+                self._deployment.tell_machine(machine, do="capacity", cpu=cpu)
+            seconds = rng.uniform(1.0, 8.0)
+            await asyncio.sleep(seconds)
+            end -= seconds
+        for machine in machines.values():
+            self._deployment.tell_machine(machine["id"], do="capacity",
+                                          cpu=machine["cores"] * 1000)
+
+    async def _burst_often(self):
+        for _ in range(int(self._seconds // 4)):
+            await asyncio.sleep(self._rng.uniform(1.0, 5.0))
+            await self._deployment.load.burst(self._rng)
+
     async def _submit_deadly(self):
         rng = self._rng
         pause, end = rng.uniform(0.5, 4.0), DEADLY_SECONDS[1]
@@ -138,4 +165,5 @@
 
 SCENARIOS = {"planned_stops": ScenarioInjector.play_planned_stops,
              "deadly": ScenarioInjector.play_deadly,
+             "capacity": ScenarioInjector.play_capacity,
              "same_ids": ScenarioInjector.play_same_ids}
--- a/test/soak/worker_host.py
+++ b/test/soak/worker_host.py
@@ -155,6 +155,10 @@
                 machine.worker.is_draining = True
             elif kind == "crash" and machine.worker:
                 self._crash(machine.worker)
+            elif kind == "capacity":
+                before = machine.capacity["cpu"]
+                machine.capacity = {**machine.capacity, "cpu": command["cpu"]}
+                self._emit("capacity", machine.id, before, command["cpu"])
             elif kind == "leave":
                 self._end_worker(machine, True)
 
