--- a/test/soak/deployment.py
+++ b/test/soak/deployment.py
@@ -29,12 +29,13 @@
 ENTRY_SECONDS = 4.5    # after which the entry of a silent worker is removed
 MAX_MESSAGE_BYTES = 1 << 26
 SIZES = {  # daemons, workers, worker hosts of a zone, cores of a worker
-    "small": (6, 24, 1, 8), "wide": (5, 180, 2, 2), "large": (40, 180, 2, 8)}
+    "small": (6, 24, 1, 8), "wide": (5, 180, 2, 2), "large": (40, 180, 2, 8),
+    "crowded": (150, 180, 2, 8)}
 # Shares of a core of an instance. A wide deployment has small ones: its leader
 # is short of processor time as on a grown platform, under a load that the
 # stand-ins can carry.
 SHARES = {"small": [0.08, 0.12, 0.25], "wide": [0.03, 0.04, 0.06],
-          "large": [0.08, 0.12, 0.25]}
+          "large": [0.08, 0.12, 0.25], "crowded": [0.02, 0.03]}
 ANY = "any"  # a size that the seed chooses
 WIDE_SHARE = 0.25
 ZONES = ["z1", "z2", "z3"]
