--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -22,6 +22,7 @@
     "--seed 3 --seconds 10 --size small",
     "--seed 25 --seconds 12 --size wide --cpu-share 0.03 --load-share 0.8 "
     "--kinds burst,cancel_wave",
+    "--seed 1 --seconds 10 --size small --scenario capacity",
 ]
 MAX_LINE = 240         # characters of a violation that are printed
 FINISH_SECONDS = 14.0  # for the jobs that are left when the load ends
