Store where the long-running tasks of a job may run

A successor knew nothing of where the tasks of a job run, so that it had to wait for every worker of the pool. The progress record of a job with long-running steps now lists for each of their runs the worker and its incarnation. EarlierPlacements keeps the list that was read, and a successor stores what it has not settled together with its own runs, so that a second successor reads the whole. The end of a run changes the record.

A record without the list, of an earlier version, means that the placements are unknown, and stays so until they are settled. Earlier versions ignore the list. Nothing reads the placements yet.

--- a/src/crocusmast/adapters/records/job_records.cc
+++ b/src/crocusmast/adapters/records/job_records.cc
@@ -162,6 +162,22 @@
   return step;
 }
 
+Json EncodePlacement(const job::TaskPlacement& placement) {
+  return {placement.task.occurrence, placement.task.step, placement.task.index,
+          placement.worker.Text(), placement.incarnation.Count()};
+}
+
+core::Result<job::TaskPlacement> DecodePlacement(const Json& row) {
+  job::TaskPlacement placement;
+  placement.task = {row.at(0).get<std::uint32_t>(),
+                    row.at(1).get<std::uint32_t>(),
+                    row.at(2).get<std::uint32_t>()};
+  BOOST_LEAF_ASSIGN(placement.worker,
+                    core::InstanceId::Create(row.at(3).get<std::string>()));
+  placement.incarnation = core::Incarnation(row.at(4).get<std::uint64_t>());
+  return placement;
+}
+
 constexpr int kLastState = static_cast<int>(job::JobState::kCancelled);
 
 }  // namespace internal
@@ -222,10 +238,17 @@
     }
     open_occurrences.push_back({occurrence.number, std::move(steps)});
   }
-  return internal::ToCbor({{"v", internal::kFormatVersion},
-                           {"state", static_cast<int>(progress.state)},
-                           {"opened", progress.opened_count},
-                           {"open", std::move(open_occurrences)}});
+  Json json{{"v", internal::kFormatVersion},
+            {"state", static_cast<int>(progress.state)},
+            {"opened", progress.opened_count},
+            {"open", std::move(open_occurrences)}};
+  if (progress.placements) {
+    Json& placements = json["placed"] = Json::array();
+    for (const job::TaskPlacement& placement : *progress.placements) {
+      placements.push_back(internal::EncodePlacement(placement));
+    }
+  }
+  return internal::ToCbor(json);
 }
 
 core::Result<job::JobProgress> DecodeProgress(std::string_view bytes) {
@@ -248,6 +271,13 @@
             occurrence.steps.push_back(internal::DecodeStepProgress(step));
           }
         }
+        if (json.contains("placed")) {
+          progress.placements.emplace();
+          for (const Json& row : json.at("placed")) {
+            BOOST_LEAF_AUTO(placement, internal::DecodePlacement(row));
+            progress.placements->push_back(std::move(placement));
+          }
+        }
         return progress;
       });
 }
--- /dev/null
+++ b/src/crocusmast/job/earlier_placements.cc
@@ -0,0 +1,38 @@
+#include "crocusmast/job/earlier_placements.h"
+
+#include <utility>
+
+namespace crocusmast::job {
+
+EarlierPlacements EarlierPlacements::Restore(
+    const std::optional<std::vector<TaskPlacement>>& stored) {
+  EarlierPlacements placements;
+  placements.m_are_known = stored.has_value();
+  if (stored) {
+    for (const TaskPlacement& placement : *stored) {
+      placements.m_placements.emplace(placement.task, placement);
+    }
+  }
+  return placements;
+}
+
+bool EarlierPlacements::Settle(const ActivityCheck& may_be_active) {
+  const std::size_t before = m_placements.size();
+  for (auto next = m_placements.begin(); next != m_placements.end();) {
+    next = may_be_active(next->second) ? std::next(next)
+                                       : m_placements.erase(next);
+  }
+  return m_placements.size() < before;
+}
+
+bool EarlierPlacements::SettleUnknown() {
+  return !std::exchange(m_are_known, true);
+}
+
+void EarlierPlacements::AppendTo(std::vector<TaskPlacement>& placements) const {
+  for (const auto& [task, placement] : m_placements) {
+    placements.push_back(placement);
+  }
+}
+
+}  // namespace crocusmast::job
--- /dev/null
+++ b/src/crocusmast/job/earlier_placements.h
@@ -0,0 +1,74 @@
+#ifndef CROCUSMAST_JOB_EARLIER_PLACEMENTS_H_
+#define CROCUSMAST_JOB_EARLIER_PLACEMENTS_H_
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "crocusmast/job/progress.h"
+#include "crocusmast/job/task_id.h"
+
+namespace crocusmast::job {
+
+/**
+ * @brief Workers on which runs of a job's long-running tasks that an earlier
+ * leader began may be active.
+ *
+ * A placement stays until its worker is known to run nothing else of an earlier
+ * leader. Unknown placements may be on any worker of the job's pool.
+ */
+class EarlierPlacements {
+ public:
+  /** @brief Creates the placements of a job that no earlier leader started. */
+  EarlierPlacements() = default;
+
+  /**
+   * @brief Creates the placements that an earlier leader stored.
+   * @param stored The stored placements; absent if they are unknown.
+   */
+  static EarlierPlacements Restore(
+      const std::optional<std::vector<TaskPlacement>>& stored);
+
+  /** @brief Tells whether the placements are known. */
+  bool AreKnown() const { return m_are_known; }
+
+  /**
+   * @brief Tells whether an earlier run of a task may be active.
+   * @param task The task.
+   */
+  bool MayBeRunning(const TaskKey& task) const {
+    return !m_are_known || m_placements.count(task) > 0;
+  }
+
+  /** @brief Tells whether a run that was placed earlier may be active. */
+  using ActivityCheck = std::function<bool(const TaskPlacement&)>;
+  /**
+   * @brief Removes the placements whose run is not active or is known as a run
+   * of its job.
+   * @param may_be_active Checks a placement.
+   * @return True if a placement was removed.
+   */
+  bool Settle(const ActivityCheck& may_be_active);
+
+  /**
+   * @brief Makes unknown placements known to be none, since every worker that
+   * may have had a run is reconciled.
+   * @return True if they were unknown.
+   */
+  bool SettleUnknown();
+
+  /**
+   * @brief Appends the placements, which are known.
+   * @param placements Where to append them.
+   */
+  void AppendTo(std::vector<TaskPlacement>& placements) const;
+
+ private:
+  bool m_are_known = true;
+  std::multimap<TaskKey, TaskPlacement> m_placements;
+};
+
+}  // namespace crocusmast::job
+
+#endif  // CROCUSMAST_JOB_EARLIER_PLACEMENTS_H_
--- a/src/crocusmast/job/fwd.h
+++ b/src/crocusmast/job/fwd.h
@@ -3,6 +3,7 @@
 
 namespace crocusmast::job {
 
+class EarlierPlacements;
 class Job;
 class JobCatalog;
 struct AcceptedJob;
--- a/src/crocusmast/job/job.cc
+++ b/src/crocusmast/job/job.cc
@@ -85,6 +85,9 @@
 void Job::Restore(const JobProgress& stored) {
   m_state = stored.state;
   m_opened_count = stored.opened_count;
+  if (m_state != JobState::kQueued && m_accepted.spec.HasLongRunningSteps()) {
+    m_earlier_placements = EarlierPlacements::Restore(stored.placements);
+  }
   for (const OccurrenceProgress& open : stored.open_occurrences) {
     Occurrence occurrence = MakeOccurrence();
     const std::size_t known =
@@ -250,6 +253,7 @@
   if (was_known) {
     task->runs.erase(run);
   }
+  const bool is_placement_removed = was_known && StepOf(key).is_long_running;
   task->attempt = std::max(task->attempt, attempt);
   if (task->is_done || IsFinal(m_state)) {
     return false;
@@ -267,7 +271,7 @@
     CountFailure(key, attempt, max_attempts);
     return true;
   }
-  return is_new_checkpoint;
+  return is_new_checkpoint || is_placement_removed;
 }
 
 void Job::CompleteTask(const TaskKey& key) {
@@ -355,7 +359,40 @@
       open.steps.push_back(internal::ToProgress(step));
     }
   }
+  if (m_accepted.spec.HasLongRunningSteps() &&
+      m_earlier_placements.AreKnown()) {
+    std::vector<TaskPlacement>& placements = progress.placements.emplace();
+    m_earlier_placements.AppendTo(placements);
+    ForEachRun([&](const TaskKey& key, const Run& run) {
+      if (StepOf(key).is_long_running) {
+        placements.push_back({key, run.worker, run.incarnation});
+      }
+    });
+  }
   return progress;
 }
 
+template <typename Visitor>
+void Job::ForEachMutableRun(Visitor visit) {
+  for (auto& [number, occurrence] : m_open_occurrences) {
+    for (StepState& step : occurrence.steps) {
+      for (Task& task : step.tasks) {
+        std::for_each(task.runs.begin(), task.runs.end(), visit);
+      }
+    }
+  }
+}
+
+JobProgress Job::CaptureProgress() {
+  ForEachMutableRun([](Run& run) { run.is_in_captured_progress = true; });
+  return Progress();
+}
+
+void Job::MarkCapturedProgressStored() {
+  ForEachMutableRun([](Run& run) {
+    run.is_placement_stored =
+        run.is_placement_stored || run.is_in_captured_progress;
+  });
+}
+
 }  // namespace crocusmast::job
--- a/src/crocusmast/job/job.h
+++ b/src/crocusmast/job/job.h
@@ -9,6 +9,7 @@
 
 #include "crocusmast/core/clock.h"
 #include "crocusmast/core/ids.h"
+#include "crocusmast/job/earlier_placements.h"
 #include "crocusmast/job/job_spec.h"
 #include "crocusmast/job/progress.h"
 #include "crocusmast/job/task_id.h"
@@ -44,6 +45,8 @@
 struct Run {
   /** @brief Worker that it is assigned to. */
   core::InstanceId worker;
+  /** @brief Incarnation of that worker. */
+  core::Incarnation incarnation;
   /** @brief Attempt number of the task. */
   core::Attempt attempt;
   /** @brief When it was placed on the worker, or found there. */
@@ -54,6 +57,10 @@
   core::TimePoint last_at_full_speed;
   /** @brief A stop command was sent. */
   bool is_stopping = false;
+  /** @brief The progress that is being stored contains its placement. */
+  bool is_in_captured_progress = false;
+  /** @brief Its placement is stored, so that a successor knows its worker. */
+  bool is_placement_stored = false;
 };
 
 /** @brief State of one task of an open occurrence. */
@@ -232,11 +239,25 @@
   /** @brief Returns the progress to store for a successor. */
   JobProgress Progress() const;
 
+  /** @brief Returns the progress to store, and remembers which runs it
+   * contains. */
+  JobProgress CaptureProgress();
+
+  /** @brief Marks the runs that the progress captured last contains as
+   * stored. */
+  void MarkCapturedProgressStored();
+
+  /** @brief Returns where runs of an earlier leader may be active; only of
+   * long-running tasks. */
+  EarlierPlacements& Earlier() { return m_earlier_placements; }
+
  private:
   Job(AcceptedJob accepted, core::Attempt last_attempt)
       : m_accepted(std::move(accepted)), m_last_attempt(last_attempt) {}
 
   Task* FindTask(const TaskKey& key);
+  template <typename Visitor>
+  void ForEachMutableRun(Visitor visit);
   void Restore(const JobProgress& stored);
   Occurrence MakeOccurrence() const;
   bool AreDependenciesDone(const Occurrence& occurrence,
@@ -253,6 +274,7 @@
   /** @brief Number of occurrences that were opened so far. */
   std::uint32_t m_opened_count = 0;
   std::map<std::uint32_t, Occurrence> m_open_occurrences;
+  EarlierPlacements m_earlier_placements;
 };
 
 }  // namespace crocusmast::job
--- a/src/crocusmast/job/job_spec.cc
+++ b/src/crocusmast/job/job_spec.cc
@@ -30,6 +30,11 @@
 
 }  // namespace internal
 
+bool JobSpec::HasLongRunningSteps() const {
+  return std::any_of(steps.begin(), steps.end(),
+                     [](const Step& step) { return step.is_long_running; });
+}
+
 core::Result<void> Validate(const JobSpec& spec) {
   const auto fail = [](const std::string& problem) {
     return core::Fail(core::Operation::kValidateJob, "job", problem);
--- a/src/crocusmast/job/job_spec.h
+++ b/src/crocusmast/job/job_spec.h
@@ -80,6 +80,9 @@
   std::vector<Step> steps;
   /** @brief When the steps run. */
   Schedule schedule;
+
+  /** @brief Tells whether a step is long-running. */
+  bool HasLongRunningSteps() const;
 };
 
 /** @brief A job that was accepted and stored. */
--- a/src/crocusmast/job/progress.h
+++ b/src/crocusmast/job/progress.h
@@ -2,11 +2,14 @@
 #define CROCUSMAST_JOB_PROGRESS_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include "crocusmast/core/ids.h"
 #include "crocusmast/core/units.h"
+#include "crocusmast/job/task_id.h"
 
 namespace crocusmast::job {
 
@@ -70,6 +73,13 @@
   std::vector<StepProgress> steps;
 };
 
+/** @brief A worker on which a run of a long-running task may be active. */
+struct TaskPlacement {
+  TaskKey task;
+  core::InstanceId worker;
+  core::Incarnation incarnation;
+};
+
 /** @brief Stored progress of a job, from which a successor continues. */
 struct JobProgress {
   /** @brief State of the job. */
@@ -78,6 +88,9 @@
   std::uint32_t opened_count = 0;
   /** @brief Occurrences that are open: opened but not done. */
   std::vector<OccurrenceProgress> open_occurrences;
+  /** @brief Where runs of long-running tasks may be active; absent if unknown,
+   * and for a job without such tasks. */
+  std::optional<std::vector<TaskPlacement>> placements;
 };
 
 }  // namespace crocusmast::job
--- a/src/crocusmast/scheduling/scheduler.cc
+++ b/src/crocusmast/scheduling/scheduler.cc
@@ -10,12 +10,6 @@
  * deadline is set. */
 constexpr std::chrono::seconds kMaxJobAge{30};
 
-bool IsLongRunning(const job::JobSpec& spec) {
-  return std::any_of(
-      spec.steps.begin(), spec.steps.end(),
-      [](const job::Step& step) { return step.is_long_running; });
-}
-
 }  // namespace internal
 
 using execution::Worker;
@@ -153,7 +147,7 @@
     const job::JobSpec& spec = active.job.Accepted().spec;
     const std::vector<bool> all(spec.steps.size(), true);
     active.deadline = accepted_at + queue.slack;
-    if (!internal::IsLongRunning(spec)) {
+    if (!spec.HasLongRunningSteps()) {
       active.deadline += std::chrono::duration_cast<core::Duration>(
           queue.slack_factor * job::CriticalPath(spec, all));
     }
--- a/src/crocusmast/scheduling/scheduler_placement.cc
+++ b/src/crocusmast/scheduling/scheduler_placement.cc
@@ -299,6 +299,7 @@
   }
   job::Run run;
   run.worker = worker.Record().id;
+  run.incarnation = worker.Record().incarnation;
   run.attempt = attempt;
   run.started_at = now;
   active.job.BeginRun(task.key, std::move(run));
--- a/src/crocusmast/scheduling/scheduler_polls.cc
+++ b/src/crocusmast/scheduling/scheduler_polls.cc
@@ -195,6 +195,7 @@
   }
   job::Run adopted;
   adopted.worker = worker.Record().id;
+  adopted.incarnation = worker.Record().incarnation;
   adopted.attempt = report.attempt;
   adopted.started_at = m_ports.clock.Now();
   active->job.BeginRun(report.task.key, std::move(adopted));
--- a/test/adapters/job_records_test.cc
+++ b/test/adapters/job_records_test.cc
@@ -2,6 +2,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <nlohmann/json.hpp>
 #include <random>
 
 #include "test/support/port_fakes.h"
@@ -17,6 +18,8 @@
   CPPUNIT_TEST_SUITE(JobRecordsTest);
   CPPUNIT_TEST(JobRoundTrips);
   CPPUNIT_TEST(ProgressRoundTrips);
+  CPPUNIT_TEST(ProgressWithoutPlacementsIsDecoded);
+  CPPUNIT_TEST(ProgressWithPlacementsIsReadableByEarlierVersions);
   CPPUNIT_TEST(JobEndIsDistinguishedFromJob);
   CPPUNIT_TEST(HandoverStateAndHolderRoundTrip);
   CPPUNIT_TEST(DamagedBytesGiveJobOrError);
@@ -88,6 +91,49 @@
         std::string("saved"),
         decoded.open_occurrences[0].steps[0].tasks[0].checkpoint);
     CPPUNIT_ASSERT(records::EncodeProgress(decoded) == bytes);
+    CPPUNIT_ASSERT(!decoded.placements);
+    progress.placements.emplace();
+    CPPUNIT_ASSERT(records::DecodeProgress(records::EncodeProgress(progress))
+                       .value()
+                       .placements->empty());
+    progress.placements->push_back(
+        {{1, 0, 2}, MakeId<core::InstanceId>("w-1"), core::Incarnation(5)});
+    const std::string placed = records::EncodeProgress(progress);
+    const job::JobProgress with_placements =
+        records::DecodeProgress(placed).value();
+    const job::TaskPlacement& placement = with_placements.placements->at(0);
+    CPPUNIT_ASSERT(placement.task == job::TaskKey({1, 0, 2}));
+    CPPUNIT_ASSERT(placement.worker == MakeId<core::InstanceId>("w-1"));
+    CPPUNIT_ASSERT(placement.incarnation == core::Incarnation(5));
+    CPPUNIT_ASSERT(records::EncodeProgress(with_placements) == placed);
+  }
+
+  // A record as earlier versions wrote it.
+  void ProgressWithoutPlacementsIsDecoded() {
+    std::string bytes;
+    nlohmann::json::to_cbor(nlohmann::json::parse(R"({
+      "v": 1, "state": 1, "opened": 1,
+      "open": [[0, [["00", [[1, 7, [3], "saved"]]]]]]
+    })"),
+                            bytes);
+    const job::JobProgress decoded = records::DecodeProgress(bytes).value();
+    CPPUNIT_ASSERT(!decoded.placements);
+    CPPUNIT_ASSERT_EQUAL(
+        std::uint64_t{7},
+        decoded.open_occurrences[0].steps[0].tasks[0].attempt.Count());
+  }
+
+  // Earlier versions read four fields by name and ignore further ones.
+  void ProgressWithPlacementsIsReadableByEarlierVersions() {
+    job::JobProgress progress;
+    progress.state = job::JobState::kRunning;
+    progress.placements.emplace();
+    const std::string bytes = records::EncodeProgress(progress);
+    const nlohmann::json json = nlohmann::json::from_cbor(bytes);
+    CPPUNIT_ASSERT_EQUAL(1, json.at("v").get<int>());
+    for (const char* name : {"state", "opened", "open"}) {
+      CPPUNIT_ASSERT(json.contains(name));
+    }
   }
 
   void HandoverStateAndHolderRoundTrip() {
--- a/test/job/job_test.cc
+++ b/test/job/job_test.cc
@@ -60,6 +60,9 @@
   CPPUNIT_TEST(OnlyFailedRunsCountAsFailures);
   CPPUNIT_TEST(GangSharesFailuresCheckpointsAndSuccess);
   CPPUNIT_TEST(LongRunningTasksRestartUntilCancelled);
+  CPPUNIT_TEST(ProgressTellsWhereLongRunningTasksMayRun);
+  CPPUNIT_TEST(RunAfterCaptureIsNotStoredWithIt);
+  CPPUNIT_TEST(UnknownPlacementsStayUnknownUntilSettled);
   CPPUNIT_TEST(OccurrencesOpenWhenDue);
   CPPUNIT_TEST(FinalStateDoesNotChange);
   CPPUNIT_TEST(ProgressIsRestored);
@@ -166,6 +169,59 @@
     CPPUNIT_ASSERT(ReadyTasks(job).empty());
   }
 
+  static std::vector<job::Step> LongRunningSteps(std::uint32_t count) {
+    job::Step step = MakeStep(count);
+    step.is_long_running = true;
+    return {step};
+  }
+
+  void ProgressTellsWhereLongRunningTasksMayRun() {
+    CPPUNIT_ASSERT(!MakeOpenJob({MakeStep(1)}).Progress().placements);
+    Job job = MakeOpenJob(LongRunningSteps(3));
+    CPPUNIT_ASSERT(job.Progress().placements->empty());
+    const core::Attempt attempt = StartRun(job, {0, 0, 1});
+    StartRun(job, {0, 0, 2});
+    CPPUNIT_ASSERT(job.EndRun({0, 0, 1}, attempt, RunOutcome::kLost, "", 0));
+    const job::JobProgress progress = job.Progress();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, progress.placements->size());
+    CPPUNIT_ASSERT(progress.placements->front().task == TaskKey({0, 0, 2}));
+    // The second successor gets what the first one has not settled.
+    Job successor = MakeOpenJob(LongRunningSteps(3), &progress);
+    StartRun(successor, {0, 0, 0});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2},
+                         successor.Progress().placements->size());
+    CPPUNIT_ASSERT(successor.Earlier().MayBeRunning({0, 0, 2}));
+    CPPUNIT_ASSERT(!successor.Earlier().MayBeRunning({0, 0, 1}));
+  }
+
+  void RunAfterCaptureIsNotStoredWithIt() {
+    Job job = MakeOpenJob(LongRunningSteps(2));
+    StartRun(job, {0, 0, 0});
+    job.CaptureProgress();
+    StartRun(job, {0, 0, 1});
+    CPPUNIT_ASSERT(!job.Find({0, 0, 0})->runs[0].is_placement_stored);
+    job.MarkCapturedProgressStored();
+    CPPUNIT_ASSERT(job.Find({0, 0, 0})->runs[0].is_placement_stored);
+    CPPUNIT_ASSERT(!job.Find({0, 0, 1})->runs[0].is_placement_stored);
+    job.CaptureProgress();
+    job.MarkCapturedProgressStored();
+    CPPUNIT_ASSERT(job.Find({0, 0, 1})->runs[0].is_placement_stored);
+  }
+
+  // The record of a leader of an earlier version has no placements.
+  void UnknownPlacementsStayUnknownUntilSettled() {
+    Job first = MakeOpenJob(LongRunningSteps(2));
+    StartRun(first, {0, 0, 0});
+    job::JobProgress progress = first.Progress();
+    progress.placements.reset();
+    Job job = MakeOpenJob(LongRunningSteps(2), &progress);
+    StartRun(job, {0, 0, 1});
+    CPPUNIT_ASSERT(job.Earlier().MayBeRunning({0, 0, 0}));
+    CPPUNIT_ASSERT(!job.Progress().placements);
+    CPPUNIT_ASSERT(job.Earlier().SettleUnknown());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, job.Progress().placements->size());
+  }
+
   void OccurrencesOpenWhenDue() {
     job::AcceptedJob accepted = MakeJob("0123456789abcdef", {MakeStep(1)});
     accepted.spec.schedule = {3, kWallTime, std::chrono::milliseconds(1000)};
