Start long-running tasks after their placement is stored

A successor can rely on the stored placements only if no long-running task runs on a worker that the store doesn't name. A run that was stopped meanwhile isn't started; one whose worker began to leave is withdrawn and placed anew, a gang as a whole. Runs that a poll finds are stored too. Finite tasks start as before, without a further commit.

The start commands move to a file of their own.

--- a/src/crocusmast/execution/worker.h
+++ b/src/crocusmast/execution/worker.h
@@ -32,6 +32,9 @@
   bool is_confirmed = false;
   /** @brief A start command got no reply and may still be executed. */
   bool has_unanswered_start = false;
+  /** @brief The start command has not been sent, because a commit that a
+   * successor needs to know of the run is not stored yet. */
+  bool is_waiting_for_commit = false;
   /** @brief The start command has not been sent, because the known state of
    * the store was too old. */
   bool is_start_deferred = false;
--- a/src/crocusmast/scheduling/scheduler.cc
+++ b/src/crocusmast/scheduling/scheduler.cc
@@ -211,11 +211,11 @@
   PlaceTasks();
   SendPolls();
   const auto read = [this](const core::JobId& id) {
-    const ActiveJob* active = FindJob(id);
-    return active == nullptr
-               ? std::nullopt
-               : std::optional(job::ProgressWrite{
-                     id, active->job.Accepted().queue, active->job.Progress()});
+    ActiveJob* active = FindJob(id);
+    return active == nullptr ? std::nullopt
+                             : std::optional(job::ProgressWrite{
+                                   id, active->job.Accepted().queue,
+                                   active->job.CaptureProgress()});
   };
   std::optional<job::Commit> commit =
       m_committer.NextCommit(m_term.token, m_ports.clock.Now(), read);
@@ -256,10 +256,8 @@
   const bool is_leader = m_committer.Handle(
       reply, now,
       [this](const core::JobId& id, job::JobState state) {
-        ActiveJob* active = FindJob(id);
-        if (active != nullptr && state == job::JobState::kRunning &&
-            !std::exchange(active->is_start_recorded, true)) {
-          SendDeferredStarts(*active);
+        if (ActiveJob* active = FindJob(id); active != nullptr) {
+          HandleProgressStored(*active, state);
         }
       },
       [this, now](const core::InstanceId& id, core::RunEndNumber number) {
--- a/src/crocusmast/scheduling/scheduler.h
+++ b/src/crocusmast/scheduling/scheduler.h
@@ -256,6 +256,7 @@
   void RetryCommands();
   bool RetryWorkerCommands(execution::Worker& worker);
   void SendStart(execution::Worker& worker, const execution::RunKey& key);
+  void HandleProgressStored(ActiveJob& active, job::JobState state);
   void SendDeferredStarts(ActiveJob& active);
   void SendStop(execution::Worker& worker, const execution::RunKey& key);
   void StopRuns(ActiveJob& active);
@@ -276,6 +277,7 @@
                                   const job::TaskId& task,
                                   const job::Step& step);
   bool IsUsable(const execution::Worker& worker) const;
+  static bool IsStaying(const execution::Worker& worker);
   void RequestTickets(const ActiveJob& active,
                       const job::TaskId& task,
                       const job::Step& step);
--- a/src/crocusmast/scheduling/scheduler_placement.cc
+++ b/src/crocusmast/scheduling/scheduler_placement.cc
@@ -188,9 +188,8 @@
 }
 
 bool Scheduler::IsUsable(const Worker& worker) const {
-  return worker.IsListed() && worker.is_reconciled &&
-         worker.is_recorded_in_store && !worker.Record().is_draining &&
-         !worker.is_cordoned && worker.failed_polls == 0 &&
+  return IsStaying(worker) && worker.is_reconciled &&
+         worker.is_recorded_in_store && worker.failed_polls == 0 &&
          worker.backoff_until <= m_ports.clock.Now();
 }
 
@@ -284,48 +283,6 @@
   return best;
 }
 
-void Scheduler::StartTask(ActiveJob& active,
-                          Worker& worker,
-                          const job::TaskId& task,
-                          core::Attempt attempt) {
-  const core::TimePoint now = m_ports.clock.Now();
-  const job::Step& step = active.job.StepOf(task.key);
-  worker.Add({task, attempt}, MakeAssignedRun(step));
-  if (worker.received_end == worker.recorded_end) {
-    worker.next_poll_at = std::min(worker.next_poll_at, now);
-  }
-  if (active.job.State() == job::JobState::kQueued) {
-    m_committer.MarkChanged(task.job);
-  }
-  job::Run run;
-  run.worker = worker.Record().id;
-  run.incarnation = worker.Record().incarnation;
-  run.attempt = attempt;
-  run.started_at = now;
-  active.job.BeginRun(task.key, std::move(run));
-  worker.ExtendLease(kWorkerLeaseLength, now);
-  RecordPlacement(task, attempt, worker);
-  if (active.is_start_recorded) {
-    SendStart(worker, {task, attempt});
-  }
-}
-
-void Scheduler::SendDeferredStarts(ActiveJob& active) {
-  std::vector<std::pair<core::InstanceId, RunKey>> reserved;
-  active.job.ForEachRun([&](const job::TaskKey& key, const job::Run& run) {
-    reserved.emplace_back(run.worker,
-                          RunKey{{active.job.Id(), key}, run.attempt});
-  });
-  for (const auto& [id, key] : reserved) {
-    Worker* worker = FindWorker(id);
-    const execution::AssignedRun* run =
-        worker == nullptr ? nullptr : worker->Find(key);
-    if (run != nullptr && !run->is_stopping) {
-      SendStart(*worker, key);
-    }
-  }
-}
-
 void Scheduler::RecordPlacement(const job::TaskId& task,
                                 core::Attempt attempt,
                                 const Worker& worker) {
@@ -354,32 +311,4 @@
        {"token", std::to_string(m_term.token.Count())}});
 }
 
-void Scheduler::SendStart(Worker& worker, const RunKey& key) {
-  ActiveJob* active = FindJob(key.task.job);
-  execution::AssignedRun* run = worker.Find(key);
-  const job::Task* task = active->job.Find(key.task.key);
-  if (run == nullptr || task == nullptr) {
-    return;
-  }
-  run->is_start_deferred = !MayStartTasks();
-  if (run->is_start_deferred) {
-    m_workers_to_retry.insert(worker.Record().id);
-    return;
-  }
-  run->is_command_pending = true;
-  run->command_sent_at = m_ports.clock.Now();
-  execution::StartCommand command;
-  command.to = DestinationOf(worker);
-  command.task = key.task;
-  command.attempt = key.attempt;
-  command.payload = active->job.Accepted().spec.payload;
-  command.lease_until = worker.LeaseUntil();
-  command.checkpoint = active->job.CheckpointOf(key.task.key);
-  const std::string* ticket =
-      m_tickets.Find(StepId::Of(key.task), command.to.worker,
-                     command.to.incarnation, run->command_sent_at);
-  command.ticket = ticket == nullptr ? "" : *ticket;
-  m_ports.workers.Start(std::move(command));
-}
-
 }  // namespace crocusmast::scheduling
--- a/src/crocusmast/scheduling/scheduler_polls.cc
+++ b/src/crocusmast/scheduling/scheduler_polls.cc
@@ -199,6 +199,9 @@
   adopted.attempt = report.attempt;
   adopted.started_at = m_ports.clock.Now();
   active->job.BeginRun(report.task.key, std::move(adopted));
+  if (active->job.StepOf(report.task.key).is_long_running) {
+    m_committer.MarkChanged(report.task.job);
+  }
 }
 
 void Scheduler::EndUnreportedRuns(Worker& worker,
--- /dev/null
+++ b/src/crocusmast/scheduling/scheduler_starts.cc
@@ -0,0 +1,129 @@
+#include <algorithm>
+#include <utility>
+
+#include "crocusmast/scheduling/scheduler.h"
+
+// Start commands, and the commits that they wait for.
+
+namespace crocusmast::scheduling {
+
+using execution::RunKey;
+using execution::Worker;
+
+void Scheduler::StartTask(ActiveJob& active,
+                          Worker& worker,
+                          const job::TaskId& task,
+                          core::Attempt attempt) {
+  const core::TimePoint now = m_ports.clock.Now();
+  const job::Step& step = active.job.StepOf(task.key);
+  execution::AssignedRun assigned = MakeAssignedRun(step);
+  // A successor must know that the job has started, and on which worker each
+  // long-running task may run.
+  assigned.is_waiting_for_commit =
+      !active.is_start_recorded || step.is_long_running;
+  worker.Add({task, attempt}, assigned);
+  if (worker.received_end == worker.recorded_end) {
+    worker.next_poll_at = std::min(worker.next_poll_at, now);
+  }
+  if (active.job.State() == job::JobState::kQueued || step.is_long_running) {
+    m_committer.MarkChanged(task.job);
+  }
+  job::Run run;
+  run.worker = worker.Record().id;
+  run.incarnation = worker.Record().incarnation;
+  run.attempt = attempt;
+  run.started_at = now;
+  active.job.BeginRun(task.key, std::move(run));
+  worker.ExtendLease(kWorkerLeaseLength, now);
+  RecordPlacement(task, attempt, worker);
+  if (!assigned.is_waiting_for_commit) {
+    SendStart(worker, {task, attempt});
+  }
+}
+
+void Scheduler::HandleProgressStored(ActiveJob& active, job::JobState state) {
+  const bool is_first_start = state == job::JobState::kRunning &&
+                              !std::exchange(active.is_start_recorded, true);
+  const bool is_long_running = active.job.Accepted().spec.HasLongRunningSteps();
+  if (is_long_running) {
+    active.job.MarkCapturedProgressStored();
+  }
+  if (is_first_start || (is_long_running && active.is_start_recorded)) {
+    SendDeferredStarts(active);
+  }
+}
+
+void Scheduler::SendDeferredStarts(ActiveJob& active) {
+  std::vector<std::pair<core::InstanceId, RunKey>> stored;
+  active.job.ForEachRun([&](const job::TaskKey& key, const job::Run& run) {
+    if (run.is_placement_stored || !active.job.StepOf(key).is_long_running) {
+      stored.emplace_back(run.worker,
+                          RunKey{{active.job.Id(), key}, run.attempt});
+    }
+  });
+  std::vector<std::pair<Worker*, RunKey>> released;
+  // Runs of each step of an occurrence whose worker may start them.
+  std::map<std::pair<std::uint32_t, std::uint32_t>, std::uint32_t> startable;
+  for (const auto& [id, key] : stored) {
+    Worker* worker = FindWorker(id);
+    execution::AssignedRun* run =
+        worker == nullptr ? nullptr : worker->Find(key);
+    if (run != nullptr && !run->is_stopping &&
+        std::exchange(run->is_waiting_for_commit, false)) {
+      released.emplace_back(worker, key);
+      const std::pair step(key.task.key.occurrence, key.task.key.step);
+      startable[step] += IsStaying(*worker) ? 1 : 0;
+    }
+  }
+  for (const auto& [worker, key] : released) {
+    const job::TaskKey& task = key.task.key;
+    const job::Step& step = active.job.StepOf(task);
+    // The worker may have begun to leave while the commit was stored. The
+    // members of a gang start together or not at all.
+    const bool is_withdrawn =
+        step.is_long_running &&
+        (!IsStaying(*worker) ||
+         (step.is_gang &&
+          startable[{task.occurrence, task.step}] < step.count));
+    if (is_withdrawn) {
+      EndRun(*worker, key, job::RunOutcome::kRejected, "");
+    } else {
+      SendStart(*worker, key);
+    }
+  }
+}
+
+bool Scheduler::IsStaying(const Worker& worker) {
+  return worker.IsListed() && !worker.Record().is_draining &&
+         !worker.is_cordoned;
+}
+
+void Scheduler::SendStart(Worker& worker, const RunKey& key) {
+  ActiveJob* active = FindJob(key.task.job);
+  execution::AssignedRun* run = worker.Find(key);
+  const job::Task* task = active->job.Find(key.task.key);
+  if (run == nullptr || task == nullptr) {
+    return;
+  }
+  run->is_start_deferred = !MayStartTasks();
+  if (run->is_start_deferred) {
+    m_workers_to_retry.insert(worker.Record().id);
+    return;
+  }
+  run->is_command_pending = true;
+  run->command_sent_at = m_ports.clock.Now();
+  execution::StartCommand command;
+  command.to = DestinationOf(worker);
+  command.task = key.task;
+  command.attempt = key.attempt;
+  command.payload = active->job.Accepted().spec.payload;
+  command.lease_until = worker.LeaseUntil();
+  command.checkpoint = active->job.CheckpointOf(key.task.key);
+  const std::string* ticket =
+      m_tickets.Find(StepId::Of(key.task), command.to.worker,
+                     command.to.incarnation, run->command_sent_at);
+  command.ticket = ticket == nullptr ? "" : *ticket;
+  m_ports.workers.Start(std::move(command));
+}
+
+}  // namespace crocusmast::scheduling
