Wait only for the worker of an inherited long-running task

A new leader placed no task of a job of an earlier term until every worker of the job's pool was reconciled, so that one worker that was gone held up the tasks of all others until its lease had expired.

The scheduler now places an inherited long-running task at once if its stored placements are none or their workers are reconciled, were replaced by a later incarnation, or hold no lease any more; otherwise it waits for these workers only. Unknown placements, of a record of an earlier version, and finite tasks keep the rule of the whole pool, since a finite task starts without a commit. Settled placements are stored, so that a second successor doesn't wait for them.

--- a/src/crocusmast/job/earlier_placements.h
+++ b/src/crocusmast/job/earlier_placements.h
@@ -32,6 +32,8 @@
 
   /** @brief Tells whether the placements are known. */
   bool AreKnown() const { return m_are_known; }
+  /** @brief Tells whether no run of an earlier leader is left to settle. */
+  bool AreSettled() const { return m_are_known && m_placements.empty(); }
 
   /**
    * @brief Tells whether an earlier run of a task may be active.
--- a/src/crocusmast/scheduling/inherited_workers.cc
+++ b/src/crocusmast/scheduling/inherited_workers.cc
@@ -28,6 +28,11 @@
   return worker != nullptr && !(worker->incarnation < incarnation);
 }
 
+bool InheritedWorkers::MayStillRun(const job::TaskPlacement& placement) const {
+  const Worker* worker = Find(placement.worker);
+  return worker != nullptr && !(placement.incarnation < worker->incarnation);
+}
+
 bool InheritedWorkers::IsPoolReconciled(const core::PoolId& pool) const {
   return std::none_of(
       m_workers.begin(), m_workers.end(),
--- a/src/crocusmast/scheduling/inherited_workers.h
+++ b/src/crocusmast/scheduling/inherited_workers.h
@@ -55,6 +55,13 @@
   bool MayHaveRuns(const core::InstanceId& id,
                    core::Incarnation incarnation) const;
 
+  /**
+   * @brief Tells whether a run that an earlier leader placed may be active and
+   * is not known yet.
+   * @param placement The worker and its incarnation.
+   */
+  bool MayStillRun(const job::TaskPlacement& placement) const;
+
   /**
    * @brief Tells whether every worker of a pool is reconciled.
    * @param pool The pool.
--- a/src/crocusmast/scheduling/scheduler.h
+++ b/src/crocusmast/scheduling/scheduler.h
@@ -92,7 +92,9 @@
  *
  * The workers are authoritative on active runs. A new leader polls each worker
  * that earlier leaders may have used, which fences the worker against them,
- * before it starts tasks that may be running there.
+ * before it starts tasks that may be running there. The worker of each
+ * long-running task is stored before the task starts, so that only this worker
+ * is waited for; a finite task may run on any worker of its pool.
  */
 class Scheduler final : public upkeep::WorkerDrainPort,
                         public capacity::PoolLoadSource {
@@ -269,6 +271,8 @@
                      std::vector<Candidate>& candidates);
   job::Resources MaxFreeResources(const core::PoolId& pool);
   void PlaceJob(ActiveJob& active);
+  bool MayStartFiniteTasks(const ActiveJob& active) const;
+  void SettleEarlierPlacements(ActiveJob& active);
   static void UpdateMinResources(ActiveJob& active);
   bool PlaceGang(ActiveJob& active,
                  const std::vector<job::TaskKey>& members,
--- a/src/crocusmast/scheduling/scheduler_placement.cc
+++ b/src/crocusmast/scheduling/scheduler_placement.cc
@@ -85,21 +85,46 @@
   }
   for (const Candidate& candidate : SortedCandidates()) {
     ActiveJob& active = *candidate.active;
-    if (!active.is_inherited ||
-        m_inherited_workers.IsPoolReconciled(active.pool)) {
+    if (MayStartFiniteTasks(active) ||
+        active.job.Accepted().spec.HasLongRunningSteps()) {
       PlaceJob(active);
     }
   }
   m_pools_to_place.clear();
 }
 
+bool Scheduler::MayStartFiniteTasks(const ActiveJob& active) const {
+  return !active.is_inherited ||
+         m_inherited_workers.IsPoolReconciled(active.pool);
+}
+
+void Scheduler::SettleEarlierPlacements(ActiveJob& active) {
+  job::EarlierPlacements& earlier = active.job.Earlier();
+  bool is_changed = earlier.Settle([this](const job::TaskPlacement& placement) {
+    return m_inherited_workers.MayStillRun(placement);
+  });
+  if (MayStartFiniteTasks(active)) {
+    is_changed = earlier.SettleUnknown() || is_changed;
+  }
+  if (is_changed) {
+    m_committer.MarkChanged(active.job.Id());
+  }
+}
+
 void Scheduler::PlaceJob(ActiveJob& active) {
+  SettleEarlierPlacements(active);
+  const job::EarlierPlacements& earlier = active.job.Earlier();
+  const bool may_start_finite = MayStartFiniteTasks(active);
   std::vector<std::pair<job::TaskKey, const job::Step*>> ready;
-  active.job.ForEachReady(
-      [&ready](const job::TaskKey& key, const job::Step& step) {
-        ready.emplace_back(key, &step);
-      });
-  active.may_have_ready_tasks = !ready.empty();
+  bool is_waiting = !earlier.AreSettled();
+  active.job.ForEachReady([&](const job::TaskKey& key, const job::Step& step) {
+    if (step.is_long_running ? !earlier.MayBeRunning(key) : may_start_finite) {
+      ready.emplace_back(key, &step);
+    } else {
+      is_waiting = true;
+    }
+  });
+  active.may_have_ready_tasks = !ready.empty() || is_waiting;
   const job::Step* blocked_step = nullptr;
   for (std::size_t next = 0; next < ready.size(); ++next) {
     const auto& [key, step] = ready[next];
--- a/test/scheduling/inherited_workers_test.cc
+++ b/test/scheduling/inherited_workers_test.cc
@@ -16,6 +16,7 @@
   CPPUNIT_TEST_SUITE(InheritedWorkersTest);
   CPPUNIT_TEST(WorkerThatWasNotHandedOverHasNoRuns);
   CPPUNIT_TEST(LaterIncarnationHasNoRuns);
+  CPPUNIT_TEST(PlacementWaitsForItsWorkerOnly);
   CPPUNIT_TEST(PoolIsReconciledWithItsLastWorker);
   CPPUNIT_TEST(WorkerExpiresWithItsLease);
   CPPUNIT_TEST(WorkerIsRemovedOnce);
@@ -52,6 +53,21 @@
     CPPUNIT_ASSERT(!workers.MayHaveRuns(id, core::Incarnation(3)));
   }
 
+  void PlacementWaitsForItsWorkerOnly() {
+    InheritedWorkers workers = ThreeWorkers();
+    const auto id = MakeId<core::InstanceId>("w-1");
+    // The handover state lists incarnation 2.
+    CPPUNIT_ASSERT(!workers.MayStillRun({{}, id, core::Incarnation(1)}));
+    CPPUNIT_ASSERT(workers.MayStillRun({{}, id, core::Incarnation(2)}));
+    CPPUNIT_ASSERT(workers.MayStillRun({{}, id, core::Incarnation(3)}));
+    CPPUNIT_ASSERT(!workers.MayStillRun(
+        {{}, MakeId<core::InstanceId>("w-4"), core::Incarnation(2)}));
+    workers.Remove(id);
+    CPPUNIT_ASSERT(!workers.MayStillRun({{}, id, core::Incarnation(2)}));
+    CPPUNIT_ASSERT(workers.MayStillRun(
+        {{}, MakeId<core::InstanceId>("w-2"), core::Incarnation(2)}));
+  }
+
   void PoolIsReconciledWithItsLastWorker() {
     InheritedWorkers workers = ThreeWorkers();
     const auto pool = MakeId<core::PoolId>("batch");
--- /dev/null
+++ b/test/scheduling/simulated_cluster.h
@@ -0,0 +1,394 @@
+#ifndef TEST_SCHEDULING_SIMULATED_CLUSTER_H_
+#define TEST_SCHEDULING_SIMULATED_CLUSTER_H_
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "test/scheduling/scheduler_fixture.h"
+
+namespace test {
+
+/**
+ * @brief Workers, a store and successive leaders of one job of long-running
+ * tasks.
+ *
+ * Messages stay in flight until they are delivered or lost. Whether a rule is
+ * broken is kept in Violation().
+ */
+class SimulatedCluster {
+ public:
+  SimulatedCluster(std::uint32_t worker_count, std::uint32_t task_count) {
+    for (std::uint32_t index = 0; index < worker_count; ++index) {
+      m_workers["w-" + std::to_string(index)] = {};
+    }
+    job::Step step = MakeStep(task_count);
+    step.is_long_running = true;
+    m_job = MakeJob("0123456789abcdef", {step});
+    ChangeLeader(false);
+  }
+
+  /** @brief Returns the first broken rule; empty for none. */
+  const std::string& Violation() const { return m_violation; }
+
+  /** @brief Returns how many live runs a task has. */
+  std::size_t CountRuns(std::uint32_t index) const {
+    return static_cast<std::size_t>(std::count_if(
+        m_workers.begin(), m_workers.end(), [index](const auto& entry) {
+          return entry.second.runs.count(index) > 0;
+        }));
+  }
+
+  void Advance(std::chrono::milliseconds time) {
+    m_elapsed += time;
+    m_leader->clock.Advance(time);
+    for (auto& [id, worker] : m_workers) {
+      if (worker.lease_until <= Clock()) {
+        EndRuns(worker, job::RunOutcome::kLeaseExpired);
+      }
+    }
+    Cycle();
+  }
+
+  void Cycle() {
+    m_leader->ReceiveStoreState();
+    m_leader->scheduler.RunCycle(m_leader->clock.Now());
+    Collect();
+  }
+
+  /** @brief Begins the term of a new leader.
+   * @param resigns The present leader resigns; else it fails. */
+  void ChangeLeader(bool resigns) {
+    if (m_leader != nullptr && resigns) {
+      m_handover = m_leader->scheduler.FinalHandoverState();
+    }
+    m_leader = std::make_unique<SchedulerFixture>();
+    m_replied_commits = 0;
+    m_polls.clear();
+    m_leader->catalog.Apply(job::JobStored{m_job}, {});
+    if (m_progress) {
+      m_leader->catalog.Apply(
+          job::ProgressStored{m_job.id, *m_progress, core::Revision(1)}, {});
+    }
+    m_token += 1000;
+    m_leader->ReceiveStoreState();
+    m_leader->scheduler.BeginTerm(
+        {core::FencingToken(m_token), std::chrono::seconds(5)},
+        m_leader->catalog, {m_handover, core::Revision(m_last_commit)});
+    std::vector<execution::WorkerRecord> listed;
+    for (const auto& [id, worker] : m_workers) {
+      if (worker.is_up) {
+        listed.push_back(RecordOf(id, worker));
+      }
+    }
+    m_leader->scheduler.Handle(
+        scheduling::WorkerListReceived{std::move(listed)});
+    Cycle();
+  }
+
+  /** @brief Replies to the commit in flight.
+   * @param is_stored It takes effect if its condition holds.
+   * @param is_answered The leader gets to know. */
+  void ReplyToCommit(bool is_stored, bool is_answered) {
+    if (m_replied_commits == m_leader->store.commits.size()) {
+      return;
+    }
+    const job::Commit& commit = m_leader->store.commits[m_replied_commits++];
+    job::CommitReply reply;
+    reply.sequence = commit.sequence;
+    reply.outcome = job::StoreOutcome::kRefused;
+    if (commit.expected_last_commit != core::Revision(m_last_commit)) {
+      reply.outcome = job::StoreOutcome::kConflict;
+    } else if (is_stored) {
+      reply.outcome = job::StoreOutcome::kDone;
+      ++m_last_commit;
+      for (const job::ProgressWrite& write : commit.progress) {
+        m_progress = write.progress;
+      }
+      m_handover = commit.handover.value_or(m_handover);
+    }
+    reply.revision = core::Revision(m_last_commit);
+    if (!is_answered) {
+      reply.outcome = job::StoreOutcome::kUnknown;
+    }
+    m_leader->scheduler.Handle(reply);
+    Collect();
+  }
+
+  /** @brief Delivers the oldest start command, or loses it or its reply. */
+  void DeliverStart(bool is_executed, bool is_answered) {
+    if (m_starts.empty()) {
+      return;
+    }
+    const execution::StartCommand command = std::move(m_starts.front());
+    m_starts.pop_front();
+    const auto outcome =
+        is_executed ? Execute(command) : execution::WorkerCallOutcome::kUnknown;
+    if (command.to.token == core::FencingToken(m_token)) {
+      m_leader->ReplyToStart(
+          command,
+          is_answered ? outcome : execution::WorkerCallOutcome::kUnknown);
+      Collect();
+    }
+  }
+
+  void DeliverStop() {
+    if (m_stops.empty()) {
+      return;
+    }
+    const execution::StopCommand command = std::move(m_stops.front());
+    m_stops.pop_front();
+    Worker& worker = m_workers.at(command.to.worker.Text());
+    auto outcome = Receive(worker, command.to);
+    if (outcome == execution::WorkerCallOutcome::kDone) {
+      const auto run = worker.runs.find(command.task.key.index);
+      worker.last_stopped[command.task.key.index] = std::max(
+          worker.last_stopped[command.task.key.index], command.attempt);
+      if (run != worker.runs.end() && !(command.attempt < run->second)) {
+        EndRun(worker, run->first, job::RunOutcome::kStopped);
+      }
+    }
+    if (command.to.token == core::FencingToken(m_token)) {
+      m_leader->scheduler.HandleStopReply(
+          m_leader->MakeReply(command, outcome));
+      Collect();
+    }
+  }
+
+  /** @brief Delivers the oldest poll, or loses it. */
+  void DeliverPoll(bool is_delivered) {
+    if (m_polls.empty()) {
+      return;
+    }
+    const execution::PollCommand poll = std::move(m_polls.front());
+    m_polls.pop_front();
+    Worker& worker = m_workers.at(poll.to.worker.Text());
+    execution::PollReply reply;
+    reply.worker = poll.to.worker;
+    reply.incarnation = poll.to.incarnation;
+    reply.sequence = poll.sequence;
+    if (is_delivered) {
+      reply.outcome = Receive(worker, poll.to);
+    }
+    if (reply.outcome == execution::WorkerCallOutcome::kDone) {
+      Extend(worker, poll.lease_until.value_or(worker.lease_until));
+      reply.clock = Clock();
+      for (const auto& [index, attempt] : worker.runs) {
+        reply.running.push_back({Task(index), attempt, "", 100, {}});
+      }
+      for (const execution::EndedRunReport& end : worker.ended) {
+        if (poll.recorded < end.number) {
+          reply.ended.push_back(end);
+        }
+      }
+    }
+    m_leader->scheduler.Handle(reply);
+    Collect();
+  }
+
+  void FailRun(std::uint32_t index) {
+    for (auto& [id, worker] : m_workers) {
+      if (worker.runs.count(index) > 0) {
+        EndRun(worker, index, job::RunOutcome::kFailed);
+      }
+    }
+  }
+
+  void CrashWorker(std::uint32_t index) {
+    auto& [id, worker] = At(index);
+    worker.is_up = false;
+    worker.runs.clear();
+    worker.ended.clear();
+  }
+
+  /** @brief Lists a worker as it is: up, or gone. */
+  void UpdateMembership(std::uint32_t index) {
+    auto& [id, worker] = At(index);
+    if (worker.is_up) {
+      m_leader->scheduler.Handle(
+          scheduling::WorkerUpdated{RecordOf(id, worker)});
+    } else {
+      m_leader->scheduler.Handle(
+          scheduling::WorkerRemoved{MakeId<core::InstanceId>(id)});
+    }
+    Cycle();
+  }
+
+  void RestartWorker(std::uint32_t index) {
+    CrashWorker(index);
+    Worker& worker = At(index).second;
+    const std::uint64_t incarnation = worker.incarnation;
+    worker = {};
+    worker.incarnation = incarnation + 1;
+  }
+
+  /** @brief Delivers everything for long enough that all leases expire. */
+  void Settle() {
+    for (std::uint32_t index = 0; index < m_workers.size(); ++index) {
+      if (!At(index).second.is_up) {
+        RestartWorker(index);
+      }
+      UpdateMembership(index);
+    }
+    for (int round = 0; round < 200; ++round) {
+      for (int count = 0; count < 8; ++count) {
+        ReplyToCommit(true, true);
+        DeliverStart(true, true);
+        DeliverStop();
+        DeliverPoll(true);
+      }
+      Advance(std::chrono::milliseconds(100));
+    }
+  }
+
+ private:
+  struct Worker {
+    std::uint64_t incarnation = 1;
+    bool is_up = true;
+    core::FencingToken token;
+    execution::WorkerTime lease_until;
+    std::map<std::uint32_t, core::Attempt> runs;
+    std::map<std::uint32_t, core::Attempt> last_stopped;
+    std::uint64_t last_end = 0;
+    std::vector<execution::EndedRunReport> ended;
+  };
+
+  std::pair<const std::string, Worker>& At(std::uint32_t index) {
+    return *std::next(m_workers.begin(), index % m_workers.size());
+  }
+
+  job::TaskId Task(std::uint32_t index) const {
+    return {m_job.id, {0, 0, index}};
+  }
+
+  execution::WorkerTime Clock() const {
+    return execution::WorkerTime(std::chrono::seconds(10) + m_elapsed);
+  }
+
+  execution::WorkerRecord RecordOf(const std::string& id,
+                                   const Worker& worker) const {
+    execution::WorkerRecord record = MakeWorker(id, worker.incarnation);
+    record.clock = Clock();
+    return record;
+  }
+
+  void EndRun(Worker& worker, std::uint32_t index, job::RunOutcome outcome) {
+    const core::Attempt attempt = worker.runs.at(index);
+    worker.last_stopped[index] = attempt;
+    worker.ended.push_back({core::RunEndNumber(++worker.last_end), Task(index),
+                            attempt, outcome, ""});
+    worker.runs.erase(index);
+  }
+
+  void EndRuns(Worker& worker, job::RunOutcome outcome) {
+    while (!worker.runs.empty()) {
+      EndRun(worker, worker.runs.begin()->first, outcome);
+    }
+  }
+
+  void Extend(Worker& worker, execution::WorkerTime lease_until) {
+    worker.lease_until = std::max(worker.lease_until, lease_until);
+  }
+
+  execution::WorkerCallOutcome Receive(
+      Worker& worker,
+      const execution::CommandDestination& to) {
+    if (!worker.is_up) {
+      return execution::WorkerCallOutcome::kUnknown;
+    }
+    if (to.incarnation != core::Incarnation(worker.incarnation)) {
+      return execution::WorkerCallOutcome::kIncarnationMismatch;
+    }
+    if (to.token < worker.token) {
+      return execution::WorkerCallOutcome::kFenced;
+    }
+    worker.token = to.token;
+    return execution::WorkerCallOutcome::kDone;
+  }
+
+  execution::WorkerCallOutcome Execute(const execution::StartCommand& command) {
+    Worker& worker = m_workers.at(command.to.worker.Text());
+    const auto outcome = Receive(worker, command.to);
+    if (outcome != execution::WorkerCallOutcome::kDone) {
+      return outcome;
+    }
+    const std::uint32_t index = command.task.key.index;
+    Extend(worker, command.lease_until);
+    const auto known = worker.runs.find(index);
+    if (known != worker.runs.end() && known->second == command.attempt) {
+      return execution::WorkerCallOutcome::kDone;
+    }
+    if (!(worker.last_stopped[index] < command.attempt)) {
+      return execution::WorkerCallOutcome::kStaleAttempt;
+    }
+    if (worker.lease_until <= Clock()) {
+      return execution::WorkerCallOutcome::kLeaseExpiredOnArrival;
+    }
+    if (CountRuns(index) > 0) {
+      Break("a second run of task " + std::to_string(index) + " starts on " +
+            command.to.worker.Text());
+    }
+    worker.runs[index] = command.attempt;
+    return execution::WorkerCallOutcome::kDone;
+  }
+
+  /** @brief Takes the commands that the leader has sent. */
+  void Collect() {
+    RecordingWorkerPort& port = m_leader->worker_port;
+    for (execution::StartCommand& start : std::exchange(port.starts, {})) {
+      if (!IsPlacementStored(start)) {
+        Break("the start of " + Describe(start.task) + " on " +
+              start.to.worker.Text() + " is sent before it is stored");
+      }
+      m_starts.push_back(std::move(start));
+    }
+    for (execution::StopCommand& stop : std::exchange(port.stops, {})) {
+      m_stops.push_back(std::move(stop));
+    }
+    for (execution::PollCommand& poll : std::exchange(port.polls, {})) {
+      m_polls.push_back(std::move(poll));
+    }
+  }
+
+  bool IsPlacementStored(const execution::StartCommand& start) const {
+    if (!m_progress || !m_progress->placements) {
+      return false;
+    }
+    return std::any_of(m_progress->placements->begin(),
+                       m_progress->placements->end(),
+                       [&start](const job::TaskPlacement& placement) {
+                         return placement.task == start.task.key &&
+                                placement.worker == start.to.worker &&
+                                placement.incarnation == start.to.incarnation;
+                       });
+  }
+
+  void Break(std::string rule) {
+    if (m_violation.empty()) {
+      m_violation = std::move(rule);
+    }
+  }
+
+  std::map<std::string, Worker> m_workers;
+  job::AcceptedJob m_job;
+  std::unique_ptr<SchedulerFixture> m_leader;
+  std::uint64_t m_token = 0;
+  std::chrono::milliseconds m_elapsed{};
+  std::optional<job::JobProgress> m_progress;
+  job::HandoverState m_handover;
+  std::uint64_t m_last_commit = 0;
+  std::size_t m_replied_commits = 0;
+  std::deque<execution::StartCommand> m_starts;
+  std::deque<execution::StopCommand> m_stops;
+  std::deque<execution::PollCommand> m_polls;
+  std::string m_violation;
+};
+
+}  // namespace test
+
+#endif  // TEST_SCHEDULING_SIMULATED_CLUSTER_H_
