Distrust placements stored before a leader that stores none

A leader of an earlier version, after a rollback or in the middle of an upgrade, moves long-running tasks without changing their placements in the store. A later leader of this version would trust them, not wait for the worker that runs the task now, and start the task a second time (TWICE).

The handover state now tells that the placements are current. An earlier version writes it without that field, before its first start; the next leader then takes all placements as unknown, stores the records anew and sets the field only once the last of them is stored. A leader that fails before leaves it unset.

--- a/src/crocusmast/adapters/records/job_records.cc
+++ b/src/crocusmast/adapters/records/job_records.cc
@@ -339,6 +339,8 @@
             {"workers", std::move(workers)},
             {"waves", std::move(waves)},
             {"pools", std::move(pools)}};
+  internal::AddUnlessDefault(json, "placed", handover.has_current_placements,
+                             false);
   if (handover.fleet.machine_cooldowns) {
     Json& cooldowns = json["orders"] = Json::array();
     for (const job::MachineCooldown& cooldown :
@@ -381,6 +383,7 @@
       bytes, "handover state record",
       [](const Json& json) -> core::Result<job::HandoverState> {
         job::HandoverState handover;
+        handover.has_current_placements = json.value("placed", false);
         for (const Json& row : json.at("workers")) {
           BOOST_LEAF_AUTO(worker, internal::DecodeLeasedWorker(row));
           handover.workers.push_back(std::move(worker));
--- a/src/crocusmast/job/earlier_placements.h
+++ b/src/crocusmast/job/earlier_placements.h
@@ -30,6 +30,9 @@
   static EarlierPlacements Restore(
       const std::optional<std::vector<TaskPlacement>>& stored);
 
+  /** @brief Creates placements that are unknown. */
+  static EarlierPlacements Unknown() { return Restore(std::nullopt); }
+
   /** @brief Tells whether the placements are known. */
   bool AreKnown() const { return m_are_known; }
   /** @brief Tells whether no run of an earlier leader is left to settle. */
--- a/src/crocusmast/job/job_store.h
+++ b/src/crocusmast/job/job_store.h
@@ -111,6 +111,9 @@
   /** @brief Workers that may hold leases. */
   std::vector<LeasedWorker> workers;
   FleetHandover fleet;
+  /** @brief The stored placements of long-running tasks are current: no leader
+   * that does not store placements has led since they were stored. */
+  bool has_current_placements = false;
 };
 
 /** @brief State that a new leader reads of its predecessor. */
--- a/src/crocusmast/scheduling/scheduler.cc
+++ b/src/crocusmast/scheduling/scheduler.cc
@@ -56,6 +56,12 @@
     active.is_start_recorded =
         entry.progress && entry.progress->state != job::JobState::kQueued;
     active.is_inherited = active.is_start_recorded;
+    if (active.is_inherited && !handover.has_current_placements &&
+        entry.job.spec.HasLongRunningSteps()) {
+      active.job.Earlier() = job::EarlierPlacements::Unknown();
+      m_committer.MarkChanged(id);
+      m_outdated_placements.insert(id);
+    }
     if (entry.is_cancelled) {
       active.job.Cancel();
       m_committer.MarkChanged(id);
@@ -99,6 +105,7 @@
   m_workers_by_pool.clear();
   m_workers.clear();
   m_inherited_workers = {};
+  m_outdated_placements.clear();
   m_pools_to_place.clear();
   m_committer.Reset();
   m_ports.worker_watch.Unsubscribe();
--- a/src/crocusmast/scheduling/scheduler.h
+++ b/src/crocusmast/scheduling/scheduler.h
@@ -323,6 +323,9 @@
   std::unordered_map<core::JobId, ActiveJob> m_jobs;
   std::map<core::InstanceId, std::unique_ptr<execution::Worker>> m_workers;
   InheritedWorkers m_inherited_workers;
+  /** @brief Jobs whose stored placements may be older than their runs, because
+   * a leader that stores none has led since. */
+  std::set<core::JobId> m_outdated_placements;
   std::map<core::PoolId, std::vector<execution::Worker*>> m_workers_by_pool;
   std::map<core::PoolId, std::unordered_set<ActiveJob*>> m_jobs_by_pool;
   /** @brief Jobs with scheduled occurrences. */
--- a/src/crocusmast/scheduling/scheduler_starts.cc
+++ b/src/crocusmast/scheduling/scheduler_starts.cc
@@ -46,6 +46,10 @@
                               !std::exchange(active.is_start_recorded, true);
   const bool is_long_running = active.job.Accepted().spec.HasLongRunningSteps();
   if (is_long_running) {
+    if (m_outdated_placements.erase(active.job.Id()) > 0 &&
+        m_outdated_placements.empty() && m_has_worker_list) {
+      StoreHandover();
+    }
     active.job.MarkCapturedProgressStored();
   }
   if (is_first_start || (is_long_running && active.is_start_recorded)) {
--- a/src/crocusmast/scheduling/scheduler_workers.cc
+++ b/src/crocusmast/scheduling/scheduler_workers.cc
@@ -97,6 +97,7 @@
       kWorkerLeaseLength * (100 + execution::kMaxClockDriftPercent + 1) / 100;
   job::HandoverState handover;
   handover.fleet = m_fleet_handover;
+  handover.has_current_placements = m_outdated_placements.empty();
   for (const auto& [id, worker] : m_workers) {
     // An empty worker that is cordoned or unlisted gets no further runs.
     const InheritedWorkers::Worker* inherited = m_inherited_workers.Find(id);
--- a/test/adapters/job_records_test.cc
+++ b/test/adapters/job_records_test.cc
@@ -147,6 +147,12 @@
     const job::HandoverState decoded =
         records::DecodeHandoverState(records::EncodeHandoverState(handover))
             .value();
+    CPPUNIT_ASSERT(!decoded.has_current_placements);
+    handover.has_current_placements = true;
+    CPPUNIT_ASSERT(
+        records::DecodeHandoverState(records::EncodeHandoverState(handover))
+            .value()
+            .has_current_placements);
     CPPUNIT_ASSERT(decoded.workers[0].lease_remaining ==
                    std::chrono::milliseconds(4321));
     CPPUNIT_ASSERT(decoded.fleet.waves[0].started_machines ==
--- a/test/scheduling/long_running_placement_test.cc
+++ b/test/scheduling/long_running_placement_test.cc
@@ -66,6 +66,7 @@
   CPPUNIT_TEST(TaskWaitsForTheLeaseOfItsWorker);
   CPPUNIT_TEST(TaskRestartsOnceItsWorkerHasRestarted);
   CPPUNIT_TEST(UnknownPlacementsWaitForTheWholePool);
+  CPPUNIT_TEST(PlacementsBeforeALeaderOfAnEarlierVersionAreUnknown);
   CPPUNIT_TEST(FiniteTasksWaitForTheWholePool);
   CPPUNIT_TEST(GangWaitsForTheWorkersOfAllItsMembers);
   CPPUNIT_TEST(SecondSuccessorWaitsForTheSameWorker);
@@ -156,6 +157,35 @@
                          StoredProgress(fixture).placements->size());
   }
 
+  // A leader of an earlier version, after a rollback, moves tasks without
+  // storing it.
+  void PlacementsBeforeALeaderOfAnEarlierVersionAreUnknown() {
+    Predecessor predecessor = RunPredecessor({LongRunningStep(2)});
+    CPPUNIT_ASSERT(predecessor.handover.has_current_placements);
+    predecessor.handover.has_current_placements = false;
+    Fixture fixture;
+    BeginSuccessor(fixture, predecessor);
+    fixture.SetWorkers({MakeWorker("w-1"), MakeWorker("w-2")});
+    ReplyToPollOf(fixture, m_second, {});
+    fixture.RunCycles();
+    CPPUNIT_ASSERT(fixture.worker_port.starts.empty());
+    CPPUNIT_ASSERT(!StoredProgress(fixture).placements);
+    // The placements count as current only after the record has changed.
+    const auto& commits = fixture.store.commits;
+    const auto changed = std::find_if(
+        commits.begin(), commits.end(),
+        [](const auto& commit) { return !commit.progress.empty(); });
+    const auto current =
+        std::find_if(commits.begin(), commits.end(), [](const auto& commit) {
+          return commit.handover && commit.handover->has_current_placements;
+        });
+    CPPUNIT_ASSERT(current != commits.end());
+    CPPUNIT_ASSERT(changed < current);
+    ReplyToPollOf(fixture, m_first, {});
+    fixture.RunCycles();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fixture.worker_port.starts.size());
+  }
+
   // Finite tasks start without a commit, so that any worker may run them.
   void FiniteTasksWaitForTheWholePool() {
     const Predecessor predecessor =
