--- a/src/crocusmast/adapters/records/job_records.cc
+++ b/src/crocusmast/adapters/records/job_records.cc
@@ -1,46 +1,12 @@
 #include "crocusmast/adapters/records/job_records.h"
 
-#include <nlohmann/json.hpp>
 #include <utility>
 
+#include "crocusmast/adapters/records/cbor.h"
+
 namespace crocusmast::adapters::records {
 namespace internal {
 
-using Json = nlohmann::json;
-
-constexpr int kFormatVersion = 1;
-
-std::string ToCbor(const Json& json) {
-  std::string bytes;
-  Json::to_cbor(json, bytes);
-  return bytes;
-}
-
-/**
- * @brief Parses a CBOR record, checks its format version and reads its fields.
- * @tparam T Type of the decoded record.
- * @param bytes CBOR bytes.
- * @param record_name Name of the record, used in errors.
- * @param read Reads the fields; its JSON exceptions are returned as errors.
- * @return The record, or an error that describes the fault.
- */
-template <typename T, typename Read>
-core::Result<T> Decode(std::string_view bytes,
-                       const char* record_name,
-                       Read read) {
-  try {
-    const Json json = Json::from_cbor(bytes.begin(), bytes.end());
-    if (!json.is_object() || json.at("v") != kFormatVersion) {
-      return core::Fail(core::Operation::kDecodeMessage, record_name,
-                        "unknown format version");
-    }
-    return read(json);
-  } catch (const Json::exception& error) {
-    return core::Fail(core::Operation::kDecodeMessage, record_name,
-                      error.what());
-  }
-}
-
 std::int64_t ToMilliseconds(core::Duration time) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
 }
@@ -118,68 +84,6 @@
   return step;
 }
 
-Json EncodeTaskProgress(const job::TaskProgress& task) {
-  Json failed_attempts = Json::array();
-  for (const core::Attempt attempt : task.failed_attempts) {
-    failed_attempts.push_back(attempt.Count());
-  }
-  return {task.index, task.attempt.Count(), std::move(failed_attempts),
-          task.checkpoint};
-}
-
-job::TaskProgress DecodeTaskProgress(const Json& json) {
-  job::TaskProgress task;
-  task.index = json.at(0);
-  task.attempt = core::Attempt(json.at(1).get<std::uint64_t>());
-  for (const Json& attempt : json.at(2)) {
-    task.failed_attempts.emplace_back(attempt.get<std::uint64_t>());
-  }
-  task.checkpoint = json.at(3);
-  return task;
-}
-
-Json EncodeStepProgress(const job::StepProgress& step) {
-  Json tasks = Json::array();
-  for (const job::TaskProgress& task : step.tasks) {
-    tasks.push_back(EncodeTaskProgress(task));
-  }
-  std::string done;
-  done.reserve(step.done.size());
-  for (const bool is_done : step.done) {
-    done.push_back(is_done ? '1' : '0');
-  }
-  return {done, tasks};
-}
-
-job::StepProgress DecodeStepProgress(const Json& json) {
-  job::StepProgress step;
-  for (const char is_done : json.at(0).get<std::string>()) {
-    step.done.push_back(is_done == '1');
-  }
-  for (const Json& task : json.at(1)) {
-    step.tasks.push_back(DecodeTaskProgress(task));
-  }
-  return step;
-}
-
-Json EncodePlacement(const job::TaskPlacement& placement) {
-  return {placement.task.occurrence, placement.task.step, placement.task.index,
-          placement.worker.Text(), placement.incarnation.Count()};
-}
-
-core::Result<job::TaskPlacement> DecodePlacement(const Json& row) {
-  job::TaskPlacement placement;
-  placement.task = {row.at(0).get<std::uint32_t>(),
-                    row.at(1).get<std::uint32_t>(),
-                    row.at(2).get<std::uint32_t>()};
-  BOOST_LEAF_ASSIGN(placement.worker,
-                    core::InstanceId::Create(row.at(3).get<std::string>()));
-  placement.incarnation = core::Incarnation(row.at(4).get<std::uint64_t>());
-  return placement;
-}
-
-constexpr int kLastState = static_cast<int>(job::JobState::kCancelled);
-
 }  // namespace internal
 
 using internal::Json;
@@ -229,59 +133,6 @@
       });
 }
 
-std::string EncodeProgress(const job::JobProgress& progress) {
-  Json open_occurrences = Json::array();
-  for (const job::OccurrenceProgress& occurrence : progress.open_occurrences) {
-    Json steps = Json::array();
-    for (const job::StepProgress& step : occurrence.steps) {
-      steps.push_back(internal::EncodeStepProgress(step));
-    }
-    open_occurrences.push_back({occurrence.number, std::move(steps)});
-  }
-  Json json{{"v", internal::kFormatVersion},
-            {"state", static_cast<int>(progress.state)},
-            {"opened", progress.opened_count},
-            {"open", std::move(open_occurrences)}};
-  if (progress.placements) {
-    Json& placements = json["placed"] = Json::array();
-    for (const job::TaskPlacement& placement : *progress.placements) {
-      placements.push_back(internal::EncodePlacement(placement));
-    }
-  }
-  return internal::ToCbor(json);
-}
-
-core::Result<job::JobProgress> DecodeProgress(std::string_view bytes) {
-  return internal::Decode<job::JobProgress>(
-      bytes, "progress record",
-      [](const Json& json) -> core::Result<job::JobProgress> {
-        job::JobProgress progress;
-        const int state = json.at("state");
-        if (state < 0 || state > internal::kLastState) {
-          return core::Fail(core::Operation::kDecodeMessage, "progress record",
-                            "unknown state " + std::to_string(state));
-        }
-        progress.state = static_cast<job::JobState>(state);
-        progress.opened_count = json.at("opened");
-        for (const Json& occurrence_json : json.at("open")) {
-          job::OccurrenceProgress& occurrence =
-              progress.open_occurrences.emplace_back();
-          occurrence.number = occurrence_json.at(0);
-          for (const Json& step : occurrence_json.at(1)) {
-            occurrence.steps.push_back(internal::DecodeStepProgress(step));
-          }
-        }
-        if (json.contains("placed")) {
-          progress.placements.emplace();
-          for (const Json& row : json.at("placed")) {
-            BOOST_LEAF_AUTO(placement, internal::DecodePlacement(row));
-            progress.placements->push_back(std::move(placement));
-          }
-        }
-        return progress;
-      });
-}
-
 std::string EncodeJobEnd(const core::QueueId& queue, job::JobState state) {
   // An array, whose first byte distinguishes it from an accepted job, which is
   // a map. Kept short, since most records in the store are of ended jobs.
