--- a/src/crocusmast/scheduling/scheduler.cc
+++ b/src/crocusmast/scheduling/scheduler.cc
@@ -10,12 +10,6 @@
  * deadline is set. */
 constexpr std::chrono::seconds kMaxJobAge{30};
 
-bool IsLongRunning(const job::JobSpec& spec) {
-  return std::any_of(
-      spec.steps.begin(), spec.steps.end(),
-      [](const job::Step& step) { return step.is_long_running; });
-}
-
 }  // namespace internal
 
 using execution::Worker;
@@ -62,6 +56,12 @@
     active.is_start_recorded =
         entry.progress && entry.progress->state != job::JobState::kQueued;
     active.is_inherited = active.is_start_recorded;
+    if (active.is_inherited && !handover.has_current_placements &&
+        entry.job.spec.HasLongRunningSteps()) {
+      active.job.Earlier() = job::EarlierPlacements::Unknown();
+      m_committer.MarkChanged(id);
+      m_outdated_placements.insert(id);
+    }
     if (entry.is_cancelled) {
       active.job.Cancel();
       m_committer.MarkChanged(id);
@@ -105,6 +105,7 @@
   m_workers_by_pool.clear();
   m_workers.clear();
   m_inherited_workers = {};
+  m_outdated_placements.clear();
   m_pools_to_place.clear();
   m_committer.Reset();
   m_ports.worker_watch.Unsubscribe();
@@ -153,7 +154,7 @@
     const job::JobSpec& spec = active.job.Accepted().spec;
     const std::vector<bool> all(spec.steps.size(), true);
     active.deadline = accepted_at + queue.slack;
-    if (!internal::IsLongRunning(spec)) {
+    if (!spec.HasLongRunningSteps()) {
       active.deadline += std::chrono::duration_cast<core::Duration>(
           queue.slack_factor * job::CriticalPath(spec, all));
     }
@@ -217,11 +218,11 @@
   PlaceTasks();
   SendPolls();
   const auto read = [this](const core::JobId& id) {
-    const ActiveJob* active = FindJob(id);
-    return active == nullptr
-               ? std::nullopt
-               : std::optional(job::ProgressWrite{
-                     id, active->job.Accepted().queue, active->job.Progress()});
+    ActiveJob* active = FindJob(id);
+    return active == nullptr ? std::nullopt
+                             : std::optional(job::ProgressWrite{
+                                   id, active->job.Accepted().queue,
+                                   active->job.CaptureProgress()});
   };
   std::optional<job::Commit> commit =
       m_committer.NextCommit(m_term.token, m_ports.clock.Now(), read);
@@ -263,10 +264,8 @@
   const bool is_leader = m_committer.Handle(
       reply, now,
       [this](const core::JobId& id, job::JobState state) {
-        ActiveJob* active = FindJob(id);
-        if (active != nullptr && state == job::JobState::kRunning &&
-            !std::exchange(active->is_start_recorded, true)) {
-          SendDeferredStarts(*active);
+        if (ActiveJob* active = FindJob(id); active != nullptr) {
+          HandleProgressStored(*active, state);
         }
       },
       [this, now](const core::InstanceId& id, core::RunEndNumber number) {
--- a/src/crocusmast/scheduling/scheduler.h
+++ b/src/crocusmast/scheduling/scheduler.h
@@ -95,7 +95,9 @@
  *
  * The workers are authoritative on active runs. A new leader polls each worker
  * that earlier leaders may have used, which fences the worker against them,
- * before it starts tasks that may be running there.
+ * before it starts tasks that may be running there. The worker of each
+ * long-running task is stored before the task starts, so that only this worker
+ * is waited for; a finite task may run on any worker of its pool.
  */
 class Scheduler final : public upkeep::WorkerDrainPort,
                         public capacity::PoolLoadSource {
@@ -261,6 +263,7 @@
   void RetryCommands();
   bool RetryWorkerCommands(execution::Worker& worker);
   void SendStart(execution::Worker& worker, const execution::RunKey& key);
+  void HandleProgressStored(ActiveJob& active, job::JobState state);
   void SendDeferredStarts(ActiveJob& active);
   void GiveUpRun(execution::Worker& worker, const execution::RunKey& key);
   void GiveUpOtherGangMembers(const execution::RunKey& key);
@@ -276,6 +279,8 @@
                      std::vector<Candidate>& candidates);
   job::Resources MaxFreeResources(const core::PoolId& pool);
   void PlaceJob(ActiveJob& active);
+  bool MayStartFiniteTasks(const ActiveJob& active) const;
+  void SettleEarlierPlacements(ActiveJob& active);
   static void UpdateMinResources(ActiveJob& active);
   bool PlaceGang(ActiveJob& active,
                  const std::vector<job::TaskKey>& members,
@@ -284,6 +289,7 @@
                                   const job::TaskId& task,
                                   const job::Step& step);
   bool IsUsable(const execution::Worker& worker) const;
+  static bool IsStaying(const execution::Worker& worker);
   void RequestTickets(const ActiveJob& active,
                       const job::TaskId& task,
                       const job::Step& step);
@@ -325,6 +331,9 @@
   std::unordered_map<core::JobId, ActiveJob> m_jobs;
   std::map<core::InstanceId, std::unique_ptr<execution::Worker>> m_workers;
   InheritedWorkers m_inherited_workers;
+  /** @brief Jobs whose stored placements may be older than their runs, because
+   * a leader that stores none has led since. */
+  std::set<core::JobId> m_outdated_placements;
   std::map<core::PoolId, std::vector<execution::Worker*>> m_workers_by_pool;
   std::map<core::PoolId, std::unordered_set<ActiveJob*>> m_jobs_by_pool;
   /** @brief Jobs with scheduled occurrences. */
