Count the crashes of workers under a task in its job

Callers saw worker after worker crash (BUDGET), because nothing kept under which task a worker had crashed, neither in memory nor in the store.

A job now keeps, by attempt, the successive starts of a task that crashed their worker, and fails once they reach the limit for the evidence: two if no other run can have caused the last one, three if others can, four if another cause is likely. A start that a worker survives clears the task; a gang is cleared by all members. The attempts are stored, and a start of a suspect is stored as presumed crash, so that a successor counts on. Records without the field decode as before. The codec of a step's progress moves to a file of its own.

--- a/src/crocusmast/adapters/records/job_records.cc
+++ b/src/crocusmast/adapters/records/job_records.cc
@@ -3,6 +3,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "crocusmast/adapters/records/step_progress_json.h"
+
 namespace crocusmast::adapters::records {
 namespace internal {
 
@@ -118,50 +120,6 @@
   return step;
 }
 
-Json EncodeTaskProgress(const job::TaskProgress& task) {
-  Json failed_attempts = Json::array();
-  for (const core::Attempt attempt : task.failed_attempts) {
-    failed_attempts.push_back(attempt.Count());
-  }
-  return {task.index, task.attempt.Count(), std::move(failed_attempts),
-          task.checkpoint};
-}
-
-job::TaskProgress DecodeTaskProgress(const Json& json) {
-  job::TaskProgress task;
-  task.index = json.at(0);
-  task.attempt = core::Attempt(json.at(1).get<std::uint64_t>());
-  for (const Json& attempt : json.at(2)) {
-    task.failed_attempts.emplace_back(attempt.get<std::uint64_t>());
-  }
-  task.checkpoint = json.at(3);
-  return task;
-}
-
-Json EncodeStepProgress(const job::StepProgress& step) {
-  Json tasks = Json::array();
-  for (const job::TaskProgress& task : step.tasks) {
-    tasks.push_back(EncodeTaskProgress(task));
-  }
-  std::string done;
-  done.reserve(step.done.size());
-  for (const bool is_done : step.done) {
-    done.push_back(is_done ? '1' : '0');
-  }
-  return {done, tasks};
-}
-
-job::StepProgress DecodeStepProgress(const Json& json) {
-  job::StepProgress step;
-  for (const char is_done : json.at(0).get<std::string>()) {
-    step.done.push_back(is_done == '1');
-  }
-  for (const Json& task : json.at(1)) {
-    step.tasks.push_back(DecodeTaskProgress(task));
-  }
-  return step;
-}
-
 constexpr int kLastState = static_cast<int>(job::JobState::kCancelled);
 
 }  // namespace internal
--- a/src/crocusmast/job/job.cc
+++ b/src/crocusmast/job/job.cc
@@ -11,7 +11,21 @@
 }
 
 TaskProgress ToProgress(std::uint32_t index, const Task& task) {
-  return {index, task.attempt, task.failed_attempts, task.checkpoint};
+  TaskProgress progress{index, task.attempt, task.failed_attempts,
+                        task.checkpoint, task.crashed_attempts};
+  // A successor presumes that a suspect crashed its worker, unless it finds it.
+  if (!task.crashed_attempts.empty()) {
+    for (const Run& run : task.runs) {
+      const bool is_counted =
+          std::find(progress.crashed_attempts.begin(),
+                    progress.crashed_attempts.end(),
+                    run.attempt) != progress.crashed_attempts.end();
+      if (!run.has_survived_start && !is_counted) {
+        progress.crashed_attempts.push_back(run.attempt);
+      }
+    }
+  }
+  return progress;
 }
 
 StepProgress ToProgress(const StepState& state) {
@@ -39,6 +53,8 @@
       task.attempt = known_task.attempt;
       task.failed_attempts = known_task.failed_attempts;
       task.checkpoint = known_task.checkpoint;
+      task.crashed_attempts = known_task.crashed_attempts;
+      state.suspect_count += task.crashed_attempts.empty() ? 0 : 1;
     }
   }
 }
@@ -63,6 +79,8 @@
       return "rejected";
     case RunOutcome::kLost:
       return "lost";
+    case RunOutcome::kWorkerCrashed:
+      return "crashed";
   }
   return "unknown";
 }
--- a/src/crocusmast/job/job.h
+++ b/src/crocusmast/job/job.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -32,6 +33,8 @@
   kRejected,
   /** @brief The worker failed or no longer reports the run. */
   kLost,
+  /** @brief The worker crashed, and the run may have caused it. */
+  kWorkerCrashed,
 };
 
 /**
@@ -40,6 +43,33 @@
  */
 std::string_view RunOutcomeName(RunOutcome outcome);
 
+/** @brief How certain it is that a run crashed its worker. */
+enum class CrashEvidence {
+  /** @brief Other workers of the rack ended at the same time, or the start was
+   * not confirmed, so that the worker may have crashed before. */
+  kWeak,
+  /** @brief Other runs on the worker may have caused it. */
+  kShared,
+  /** @brief No other run on the worker may have caused it. */
+  kAlone,
+};
+
+/**
+ * @brief Returns the name of a degree of evidence for logs.
+ * @param evidence The evidence.
+ */
+std::string_view CrashEvidenceName(CrashEvidence evidence);
+
+/**
+ * @brief Crashed workers after which a task is given up.
+ *
+ * The job interface allows giving up after two, and forbids a third further
+ * start after three.
+ */
+inline constexpr std::size_t kMaxCrashesAlone = 2;
+inline constexpr std::size_t kMaxCrashesShared = 3;
+inline constexpr std::size_t kMaxCrashesWeak = 4;
+
 /** @brief One execution of a task on one worker. */
 struct Run {
   /** @brief Worker that it is assigned to. */
@@ -54,6 +84,8 @@
   core::TimePoint last_at_full_speed;
   /** @brief A stop command was sent. */
   bool is_stopping = false;
+  /** @brief Its worker survived the start of the run. */
+  bool has_survived_start = false;
 };
 
 /** @brief State of one task of an open occurrence. */
@@ -70,6 +102,13 @@
    * again.
    */
   std::vector<core::Attempt> failed_attempts;
+  /**
+   * @brief Successive attempts under which a worker crashed; those of a gang
+   * are kept at its first member.
+   */
+  std::vector<core::Attempt> crashed_attempts;
+  /** @brief A worker survived the start of a run of it. */
+  bool has_survived_start = false;
   /** @brief Latest checkpoint; empty for none. */
   std::string checkpoint;
   /** @brief Runs that may be active. */
@@ -82,6 +121,10 @@
   std::vector<Task> tasks;
   /** @brief Number of tasks that are done. */
   std::uint32_t done_count = 0;
+  /** @brief Number of tasks with crashed attempts. */
+  std::uint32_t suspect_count = 0;
+  /** @brief A task of the step survived its start on a worker. */
+  bool has_survivor = false;
 
   /** @brief Tells whether every task is done. */
   bool IsDone() const { return done_count == tasks.size(); }
@@ -215,6 +258,62 @@
               const std::string& checkpoint,
               std::uint32_t max_attempts);
 
+  /**
+   * @brief Counts the crash of a worker against a task; the job fails once the
+   * crashes of a task reach the limit for the evidence.
+   * @param key The task.
+   * @param attempt The attempt number of the run.
+   * @param evidence How certain it is that the run crashed the worker.
+   * @return True if the progress to store has changed.
+   */
+  bool CountCrash(const TaskKey& key,
+                  core::Attempt attempt,
+                  CrashEvidence evidence);
+
+  /**
+   * @brief Fails the job if a task without runs has as many crashes as the
+   * weakest evidence allows; not every crash was seen by a leader.
+   * @return The task; empty if there is none.
+   */
+  std::optional<TaskKey> GiveUpExhaustedTask();
+
+  /**
+   * @brief Registers that a worker survived the start of a run, so that earlier
+   * crashes under the task had another cause; of a gang, once all members have
+   * survived.
+   * @param key The task.
+   * @param attempt The attempt number of the run.
+   * @return True if crashes were counted against the task until now.
+   */
+  bool MarkStartSurvived(const TaskKey& key, core::Attempt attempt);
+
+  /**
+   * @brief Returns the number of successive attempts of a task, or of its gang,
+   * under which a worker crashed.
+   * @param key The task.
+   */
+  std::size_t CrashCount(const TaskKey& key) const;
+
+  /**
+   * @brief Tells whether a task may crash its worker at the start: one of its
+   * own attempts did, or one of its step did and no task of the step survived.
+   * @param key The task.
+   */
+  bool IsSuspect(const TaskKey& key) const;
+
+  /**
+   * @brief Tells whether a task of a step survived its start.
+   * @param key A task of the step.
+   */
+  bool HasSurvivor(const TaskKey& key) const;
+
+  /**
+   * @brief Tells whether a worker survived the start of a task after the last
+   * crash under it.
+   * @param key The task.
+   */
+  bool HasSurvivedStart(const TaskKey& key) const;
+
   /** @brief Cancels the job unless its state is final. */
   void Cancel();
 
@@ -237,6 +336,8 @@
       : m_accepted(std::move(accepted)), m_last_attempt(last_attempt) {}
 
   Task* FindTask(const TaskKey& key);
+  const StepState* FindStep(const TaskKey& key) const;
+  const Task* FindCrashCounter(const TaskKey& key) const;
   void Restore(const JobProgress& stored);
   Occurrence MakeOccurrence() const;
   bool AreDependenciesDone(const Occurrence& occurrence,
--- a/src/crocusmast/job/progress.h
+++ b/src/crocusmast/job/progress.h
@@ -52,6 +52,8 @@
   std::vector<core::Attempt> failed_attempts;
   /** @brief Latest checkpoint; empty for none. */
   std::string checkpoint;
+  /** @brief Attempts under which a worker crashed. */
+  std::vector<core::Attempt> crashed_attempts;
 };
 
 /** @brief Stored progress of a step. */
--- a/test/adapters/job_records_test.cc
+++ b/test/adapters/job_records_test.cc
@@ -17,6 +17,7 @@
   CPPUNIT_TEST_SUITE(JobRecordsTest);
   CPPUNIT_TEST(JobRoundTrips);
   CPPUNIT_TEST(ProgressRoundTrips);
+  CPPUNIT_TEST(CrashedAttemptsRoundTrip);
   CPPUNIT_TEST(JobEndIsDistinguishedFromJob);
   CPPUNIT_TEST(HandoverStateAndHolderRoundTrip);
   CPPUNIT_TEST(DamagedBytesGiveJobOrError);
@@ -79,7 +80,7 @@
     progress.open_occurrences = {
         {1,
          {{{true, false, true},
-           {{1, core::Attempt(7), {core::Attempt(3)}, "saved"}}}}}};
+           {{1, core::Attempt(7), {core::Attempt(3)}, "saved", {}}}}}}};
     const std::string bytes = records::EncodeProgress(progress);
     const job::JobProgress decoded = records::DecodeProgress(bytes).value();
     CPPUNIT_ASSERT(decoded.open_occurrences[0].steps[0].done ==
@@ -90,6 +91,30 @@
     CPPUNIT_ASSERT(records::EncodeProgress(decoded) == bytes);
   }
 
+  // A successor counted the crashes under a task from zero.
+  void CrashedAttemptsRoundTrip() {
+    job::JobProgress progress;
+    progress.state = job::JobState::kRunning;
+    progress.open_occurrences = {
+        {0, {{{false}, {{0, core::Attempt(7), {}, "", {}}}}}}};
+    const std::string without = records::EncodeProgress(progress);
+    const auto decode = [](const std::string& bytes) {
+      return records::DecodeProgress(bytes)
+          .value()
+          .open_occurrences[0]
+          .steps[0]
+          .tasks[0]
+          .crashed_attempts;
+    };
+    CPPUNIT_ASSERT(decode(without).empty());
+    const std::vector<core::Attempt> attempts{core::Attempt(5),
+                                              core::Attempt(7)};
+    progress.open_occurrences[0].steps[0].tasks[0].crashed_attempts = attempts;
+    const std::string with = records::EncodeProgress(progress);
+    CPPUNIT_ASSERT(with.size() > without.size());
+    CPPUNIT_ASSERT(decode(with) == attempts);
+  }
+
   void HandoverStateAndHolderRoundTrip() {
     job::HandoverState handover;
     handover.workers = {{MakeId<core::InstanceId>("w-1"), core::Incarnation(5),
