--- a/src/crocusmast/execution/worker.cc
+++ b/src/crocusmast/execution/worker.cc
@@ -28,6 +28,7 @@
   m_is_listed = true;
   m_clock = m_record.clock;
   m_clock_read_at = now;
+  m_alive_at = WorkerTime();
   m_lease_until = WorkerTime();
   m_lease_expires_at = core::TimePoint();
   m_runs.clear();
@@ -63,7 +64,8 @@
   const auto since = std::chrono::duration_cast<std::chrono::milliseconds>(
       now - m_clock_read_at);
   if (m_clock + since < m_record.clock) {
-    UpdateClock(m_record.clock, now);
+    m_clock = m_record.clock;
+    m_clock_read_at = now;
   }
   return false;
 }
@@ -71,6 +73,7 @@
 void Worker::UpdateClock(WorkerTime clock, core::TimePoint now) {
   m_clock = clock;
   m_clock_read_at = now;
+  m_alive_at = std::max(m_alive_at, clock);
 }
 
 WorkerTime Worker::ExtendLease(std::chrono::milliseconds length,
--- a/src/crocusmast/execution/worker.h
+++ b/src/crocusmast/execution/worker.h
@@ -49,6 +49,11 @@
   core::TimePoint command_sent_at;
   /** @brief A command for it is in flight. */
   bool is_command_pending = false;
+  /** @brief Reading of the worker's clock by which the run was active; absent
+   * before. */
+  std::optional<WorkerTime> active_since;
+  /** @brief Its job was told that the worker survived its start. */
+  bool has_survived_start = false;
 };
 
 /** @brief Identifies one run of a task. */
@@ -117,6 +122,9 @@
     m_lease_expires_at = std::max(m_lease_expires_at, until);
   }
 
+  /** @brief Returns the highest reading of the worker's clock in a reply. */
+  WorkerTime AliveAt() const { return m_alive_at; }
+
   /** @brief Returns the latest lease end requested, on the worker's clock. */
   WorkerTime LeaseUntil() const { return m_lease_until; }
 
@@ -205,6 +213,9 @@
   WorkerTime m_clock;
   /** @brief When that reading arrived. */
   core::TimePoint m_clock_read_at;
+  /** @brief Highest reading of the worker's clock in a reply; replies may
+   * overtake each other. */
+  WorkerTime m_alive_at;
   /** @brief Latest lease end requested, on the worker's clock. */
   WorkerTime m_lease_until;
   /** @brief When every lease has certainly expired. */
