Give up tasks that crash their workers

The scheduler ended each run as lost and blamed nobody.

The scheduler now asks CrashAttribution which runs a crash is blamed on, counts them in their jobs, and starts a suspect on a reserved worker that is polled at short intervals. worker_crashed, task_given_up and task_cleared and two counters tell why.

The successor test bounds the starts after three crashes, as the rule does, instead of the crashes: with a leader change every 4 s no leader sees the end of most starts.

--- a/src/crocusmast/adapters/metrics_registry.cc
+++ b/src/crocusmast/adapters/metrics_registry.cc
@@ -48,6 +48,8 @@
     "peer_messages_rejected_total",
     "peer_messages_dropped_total",
     "replies_dropped_total",
+    "workers_crashed_total",
+    "tasks_given_up_total",
 };
 
 constexpr std::array<std::string_view, kTimingCount> kTimingNames{
--- a/src/crocusmast/core/meter.h
+++ b/src/crocusmast/core/meter.h
@@ -32,6 +32,10 @@
   kPeerMessagesRejected,
   kPeerMessagesDropped,
   kRepliesDropped,
+  /** @brief Workers that crashed right after the start of a run. */
+  kWorkersCrashed,
+  /** @brief Tasks that were given up because workers crashed under them. */
+  kTasksGivenUp,
   kCount,
 };
 
--- a/src/crocusmast/scheduling/scheduler.cc
+++ b/src/crocusmast/scheduling/scheduler.cc
@@ -20,7 +20,11 @@
 
 using execution::Worker;
 
-Scheduler::Scheduler(const SchedulerPorts& ports) : m_ports(ports) {}
+Scheduler::Scheduler(const SchedulerPorts& ports)
+    : m_ports(ports), m_crashes([this](const core::JobId& id) {
+        const ActiveJob* active = FindJob(id);
+        return active == nullptr ? nullptr : &active->job;
+      }) {}
 
 // The leadership term.
 
@@ -102,6 +106,7 @@
   m_next_placement_at = {};
   m_ended_jobs.clear();
   m_tickets.Clear();
+  m_crashes.Clear();
   m_demand.Clear();
   m_workers_by_pool.clear();
   m_workers.clear();
@@ -318,7 +323,8 @@
   const core::TimePoint now = m_ports.clock.Now();
   for (const auto& [id, worker] : m_workers) {
     const bool is_needed = !worker->is_reconciled || !worker->Runs().empty() ||
-                           worker->acknowledged_end < worker->recorded_end;
+                           worker->acknowledged_end < worker->recorded_end ||
+                           m_crashes.IsUncertain(id);
     if (!is_needed || worker->is_poll_pending || now < worker->next_poll_at) {
       continue;
     }
@@ -329,7 +335,9 @@
     command.recorded = worker->recorded_end;
     const bool may_wait = worker->is_reconciled && !worker->Runs().empty() &&
                           worker->received_end == worker->recorded_end;
-    command.max_wait = may_wait ? kPollWait : std::chrono::milliseconds(0);
+    const std::chrono::milliseconds wait =
+        m_crashes.IsReserved(id) ? kStartProbation : kPollWait;
+    command.max_wait = may_wait ? wait : std::chrono::milliseconds(0);
     // The lease of a worker that does not reply is not extended, so that its
     // runs are certain to end.
     if (worker->failed_polls == 0) {
--- a/src/crocusmast/scheduling/scheduler.h
+++ b/src/crocusmast/scheduling/scheduler.h
@@ -24,6 +24,7 @@
 #include "crocusmast/job/job_store.h"
 #include "crocusmast/queue/queue_catalog.h"
 #include "crocusmast/scheduling/committer.h"
+#include "crocusmast/scheduling/crash_attribution.h"
 #include "crocusmast/scheduling/messages.h"
 #include "crocusmast/scheduling/run_time_estimator.h"
 #include "crocusmast/scheduling/ticket_cache.h"
@@ -238,7 +239,22 @@
   bool MayInterrupt(const ActiveJob& active, const job::TaskKey& key) const;
   bool IsPoolReconciled(const core::PoolId& pool) const;
 
-  void EndIncarnation(execution::Worker& worker, const char* reason);
+  /** @brief How the end of an incarnation became known. */
+  enum class IncarnationEnd { kReplaced, kLeaseExpired };
+
+  void EndIncarnation(execution::Worker& worker,
+                      IncarnationEnd end,
+                      const char* reason);
+  void HandleOtherIncarnation(execution::Worker& worker);
+  void SettleCrash(const core::InstanceId& worker, core::Incarnation seen);
+  void CountCrashes(const core::InstanceId& worker, const Blame& blame);
+  void MarkStartSurvived(execution::Worker& worker,
+                         const execution::RunKey& key);
+  bool GiveUpExhaustedTask(ActiveJob& active);
+  void ReportGivenUp(ActiveJob& active,
+                     const job::TaskId& task,
+                     const char* evidence);
+  void HandleFinalState(ActiveJob& active, const job::TaskId& last);
   void EndRun(execution::Worker& worker,
               const execution::RunKey& key,
               job::RunOutcome outcome,
@@ -343,6 +359,7 @@
   RunTimeEstimator m_run_time_estimator;
   capacity::DemandEstimator m_demand;
   TicketCache m_tickets;
+  CrashAttribution m_crashes;
   job::FleetHandover m_fleet_handover;
   /** @brief Placements of the current job for the log, each in the form
    * TASK#ATTEMPT@WORKER/FREE, where FREE is the processor time that is left on
--- a/src/crocusmast/scheduling/scheduler_placement.cc
+++ b/src/crocusmast/scheduling/scheduler_placement.cc
@@ -93,6 +93,9 @@
 }
 
 void Scheduler::PlaceJob(ActiveJob& active) {
+  if (GiveUpExhaustedTask(active)) {
+    return;
+  }
   std::vector<std::pair<job::TaskKey, const job::Step*>> ready;
   active.job.ForEachReady(
       [&ready](const job::TaskKey& key, const job::Step& step) {
@@ -250,12 +253,17 @@
                                 const job::Step& step) {
   const core::TimePoint now = m_ports.clock.Now();
   const job::Resources need = MakeAssignedRun(step).resources;
+  const bool is_suspect = m_crashes.IsSuspect(task);
+  if (is_suspect && m_crashes.MustWait(task)) {
+    return nullptr;
+  }
   Worker* best = nullptr;
   bool is_best_on_preferred_rack = false;
   for (Worker* worker : m_workers_by_pool[active.pool]) {
     const execution::WorkerRecord& record = worker->Record();
     const bool is_usable =
         IsUsable(*worker) && worker->FreeResources().CanFit(need) &&
+        !m_crashes.IsReserved(record.id) &&
         (!active.needs_tickets ||
          m_tickets.Find(StepId::Of(task), record.id, record.incarnation, now) !=
              nullptr);
@@ -270,11 +278,15 @@
         !step.preferred_rack.empty() && record.Rack() == step.preferred_rack;
     // Best fit keeps whole workers free for large tasks, for maintenance and
     // for release.
-    const bool is_better =
+    const bool is_better_fit =
         best == nullptr ||
         (is_on_preferred_rack && !is_best_on_preferred_rack) ||
         (is_on_preferred_rack == is_best_on_preferred_rack &&
          worker->FreeResources().processor < best->FreeResources().processor);
+    const bool is_better =
+        is_suspect && best != nullptr
+            ? CrashAttribution::IsBetterForSuspect(*worker, *best)
+            : is_better_fit;
     if (is_better) {
       best = worker;
       is_best_on_preferred_rack = is_on_preferred_rack;
@@ -293,7 +305,8 @@
   if (worker.received_end == worker.recorded_end) {
     worker.next_poll_at = std::min(worker.next_poll_at, now);
   }
-  if (active.job.State() == job::JobState::kQueued) {
+  if (active.job.State() == job::JobState::kQueued ||
+      active.job.CrashCount(task.key) > 0) {
     m_committer.MarkChanged(task.job);
   }
   job::Run run;
@@ -301,6 +314,7 @@
   run.attempt = attempt;
   run.started_at = now;
   active.job.BeginRun(task.key, std::move(run));
+  m_crashes.BeginRun(worker.Record().id, {task, attempt});
   worker.ExtendLease(kWorkerLeaseLength, now);
   RecordPlacement(task, attempt, worker);
   if (active.is_start_recorded) {
--- a/src/crocusmast/scheduling/scheduler_polls.cc
+++ b/src/crocusmast/scheduling/scheduler_polls.cc
@@ -44,8 +44,7 @@
       (reply.replying_incarnation &&
        *reply.replying_incarnation != reply.incarnation);
   if (is_other_incarnation) {
-    EndIncarnation(*worker, "another incarnation replied at its address");
-    worker->MarkUnlisted();
+    HandleOtherIncarnation(*worker);
     return;
   }
   if (reply.outcome != WorkerCallOutcome::kDone) {
@@ -53,6 +52,7 @@
     worker->next_poll_at = now + kPollRetryDelay;
     worker->backoff_until = now + kWorkerBackoff;
     if (worker->failed_polls == 1) {
+      m_crashes.HandleSilence(*worker, now);
       Log(core::Severity::kWarning,
           "Poll of worker " + reply.worker.Text() + " failed: " +
               std::string(WorkerCallOutcomeName(reply.outcome)) + ".",
@@ -65,6 +65,9 @@
         "Worker " + reply.worker.Text() + " replies to polls again.",
         {{"event", "worker_answers"}, {"worker", reply.worker.Text()}});
   }
+  if (worker->failed_polls > 0 || m_crashes.IsUncertain(reply.worker)) {
+    m_crashes.HandleReply(*worker);
+  }
   worker->failed_polls = 0;
   worker->acknowledged_end = worker->acknowledging_end;
   worker->next_poll_at = now;
@@ -153,10 +156,18 @@
       run->is_confirmed = true;
       run->confirmed_at_poll = reply.sequence;
     }
+    if (run != nullptr && !run->active_since) {
+      run->active_since = reply.clock;
+    }
     if (ActiveJob* active = FindJob(report.task.job); active != nullptr) {
       active->job.UpdateRun(report.task.key, report.attempt, report.percent,
                             report.checkpoint, now);
     }
+    if (run != nullptr && !run->has_survived_start &&
+        CrashAttribution::HasSurvivedStart(worker, *run)) {
+      run->has_survived_start = true;
+      MarkStartSurvived(worker, key);
+    }
   }
 }
 
@@ -175,6 +186,7 @@
   run.is_confirmed = true;
   run.confirmed_at_poll = worker.poll_sequence;
   run.command_sent_at = m_ports.clock.Now();
+  run.active_since = worker.AliveAt();
   const bool is_wanted = task != nullptr &&
                          !job::IsFinal(active->job.State()) && !task->is_done &&
                          (task->runs.empty() ||
@@ -197,6 +209,7 @@
   adopted.attempt = report.attempt;
   adopted.started_at = m_ports.clock.Now();
   active->job.BeginRun(report.task.key, std::move(adopted));
+  m_crashes.BeginRun(worker.Record().id, key);
 }
 
 void Scheduler::EndUnreportedRuns(Worker& worker,
--- a/src/crocusmast/scheduling/scheduler_runs.cc
+++ b/src/crocusmast/scheduling/scheduler_runs.cc
@@ -11,22 +11,6 @@
 using execution::Worker;
 using execution::WorkerCallOutcome;
 
-void Scheduler::EndIncarnation(Worker& worker, const char* reason) {
-  const core::InstanceId& id = worker.Record().id;
-  if (!worker.Runs().empty()) {
-    Log(core::Severity::kWarning,
-        "All runs on worker " + id.Text() + " are lost: " + reason + ".",
-        {{"event", "worker_lost"},
-         {"worker", id.Text()},
-         {"evidence", reason},
-         {"runs", std::to_string(worker.Runs().size())}});
-  }
-  for (const RunKey& key : worker.Keys()) {
-    EndRun(worker, key, job::RunOutcome::kLost, "");
-  }
-  MarkReconciled(id, reason);
-}
-
 void Scheduler::EndRun(Worker& worker,
                        const RunKey& key,
                        job::RunOutcome outcome,
@@ -35,6 +19,7 @@
   const bool was_stopped =
       assigned != nullptr && assigned->is_stop_acknowledged;
   worker.Remove(key);
+  m_crashes.EndProbation(worker.Record().id, key);
   m_pools_to_place.insert(worker.Record().pool);
   ActiveJob* active = FindJob(key.task.job);
   if (active == nullptr) {
@@ -56,11 +41,14 @@
   if (!was_stopped) {
     ReportCancelSettled(*active);
   }
-  if (is_changed) {
+  const bool was_presumed_crash = !job::IsFinal(active->job.State()) &&
+                                  active->job.CrashCount(key.task.key) > 0;
+  if (is_changed || was_presumed_crash) {
     m_committer.MarkChanged(key.task.job);
   }
   // Run ends that a worker reports in a poll are logged together.
   if (outcome == job::RunOutcome::kLost ||
+      outcome == job::RunOutcome::kWorkerCrashed ||
       outcome == job::RunOutcome::kRejected) {
     Log(core::Severity::kInfo,
         "Task " + Describe(key.task) + " ended on " +
@@ -74,16 +62,7 @@
          {"end", std::string(job::RunOutcomeName(outcome))}});
   }
   if (job::IsFinal(active->job.State())) {
-    if (m_final_jobs.insert(key.task.job).second) {
-      Log(core::Severity::kInfo,
-          "Job " + key.task.job.Text() + " ended: " +
-              std::string(job::JobStateName(active->job.State())) + ".",
-          {{"event", "job_ended"},
-           {"job", key.task.job.Text()},
-           {"state", std::string(job::JobStateName(active->job.State()))},
-           {"last", Describe(key.task)}});
-    }
-    StopRuns(*active);
+    HandleFinalState(*active, key.task);
     return;
   }
   // Speculative copies of a finished task are stopped.
@@ -174,13 +153,15 @@
     case WorkerCallOutcome::kDone:
       run->is_confirmed = true;
       run->confirmed_at_poll = worker->poll_sequence;
+      if (!run->active_since) {
+        run->active_since = reply.clock;
+      }
       break;
     case WorkerCallOutcome::kFenced:
       m_was_fenced = true;
       break;
     case WorkerCallOutcome::kIncarnationMismatch:
-      EndIncarnation(*worker, "another incarnation replied at its address");
-      worker->MarkUnlisted();
+      HandleOtherIncarnation(*worker);
       break;
     case WorkerCallOutcome::kUnknown:
       run->has_unanswered_start = true;
@@ -230,8 +211,7 @@
   }
   AssignedRun* run = worker->Find({reply.task, reply.attempt});
   if (reply.outcome == WorkerCallOutcome::kIncarnationMismatch) {
-    EndIncarnation(*worker, "another incarnation replied at its address");
-    worker->MarkUnlisted();
+    HandleOtherIncarnation(*worker);
     return;
   }
   m_was_fenced = m_was_fenced || reply.outcome == WorkerCallOutcome::kFenced;
--- a/src/crocusmast/scheduling/scheduler_workers.cc
+++ b/src/crocusmast/scheduling/scheduler_workers.cc
@@ -43,7 +43,7 @@
                 .first->second.get();
     m_workers_by_pool[pool].push_back(known);
   } else if (known->Record().incarnation < update.worker.incarnation) {
-    EndIncarnation(*known, "it has restarted");
+    EndIncarnation(*known, IncarnationEnd::kReplaced, "it has restarted");
     known->Update(std::move(update.worker), now);
     is_new_incarnation = true;
   } else {
@@ -58,6 +58,7 @@
   if (!is_new_incarnation) {
     return;
   }
+  SettleCrash(id, known->Record().incarnation);
   Log(core::Severity::kInfo, "Worker " + id.Text() + " has joined.",
       {{"event", "worker_joined"},
        {"worker", id.Text()},
@@ -188,6 +189,7 @@
 }
 
 void Scheduler::ExpireWorkers(core::TimePoint confirmed_at) {
+  m_crashes.Forget(m_ports.clock.Now());
   std::vector<core::InstanceId> expired;
   for (const auto& [id, unreconciled] : m_unreconciled) {
     if (unreconciled.until <= confirmed_at) {
@@ -203,10 +205,12 @@
   for (auto next = m_workers.begin(); next != m_workers.end();) {
     Worker& worker = *next->second;
     if (!worker.Runs().empty() && worker.HasLeaseExpired(confirmed_at)) {
-      EndIncarnation(worker, "its lease has expired");
+      EndIncarnation(worker, IncarnationEnd::kLeaseExpired,
+                     "its lease has expired");
     }
     const bool is_removable = !worker.IsListed() && worker.Runs().empty() &&
-                              m_unreconciled.count(next->first) == 0;
+                              m_unreconciled.count(next->first) == 0 &&
+                              !m_crashes.IsUncertain(next->first);
     if (!is_removable) {
       ++next;
       continue;
