Treat a suspect's crash beside an unproven start as weak evidence

A suspect that started beside a task that no worker had survived yet was counted like one of several suspects, although the other task may be the deadly one. Such a crash now counts with the limit for weak evidence. That this is the cause is suspected.

--- a/src/crocusmast/scheduling/crash_attribution.cc
+++ b/src/crocusmast/scheduling/crash_attribution.cc
@@ -209,9 +209,9 @@
       blame.runs.begin(), blame.runs.end(), [this, &blame](const RunKey& run) {
         return IsSameUnit(run.task, blame.runs.front().task);
       });
-  if (!has_confirmed_start || IsCorrelated(worker, now)) {
+  if (!has_confirmed_start || has_other_cause || IsCorrelated(worker, now)) {
     blame.evidence = job::CrashEvidence::kWeak;
-  } else if (is_one_unit && !has_other_cause) {
+  } else if (is_one_unit) {
     blame.evidence = job::CrashEvidence::kAlone;
   }
   return blame;
