--- a/src/crocusmast/adapters/metrics_registry.cc
+++ b/src/crocusmast/adapters/metrics_registry.cc
@@ -50,6 +50,8 @@
     "replies_dropped_total",
     "handovers_stored_total",
     "handovers_failed_total",
+    "workers_crashed_total",
+    "tasks_given_up_total",
 };
 
 constexpr std::array<std::string_view, kTimingCount> kTimingNames{
--- a/src/crocusmast/adapters/records/progress_records.cc
+++ b/src/crocusmast/adapters/records/progress_records.cc
@@ -13,8 +13,15 @@
   for (const core::Attempt attempt : task.failed_attempts) {
     failed_attempts.push_back(attempt.Count());
   }
-  return {task.index, task.attempt.Count(), std::move(failed_attempts),
-          task.checkpoint};
+  Json json{task.index, task.attempt.Count(), std::move(failed_attempts),
+            task.checkpoint};
+  if (!task.crashed_attempts.empty()) {
+    Json& crashed_attempts = json.emplace_back(Json::array());
+    for (const core::Attempt attempt : task.crashed_attempts) {
+      crashed_attempts.push_back(attempt.Count());
+    }
+  }
+  return json;
 }
 
 job::TaskProgress DecodeTaskProgress(const Json& json) {
@@ -25,6 +32,13 @@
     task.failed_attempts.emplace_back(attempt.get<std::uint64_t>());
   }
   task.checkpoint = json.at(3);
+  // Records without crashed attempts have no fifth element.
+  constexpr std::size_t kCrashedAttempts = 4;
+  if (json.size() > kCrashedAttempts) {
+    for (const Json& attempt : json.at(kCrashedAttempts)) {
+      task.crashed_attempts.emplace_back(attempt.get<std::uint64_t>());
+    }
+  }
   return task;
 }
 
--- a/src/crocusmast/core/meter.h
+++ b/src/crocusmast/core/meter.h
@@ -37,6 +37,10 @@
   /** @brief Terms whose final handover state was not stored; the successor
    * assumes the longest leases. */
   kHandoversFailed,
+  /** @brief Workers that crashed right after the start of a run. */
+  kWorkersCrashed,
+  /** @brief Tasks that were given up because workers crashed under them. */
+  kTasksGivenUp,
   kCount,
 };
 
--- a/src/crocusmast/job/job.cc
+++ b/src/crocusmast/job/job.cc
@@ -10,39 +10,6 @@
   return !task.runs.empty();
 }
 
-TaskProgress ToProgress(std::uint32_t index, const Task& task) {
-  return {index, task.attempt, task.failed_attempts, task.checkpoint};
-}
-
-StepProgress ToProgress(const StepState& state) {
-  StepProgress progress;
-  progress.done.reserve(state.tasks.size());
-  for (std::uint32_t index = 0; index < state.tasks.size(); ++index) {
-    const Task& task = state.tasks[index];
-    progress.done.push_back(task.is_done);
-    if (!task.is_done && core::Attempt(0) < task.attempt) {
-      progress.tasks.push_back(ToProgress(index, task));
-    }
-  }
-  return progress;
-}
-
-void Restore(const StepProgress& progress, StepState& state) {
-  const std::size_t known = std::min(progress.done.size(), state.tasks.size());
-  for (std::size_t index = 0; index < known; ++index) {
-    state.tasks[index].is_done = progress.done[index];
-    state.done_count += progress.done[index] ? 1 : 0;
-  }
-  for (const TaskProgress& known_task : progress.tasks) {
-    if (known_task.index < state.tasks.size()) {
-      Task& task = state.tasks[known_task.index];
-      task.attempt = known_task.attempt;
-      task.failed_attempts = known_task.failed_attempts;
-      task.checkpoint = known_task.checkpoint;
-    }
-  }
-}
-
 }  // namespace internal
 
 std::string_view RunOutcomeName(RunOutcome outcome) {
@@ -63,6 +30,8 @@
       return "rejected";
     case RunOutcome::kLost:
       return "lost";
+    case RunOutcome::kWorkerCrashed:
+      return "crashed";
   }
   return "unknown";
 }
@@ -82,23 +51,6 @@
   return job;
 }
 
-void Job::Restore(const JobProgress& stored) {
-  m_state = stored.state;
-  m_opened_count = stored.opened_count;
-  if (m_state != JobState::kQueued && m_accepted.spec.HasLongRunningSteps()) {
-    m_earlier_placements = EarlierPlacements::Restore(stored.placements);
-  }
-  for (const OccurrenceProgress& open : stored.open_occurrences) {
-    Occurrence occurrence = MakeOccurrence();
-    const std::size_t known =
-        std::min(open.steps.size(), occurrence.steps.size());
-    for (std::size_t step = 0; step < known; ++step) {
-      internal::Restore(open.steps[step], occurrence.steps[step]);
-    }
-    m_open_occurrences.emplace(open.number, std::move(occurrence));
-  }
-}
-
 Occurrence Job::MakeOccurrence() const {
   Occurrence occurrence;
   for (const Step& step : m_accepted.spec.steps) {
@@ -345,54 +297,4 @@
   }
 }
 
-JobProgress Job::Progress() const {
-  JobProgress progress;
-  progress.state = m_state;
-  progress.opened_count = m_opened_count;
-  if (IsFinal(m_state)) {
-    return progress;
-  }
-  for (const auto& [number, occurrence] : m_open_occurrences) {
-    OccurrenceProgress& open = progress.open_occurrences.emplace_back();
-    open.number = number;
-    for (const StepState& step : occurrence.steps) {
-      open.steps.push_back(internal::ToProgress(step));
-    }
-  }
-  if (m_accepted.spec.HasLongRunningSteps() &&
-      m_earlier_placements.AreKnown()) {
-    std::vector<TaskPlacement>& placements = progress.placements.emplace();
-    m_earlier_placements.AppendTo(placements);
-    ForEachRun([&](const TaskKey& key, const Run& run) {
-      if (StepOf(key).is_long_running) {
-        placements.push_back({key, run.worker, run.incarnation});
-      }
-    });
-  }
-  return progress;
-}
-
-template <typename Visitor>
-void Job::ForEachMutableRun(Visitor visit) {
-  for (auto& [number, occurrence] : m_open_occurrences) {
-    for (StepState& step : occurrence.steps) {
-      for (Task& task : step.tasks) {
-        std::for_each(task.runs.begin(), task.runs.end(), visit);
-      }
-    }
-  }
-}
-
-JobProgress Job::CaptureProgress() {
-  ForEachMutableRun([](Run& run) { run.is_in_captured_progress = true; });
-  return Progress();
-}
-
-void Job::MarkCapturedProgressStored() {
-  ForEachMutableRun([](Run& run) {
-    run.is_placement_stored =
-        run.is_placement_stored || run.is_in_captured_progress;
-  });
-}
-
 }  // namespace crocusmast::job
--- a/src/crocusmast/scheduling/scheduler.cc
+++ b/src/crocusmast/scheduling/scheduler.cc
@@ -14,7 +14,11 @@
 
 using execution::Worker;
 
-Scheduler::Scheduler(const SchedulerPorts& ports) : m_ports(ports) {}
+Scheduler::Scheduler(const SchedulerPorts& ports)
+    : m_ports(ports), m_crashes([this](const core::JobId& id) {
+        const ActiveJob* active = FindJob(id);
+        return active == nullptr ? nullptr : &active->job;
+      }) {}
 
 // The leadership term.
 
@@ -101,6 +105,7 @@
   m_next_placement_at = {};
   m_ended_jobs.clear();
   m_tickets.Clear();
+  m_crashes.Clear();
   m_demand.Clear();
   m_workers_by_pool.clear();
   m_workers.clear();
@@ -317,7 +322,8 @@
   const core::TimePoint now = m_ports.clock.Now();
   for (const auto& [id, worker] : m_workers) {
     const bool is_needed = !worker->is_reconciled || !worker->Runs().empty() ||
-                           worker->acknowledged_end < worker->recorded_end;
+                           worker->acknowledged_end < worker->recorded_end ||
+                           m_crashes.IsUncertain(id);
     if (!is_needed || worker->is_poll_pending || now < worker->next_poll_at) {
       continue;
     }
@@ -328,7 +334,9 @@
     command.recorded = worker->recorded_end;
     const bool may_wait = worker->is_reconciled && !worker->Runs().empty() &&
                           worker->received_end == worker->recorded_end;
-    command.max_wait = may_wait ? kPollWait : std::chrono::milliseconds(0);
+    const std::chrono::milliseconds wait =
+        m_crashes.IsReserved(id) ? kStartProbation : kPollWait;
+    command.max_wait = may_wait ? wait : std::chrono::milliseconds(0);
     // The lease of a worker that does not reply is not extended, so that its
     // runs are certain to end; neither is that of one that has not replied to
     // this leader yet, whose runs count as ended when the inherited lease
--- a/src/crocusmast/scheduling/scheduler_placement.cc
+++ b/src/crocusmast/scheduling/scheduler_placement.cc
@@ -112,6 +112,9 @@
 }
 
 void Scheduler::PlaceJob(ActiveJob& active) {
+  if (GiveUpExhaustedTask(active)) {
+    return;
+  }
   SettleEarlierPlacements(active);
   const job::EarlierPlacements& earlier = active.job.Earlier();
   const bool may_start_finite = MayStartFiniteTasks(active);
@@ -275,11 +278,16 @@
                                 const job::Step& step) {
   const core::TimePoint now = m_ports.clock.Now();
   const job::Resources need = MakeAssignedRun(step).resources;
+  const bool is_suspect = m_crashes.IsSuspect(task);
+  if (is_suspect && m_crashes.MustWait(task)) {
+    return nullptr;
+  }
   Worker* best = nullptr;
   bool is_best_on_preferred_rack = false;
   for (Worker* worker : m_workers_by_pool[active.pool]) {
     const execution::WorkerRecord& record = worker->Record();
     const bool is_usable = IsUsable(*worker) && worker->CanFit(need) &&
+                           !m_crashes.IsReserved(record.id) &&
                            (!active.needs_tickets ||
                             m_tickets.Find(StepId::Of(task), record.id,
                                            record.incarnation, now) != nullptr);
@@ -294,11 +302,15 @@
         !step.preferred_rack.empty() && record.Rack() == step.preferred_rack;
     // Best fit keeps whole workers free for large tasks, for maintenance and
     // for release.
-    const bool is_better =
+    const bool is_better_fit =
         best == nullptr ||
         (is_on_preferred_rack && !is_best_on_preferred_rack) ||
         (is_on_preferred_rack == is_best_on_preferred_rack &&
          worker->FreeResources().processor < best->FreeResources().processor);
+    const bool is_better =
+        is_suspect && best != nullptr
+            ? CrashAttribution::IsBetterForSuspect(*worker, *best)
+            : is_better_fit;
     if (is_better) {
       best = worker;
       is_best_on_preferred_rack = is_on_preferred_rack;
--- a/src/crocusmast/scheduling/scheduler_polls.cc
+++ b/src/crocusmast/scheduling/scheduler_polls.cc
@@ -44,8 +44,7 @@
       (reply.replying_incarnation &&
        *reply.replying_incarnation != reply.incarnation);
   if (is_other_incarnation) {
-    EndIncarnation(*worker, "another incarnation replied at its address");
-    worker->MarkUnlisted();
+    HandleOtherIncarnation(*worker);
     return;
   }
   if (reply.outcome != WorkerCallOutcome::kDone) {
@@ -54,6 +53,7 @@
     worker->backoff_until = now + kWorkerBackoff;
     if (worker->failed_polls == 1) {
       worker->silent_since = now;
+      m_crashes.HandleSilence(*worker, now);
       Log(core::Severity::kWarning,
           "Poll of worker " + reply.worker.Text() + " failed: " +
               std::string(WorkerCallOutcomeName(reply.outcome)) + ".",
@@ -66,6 +66,9 @@
         "Worker " + reply.worker.Text() + " replies to polls again.",
         {{"event", "worker_answers"}, {"worker", reply.worker.Text()}});
   }
+  if (worker->failed_polls > 0 || m_crashes.IsUncertain(reply.worker)) {
+    m_crashes.HandleReply(*worker);
+  }
   worker->failed_polls = 0;
   if (worker->is_lease_frozen) {
     StoreHandover();
@@ -158,10 +161,18 @@
       run->is_confirmed = true;
       run->confirmed_at_poll = reply.sequence;
     }
+    if (run != nullptr && !run->active_since) {
+      run->active_since = reply.clock;
+    }
     if (ActiveJob* active = FindJob(report.task.job); active != nullptr) {
       active->job.UpdateRun(report.task.key, report.attempt, report.percent,
                             report.checkpoint, now);
     }
+    if (run != nullptr && !run->has_survived_start &&
+        CrashAttribution::HasSurvivedStart(worker, *run)) {
+      run->has_survived_start = true;
+      MarkStartSurvived(worker, key);
+    }
   }
 }
 
@@ -179,6 +190,7 @@
   run.is_confirmed = true;
   run.confirmed_at_poll = worker.poll_sequence;
   run.command_sent_at = m_ports.clock.Now();
+  run.active_since = worker.AliveAt();
   const bool is_wanted = task != nullptr &&
                          !job::IsFinal(active->job.State()) && !task->is_done &&
                          (task->runs.empty() ||
@@ -206,6 +218,7 @@
   if (active->job.StepOf(report.task.key).is_long_running) {
     m_committer.MarkChanged(report.task.job);
   }
+  m_crashes.BeginRun(worker.Record().id, key);
 }
 
 void Scheduler::EndUnreportedRuns(Worker& worker,
--- a/src/crocusmast/scheduling/scheduler_starts.cc
+++ b/src/crocusmast/scheduling/scheduler_starts.cc
@@ -25,7 +25,8 @@
   if (worker.received_end == worker.recorded_end) {
     worker.next_poll_at = std::min(worker.next_poll_at, now);
   }
-  if (active.job.State() == job::JobState::kQueued || step.is_long_running) {
+  if (active.job.State() == job::JobState::kQueued || step.is_long_running ||
+      active.job.CrashCount(task.key) > 0) {
     m_committer.MarkChanged(task.job);
   }
   job::Run run;
@@ -34,6 +35,7 @@
   run.attempt = attempt;
   run.started_at = now;
   active.job.BeginRun(task.key, std::move(run));
+  m_crashes.BeginRun(worker.Record().id, {task, attempt});
   worker.ExtendLease(kWorkerLeaseLength, now);
   RecordPlacement(task, attempt, worker);
   if (!assigned.is_waiting_for_commit) {
--- a/src/crocusmast/scheduling/scheduler_workers.cc
+++ b/src/crocusmast/scheduling/scheduler_workers.cc
@@ -43,7 +43,7 @@
                 .first->second.get();
     m_workers_by_pool[pool].push_back(known);
   } else if (known->Record().incarnation < update.worker.incarnation) {
-    EndIncarnation(*known, "it has restarted");
+    EndIncarnation(*known, IncarnationEnd::kReplaced, "it has restarted");
     known->Update(std::move(update.worker), now);
     is_new_incarnation = true;
   } else {
@@ -59,6 +59,7 @@
   if (!is_new_incarnation) {
     return;
   }
+  SettleCrash(id, known->Record().incarnation);
   Log(core::Severity::kInfo, "Worker " + id.Text() + " has joined.",
       {{"event", "worker_joined"},
        {"worker", id.Text()},
@@ -204,6 +205,7 @@
 }
 
 void Scheduler::ExpireWorkers(core::TimePoint confirmed_at) {
+  m_crashes.Forget(m_ports.clock.Now());
   for (const core::InstanceId& id : m_inherited_workers.Expired(confirmed_at)) {
     if (Worker* worker = FindWorker(id); worker != nullptr) {
       worker->is_reconciled = true;
@@ -213,10 +215,13 @@
   for (auto next = m_workers.begin(); next != m_workers.end();) {
     Worker& worker = *next->second;
     if (!worker.Runs().empty() && worker.HasLeaseExpired(confirmed_at)) {
-      EndIncarnation(worker, "its lease has expired");
+      EndIncarnation(worker, IncarnationEnd::kLeaseExpired,
+                     "its lease has expired");
     }
-    const bool is_removable = !worker.IsListed() && worker.Runs().empty() &&
-                              m_inherited_workers.Find(next->first) == nullptr;
+    const bool is_removable =
+        !worker.IsListed() && worker.Runs().empty() &&
+        m_inherited_workers.Find(next->first) == nullptr &&
+        !m_crashes.IsUncertain(next->first);
     if (!is_removable) {
       ++next;
       continue;
