Claim no leadership while a term is being handed over

The elector now stays in its handing-over phase until the lease is released. LeaderElectorTest::LostLeaseWhileHandingOverIsNotReplaced guards against it.

--- a/src/crocusmast/leadership/leader_elector.cc
+++ b/src/crocusmast/leadership/leader_elector.cc
@@ -113,7 +113,8 @@
   }
   if (reply.outcome == LeaseOutcome::kDone) {
     m_lease.Extend(reply.requested_at);
-  } else if (reply.outcome == LeaseOutcome::kLost) {
+  } else if (reply.outcome == LeaseOutcome::kLost &&
+             m_phase == Phase::kLeading) {
     LoseLeadership("the lease expired in the store");
   }
 }
@@ -121,7 +122,7 @@
 void LeaderElector::Tick() {
   const core::TimePoint now = m_clock.Now();
   if (m_phase == Phase::kLeading || m_phase == Phase::kHandingOver) {
-    if (!m_lease.MayAct(now)) {
+    if (m_phase == Phase::kLeading && !m_lease.MayAct(now)) {
       LoseLeadership("the lease was not renewed before the renew deadline");
     } else if (m_lease.IsRenewalDue(now)) {
       m_lease.PostponeRenewal(now + kSchedulingLease.renew_interval);
--- a/test/leadership/leader_elector_test.cc
+++ b/test/leadership/leader_elector_test.cc
@@ -34,6 +34,7 @@
   CPPUNIT_TEST(OnlyNewerClaimEndsTheTerm);
   CPPUNIT_TEST(ClaimOfAnEarlierIncarnationIsRevoked);
   CPPUNIT_TEST(ResigningReleasesTheLease);
+  CPPUNIT_TEST(LostLeaseWhileHandingOverIsNotReplaced);
   CPPUNIT_TEST(ClaimDelayLetsOtherInstancesClaimFirst);
   CPPUNIT_TEST_SUITE_END();
 
@@ -107,6 +108,23 @@
         LeaderObserved{{kSelf.instance, "life-1"}, core::Revision(9)});
   }
 
+  // A stopping instance claimed the leadership again, and released that claim
+  // without a handover.
+  void LostLeaseWhileHandingOverIsNotReplaced() {
+    AcquireLeadership(12);
+    m_elector.StopActing();
+    CPPUNIT_ASSERT(!m_elector.MayAct());
+    FORBID_CALL(m_leases, RequestLease(_));
+    ALLOW_CALL(m_leases, Renew(_));
+    m_elector.Handle(
+        LeaseRenewalReply{LeaseOutcome::kLost, LeaseId(7), m_clock.Now()});
+    m_elector.Handle(LeadershipVacant{core::Revision(20)});
+    m_clock.Advance(std::chrono::seconds(2));
+    m_elector.Tick();
+    REQUIRE_CALL(m_leases, Release(LeaseId(7)));
+    m_elector.ReleaseLease();
+  }
+
   void ResigningReleasesTheLease() {
     AcquireLeadership(12);
     REQUIRE_CALL(m_leases, Release(LeaseId(7)));
