Match the reply to a handover with its term

The reply carries the fencing token. A conflict after a resend is logged as unconfirmed, since either an earlier call was applied or the claim has expired; it was counted as stored before. ResignationTest::ReplyOfAnEarlierTermIsIgnored and ConflictAfterALostReplyIsNeitherStoredNorFailed (in place of ConflictAfterALostReplyMeansStored, whose claim was not known to hold).

--- a/src/crocusmast/job/job_store.h
+++ b/src/crocusmast/job/job_store.h
@@ -163,6 +163,8 @@
 
 /** @brief Reply to JobStore::HandOver. */
 struct HandoverReply {
+  /** @brief Fencing token of the term that was to be handed over. */
+  core::FencingToken token;
   /** @brief kConflict if the caller no longer leads, or an earlier call for the
    * same term took effect. */
   StoreOutcome outcome = StoreOutcome::kUnknown;
--- a/src/crocusmast/manager/resignation.cc
+++ b/src/crocusmast/manager/resignation.cc
@@ -29,19 +29,18 @@
 }
 
 void Resignation::Handle(const job::HandoverReply& reply) {
-  if (!IsPending()) {
+  if (!IsPending() || !(reply.token == m_token)) {
     return;
   }
   switch (reply.outcome) {
     case job::StoreOutcome::kDone:
-      End(true, "stored");
+      End(Outcome::kStored, "the store has confirmed it");
       break;
     case job::StoreOutcome::kConflict:
-      // Only an earlier handover of this term without a reply, or the end of
-      // the lease, removes the claim.
-      End(m_sent_count > 1, m_sent_count > 1
-                                ? "an earlier call was applied"
-                                : "the claim is no longer in the store");
+      // The claim is gone: an earlier call of this resignation was applied, or
+      // the lease has expired.
+      End(m_sent_count > 1 ? Outcome::kUnconfirmed : Outcome::kFailed,
+          "the claim is no longer in the store");
       break;
     default:
       m_next_send_at =
@@ -56,28 +55,32 @@
   }
   const core::TimePoint now = m_ports.clock.Now();
   if (m_began_at + kResignationTimeout <= now) {
-    End(false, "the store did not answer in time");
+    End(Outcome::kFailed, "the store did not answer in time");
   } else if (m_next_send_at <= now) {
     Send();
   }
 }
 
-void Resignation::End(bool is_stored, const char* reason) {
+void Resignation::End(Outcome outcome, const char* reason) {
   m_handover.reset();
-  m_ports.meter.Add(is_stored ? core::Counter::kHandoversStored
-                              : core::Counter::kHandoversFailed,
-                    1);
+  const bool is_stored = outcome == Outcome::kStored;
+  std::string name = "unconfirmed";
+  if (outcome != Outcome::kUnconfirmed) {
+    name = is_stored ? "stored" : "failed";
+    m_ports.meter.Add(is_stored ? core::Counter::kHandoversStored
+                                : core::Counter::kHandoversFailed,
+                      1);
+  }
   const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(
       m_ports.clock.Now() - m_began_at);
   m_ports.logger.Write(
       {core::Component::kLeadership,
        is_stored ? core::Severity::kInfo : core::Severity::kWarning,
-       std::string(is_stored ? "Handed over" : "Could not hand over") +
-           " the term with token " + std::to_string(m_token.Count()) + ": " +
-           reason + ".",
+       "Handover of the term with token " + std::to_string(m_token.Count()) +
+           ": " + name + ", " + reason + ".",
        {{"event", "handover"},
         {"token", std::to_string(m_token.Count())},
-        {"outcome", is_stored ? "stored" : "failed"},
+        {"outcome", name},
         {"calls", std::to_string(m_sent_count)},
         {"took_ms", std::to_string(took.count())}}});
 }
--- a/src/crocusmast/manager/resignation.h
+++ b/src/crocusmast/manager/resignation.h
@@ -64,7 +64,10 @@
 
  private:
   void Send();
-  void End(bool is_stored, const char* reason);
+  /** @brief What is known of the final handover state. */
+  enum class Outcome { kStored, kUnconfirmed, kFailed };
+
+  void End(Outcome outcome, const char* reason);
 
   ResignationPorts m_ports;
   core::FencingToken m_token;
--- a/test/manager/resignation_test.cc
+++ b/test/manager/resignation_test.cc
@@ -23,7 +23,8 @@
   CPPUNIT_TEST(EndsWithTheReply);
   CPPUNIT_TEST(RefusedHandoverIsSentAgain);
   CPPUNIT_TEST(HandoverWithoutReplyIsSentAgain);
-  CPPUNIT_TEST(ConflictAfterALostReplyMeansStored);
+  CPPUNIT_TEST(ConflictAfterALostReplyIsNeitherStoredNorFailed);
+  CPPUNIT_TEST(ReplyOfAnEarlierTermIsIgnored);
   CPPUNIT_TEST(ConflictOfTheFirstCallMeansTheClaimIsGone);
   CPPUNIT_TEST(LeasesGetShorterWhileTheStoreIsAway);
   CPPUNIT_TEST(GivesUpBeforeTheInstanceIsKilled);
@@ -41,7 +42,7 @@
 
   void EndsWithTheReply() {
     CPPUNIT_ASSERT(m_resignation.IsPending());
-    m_resignation.Handle({StoreOutcome::kDone});
+    m_resignation.Handle({kToken, StoreOutcome::kDone});
     CPPUNIT_ASSERT(!m_resignation.IsPending());
     Wait(milliseconds(5000));
     CPPUNIT_ASSERT_EQUAL(1, m_store.handover_calls);
@@ -50,7 +51,7 @@
   }
 
   void RefusedHandoverIsSentAgain() {
-    m_resignation.Handle({StoreOutcome::kRefused});
+    m_resignation.Handle({kToken, StoreOutcome::kRefused});
     CPPUNIT_ASSERT(m_resignation.IsPending());
     CPPUNIT_ASSERT_EQUAL(1, m_store.handover_calls);
     Wait(manager::kHandoverRetryDelay);
@@ -60,22 +61,31 @@
   void HandoverWithoutReplyIsSentAgain() {
     Wait(manager::kHandoverReplyTimeout);
     CPPUNIT_ASSERT_EQUAL(2, m_store.handover_calls);
-    m_resignation.Handle({StoreOutcome::kUnknown});
+    m_resignation.Handle({kToken, StoreOutcome::kUnknown});
     Wait(manager::kHandoverRetryDelay);
     CPPUNIT_ASSERT_EQUAL(3, m_store.handover_calls);
   }
 
-  void ConflictAfterALostReplyMeansStored() {
-    m_resignation.Handle({StoreOutcome::kUnknown});
+  void ConflictAfterALostReplyIsNeitherStoredNorFailed() {
+    m_resignation.Handle({kToken, StoreOutcome::kUnknown});
     Wait(manager::kHandoverRetryDelay);
-    m_resignation.Handle({StoreOutcome::kConflict});
+    m_resignation.Handle({kToken, StoreOutcome::kConflict});
     CPPUNIT_ASSERT(!m_resignation.IsPending());
-    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1},
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0},
                          m_meter.Count(core::Counter::kHandoversStored));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0},
+                         m_meter.Count(core::Counter::kHandoversFailed));
+  }
+
+  // It would end the resignation before this term's state is stored.
+  void ReplyOfAnEarlierTermIsIgnored() {
+    m_resignation.Handle({core::FencingToken(6), StoreOutcome::kConflict});
+    m_resignation.Handle({core::FencingToken(6), StoreOutcome::kDone});
+    CPPUNIT_ASSERT(m_resignation.IsPending());
   }
 
   void ConflictOfTheFirstCallMeansTheClaimIsGone() {
-    m_resignation.Handle({StoreOutcome::kConflict});
+    m_resignation.Handle({kToken, StoreOutcome::kConflict});
     CPPUNIT_ASSERT(!m_resignation.IsPending());
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{1},
                          m_meter.Count(core::Counter::kHandoversFailed));
@@ -85,7 +95,7 @@
   // sent later must hold what is left by then.
   void LeasesGetShorterWhileTheStoreIsAway() {
     m_clock.Advance(milliseconds(800));
-    m_resignation.Handle({StoreOutcome::kRefused});
+    m_resignation.Handle({kToken, StoreOutcome::kRefused});
     Wait(milliseconds(200));
     CPPUNIT_ASSERT(m_store.last_handover.workers[0].lease_remaining ==
                    milliseconds(2100));
