Extend leases of workers that reply again, and poll silent ones until they do

Every reply of a worker with a frozen lease made a newer one, so with some ten workers replying their runs expired although each commit was stored. A stored commit now counts for what it contained, and a worker asks once. - A worker that was silent until its lease expired had no runs and was polled no more, so it got no task for the rest of the term; with no other room in its pool its tasks did not run (LOST).

--- a/src/crocusmast/scheduling/committer.cc
+++ b/src/crocusmast/scheduling/committer.cc
@@ -20,6 +20,7 @@
   m_pending_ends.clear();
   m_handover.reset();
   m_in_flight_handover.reset();
+  m_stored_handover.reset();
 }
 
 void Committer::MarkChanged(const core::JobId& id) {
@@ -37,8 +38,8 @@
   m_handover = std::move(handover);
 }
 
-bool Committer::IsHandoverStored() const {
-  return !m_handover && !m_in_flight_handover;
+std::optional<job::HandoverState> Committer::TakeStoredHandover() {
+  return std::exchange(m_stored_handover, std::nullopt);
 }
 
 std::optional<job::Commit> Committer::NextCommit(core::FencingToken token,
@@ -84,7 +85,7 @@
   if (reply.outcome == job::StoreOutcome::kDone) {
     m_next_at = now + DelayAfterCommit();
     m_last_commit = reply.revision;
-    m_in_flight_handover.reset();
+    m_stored_handover = std::exchange(m_in_flight_handover, std::nullopt);
     for (const auto& [id, job] : std::exchange(m_in_flight, {})) {
       on_stored(id, job.state);
     }
--- a/src/crocusmast/scheduling/committer.h
+++ b/src/crocusmast/scheduling/committer.h
@@ -82,8 +82,9 @@
    */
   void SetHandover(job::HandoverState handover);
 
-  /** @brief Tells whether the latest handover state is stored. */
-  bool IsHandoverStored() const;
+  /** @brief Returns the handover state of the commit that was stored last,
+   * once; empty if that commit had none. */
+  std::optional<job::HandoverState> TakeStoredHandover();
 
   /**
    * @brief Creates the next commit, if changes are pending and one is due.
@@ -163,6 +164,7 @@
   std::deque<PendingEnds> m_pending_ends;
   std::optional<job::HandoverState> m_handover;
   std::optional<job::HandoverState> m_in_flight_handover;
+  std::optional<job::HandoverState> m_stored_handover;
 };
 
 }  // namespace crocusmast::scheduling
--- a/src/crocusmast/scheduling/scheduler.cc
+++ b/src/crocusmast/scheduling/scheduler.cc
@@ -284,8 +284,8 @@
         }
       });
   if (reply.outcome == job::StoreOutcome::kDone) {
-    if (m_committer.IsHandoverStored()) {
-      HandleHandoverStored();
+    if (const auto handover = m_committer.TakeStoredHandover(); handover) {
+      HandleHandoverStored(*handover);
     }
   } else {
     Log(core::Severity::kWarning,
@@ -323,7 +323,8 @@
   for (const auto& [id, worker] : m_workers) {
     const bool is_needed = !worker->is_reconciled || !worker->Runs().empty() ||
                            worker->acknowledged_end < worker->recorded_end ||
-                           m_crashes.IsUncertain(id);
+                           m_crashes.IsUncertain(id) ||
+                           (worker->failed_polls > 0 && worker->IsListed());
     if (!is_needed || worker->is_poll_pending || now < worker->next_poll_at) {
       continue;
     }
--- a/src/crocusmast/scheduling/scheduler.h
+++ b/src/crocusmast/scheduling/scheduler.h
@@ -45,6 +45,9 @@
 /** @brief How long a worker must be silent until the handover state says that
  * its lease is not extended; keeps short interruptions from causing writes. */
 inline constexpr std::chrono::milliseconds kLeaseFreezeDelay{1000};
+/** @brief That delay for a silent worker without runs, which is polled until it
+ * may get tasks again. */
+inline constexpr std::chrono::milliseconds kIdlePollRetryDelay{500};
 /** @brief Delay before a poll that only acknowledges ended runs. */
 inline constexpr std::chrono::milliseconds kAcknowledgeDelay{250};
 /** @brief Delay between polls while ended runs are not recorded yet. */
@@ -234,7 +237,7 @@
   void FreezeLeasesOfSilentWorkers();
   std::chrono::milliseconds LongestLease() const;
   job::HandoverState MakeHandover(bool stays_active) const;
-  void HandleHandoverStored();
+  void HandleHandoverStored(const job::HandoverState& handover);
   void MoveLongRunningTasks(execution::Worker& worker);
   bool MayInterrupt(const ActiveJob& active, const job::TaskKey& key) const;
 
@@ -374,8 +377,6 @@
    * TASK#ATTEMPT@WORKER/FREE, where FREE is the processor time that is left on
    * the worker, in thousandths of a core. */
   std::string m_placements;
-  /** @brief Workers of the latest handover state, until it is stored. */
-  std::vector<job::LeasedWorker> m_handover_workers;
 };
 
 }  // namespace crocusmast::scheduling
--- a/src/crocusmast/scheduling/scheduler_polls.cc
+++ b/src/crocusmast/scheduling/scheduler_polls.cc
@@ -49,7 +49,9 @@
   }
   if (reply.outcome != WorkerCallOutcome::kDone) {
     ++worker->failed_polls;
-    worker->next_poll_at = now + kPollRetryDelay;
+    const bool is_idle = worker->is_reconciled && worker->Runs().empty();
+    worker->next_poll_at =
+        now + (is_idle ? kIdlePollRetryDelay : kPollRetryDelay);
     worker->backoff_until = now + kWorkerBackoff;
     if (worker->failed_polls == 1) {
       worker->silent_since = now;
@@ -69,8 +71,7 @@
   if (worker->failed_polls > 0 || m_crashes.IsUncertain(reply.worker)) {
     m_crashes.HandleReply(*worker);
   }
-  worker->failed_polls = 0;
-  if (worker->is_lease_frozen) {
+  if (std::exchange(worker->failed_polls, 0) > 0 && worker->is_lease_frozen) {
     StoreHandover();
   }
   worker->acknowledged_end = worker->acknowledging_end;
--- a/src/crocusmast/scheduling/scheduler_workers.cc
+++ b/src/crocusmast/scheduling/scheduler_workers.cc
@@ -149,22 +149,20 @@
 }
 
 void Scheduler::StoreHandover() {
-  job::HandoverState handover = MakeHandover(true);
-  m_handover_workers = handover.workers;
-  m_committer.SetHandover(std::move(handover));
+  m_committer.SetHandover(MakeHandover(true));
 }
 
-void Scheduler::HandleHandoverStored() {
-  m_has_stored_handover = m_has_stored_handover || !m_handover_workers.empty();
-  for (const job::LeasedWorker& stored :
-       std::exchange(m_handover_workers, {})) {
+void Scheduler::HandleHandoverStored(const job::HandoverState& handover) {
+  m_has_stored_handover = m_has_stored_handover || !handover.workers.empty();
+  for (const job::LeasedWorker& stored : handover.workers) {
     Worker* worker = FindWorker(stored.worker);
     if (worker == nullptr ||
         worker->Record().incarnation != stored.incarnation) {
       continue;
     }
-    const bool may_thaw =
-        worker->is_lease_frozen && LongestLease() <= stored.lease_remaining;
+    const bool may_thaw = worker->is_lease_frozen &&
+                          worker->failed_polls == 0 &&
+                          LongestLease() <= stored.lease_remaining;
     if (may_thaw || !worker->is_recorded_in_store) {
       worker->is_lease_frozen = worker->is_lease_frozen && !may_thaw;
       worker->is_recorded_in_store = true;
