Blame no task whose start was not confirmed

Only a run that was known to be active is blamed now. The property allows a job to be given up only if two workers have crashed under a task, as the job interface does.

--- a/src/crocusmast/job/job.h
+++ b/src/crocusmast/job/job.h
@@ -46,8 +46,7 @@
 
 /** @brief How certain it is that a run crashed its worker. */
 enum class CrashEvidence {
-  /** @brief Other workers of the rack ended at the same time, the start was not
-   * confirmed, so that the worker may have crashed before, or a task that no
+  /** @brief Other workers of the rack ended at the same time, or a task that no
    * worker has survived yet was starting beside a suspect. */
   kWeak,
   /** @brief Other runs on the worker may have caused it. */
--- a/test/scheduling/simulated_cluster.h
+++ b/test/scheduling/simulated_cluster.h
@@ -199,8 +199,18 @@
     }
   }
 
+  /** @brief Tells whether the job may be and was given up, because workers
+   * crashed under a task. */
+  bool IsGivenUp() const {
+    return m_progress && m_progress->state == job::JobState::kFailed &&
+           m_has_repeated_crash;
+  }
+
   void CrashWorker(std::uint32_t index) {
     auto& [id, worker] = At(index);
+    for (const auto& [task, attempt] : worker.runs) {
+      m_has_repeated_crash = m_has_repeated_crash || ++m_crashes[task] >= 2;
+    }
     worker.is_up = false;
     worker.runs.clear();
     worker.ended.clear();
@@ -374,6 +384,9 @@
     }
   }
 
+  /** @brief Workers that crashed under each task. */
+  std::map<std::uint32_t, int> m_crashes;
+  bool m_has_repeated_crash = false;
   std::map<std::string, Worker> m_workers;
   job::AcceptedJob m_job;
   std::unique_ptr<SchedulerFixture> m_leader;
