Never give up a task on unconfirmed starts alone

They count again, but end a job only if a run of the task was once known to be active before a crash.

--- a/src/crocusmast/job/job.h
+++ b/src/crocusmast/job/job.h
@@ -46,6 +46,9 @@
 
 /** @brief How certain it is that a run crashed its worker. */
 enum class CrashEvidence {
+  /** @brief The start was not confirmed, so the worker may have crashed before
+   * it. */
+  kUnconfirmed,
   /** @brief Other workers of the rack ended at the same time, or a task that no
    * worker has survived yet was starting beside a suspect. */
   kWeak,
@@ -114,6 +117,8 @@
    * are kept at its first member.
    */
   std::vector<core::Attempt> crashed_attempts;
+  /** @brief A run of one of them was confirmed before the crash. */
+  bool has_confirmed_crash = false;
   /** @brief A worker survived the start of a run of it. */
   bool has_survived_start = false;
   /** @brief Latest checkpoint; empty for none. */
--- a/src/crocusmast/job/job_crashes.cc
+++ b/src/crocusmast/job/job_crashes.cc
@@ -14,6 +14,7 @@
     case CrashEvidence::kShared:
       return kMaxCrashesShared;
     case CrashEvidence::kWeak:
+    case CrashEvidence::kUnconfirmed:
       return kMaxCrashesWeak;
   }
   return kMaxCrashesWeak;
@@ -29,6 +30,8 @@
       return "shared";
     case CrashEvidence::kWeak:
       return "weak";
+    case CrashEvidence::kUnconfirmed:
+      return "unconfirmed";
   }
   return "unknown";
 }
@@ -63,7 +66,10 @@
   counted->has_survived_start = false;
   counted->attempt = std::max(counted->attempt, attempt);
   attempts.push_back(attempt);
-  if (attempts.size() >= internal::MaxCrashes(evidence)) {
+  counted->has_confirmed_crash =
+      counted->has_confirmed_crash || evidence != CrashEvidence::kUnconfirmed;
+  if (counted->has_confirmed_crash &&
+      attempts.size() >= internal::MaxCrashes(evidence)) {
     m_state = JobState::kFailed;
   }
   return true;
@@ -79,7 +85,8 @@
       for (std::uint32_t index = 0; index < state.tasks.size(); ++index) {
         const Task& task = state.tasks[index];
         if (task.crashed_attempts.size() >= kMaxCrashesWeak &&
-            task.runs.empty() && !task.is_done && !IsFinal(m_state)) {
+            task.has_confirmed_crash && task.runs.empty() && !task.is_done &&
+            !IsFinal(m_state)) {
           m_state = JobState::kFailed;
           return TaskKey{number, step, index};
         }
@@ -119,6 +126,7 @@
   }
   --step.suspect_count;
   counted->crashed_attempts.clear();
+  counted->has_confirmed_crash = false;
   return true;
 }
 
--- a/src/crocusmast/scheduling/crash_attribution.cc
+++ b/src/crocusmast/scheduling/crash_attribution.cc
@@ -178,13 +178,19 @@
   if (worker.Record().is_draining || worker.is_cordoned) {
     return blame;
   }
+  const bool has_confirmed_start = std::any_of(
+      worker.Runs().begin(), worker.Runs().end(), [&worker](const auto& entry) {
+        return entry.second.active_since &&
+               internal::IsStarting(worker, entry.second);
+      });
   std::vector<RunKey> suspects;
   std::vector<RunKey> unproven;
   std::vector<RunKey> proven;
   for (const auto& [key, run] : worker.Runs()) {
     const job::Job* job = m_find_job(key.task.job);
     if (job == nullptr || job->Find(key.task.key) == nullptr ||
-        !run.active_since || !internal::IsStarting(worker, run)) {
+        !internal::IsStarting(worker, run) ||
+        (has_confirmed_start && !run.active_since)) {
       continue;
     }
     if (IsSuspect(key.task)) {
@@ -203,7 +209,9 @@
       blame.runs.begin(), blame.runs.end(), [this, &blame](const RunKey& run) {
         return IsSameUnit(run.task, blame.runs.front().task);
       });
-  if (has_other_cause || IsCorrelated(worker, now)) {
+  if (!has_confirmed_start) {
+    blame.evidence = job::CrashEvidence::kUnconfirmed;
+  } else if (has_other_cause || IsCorrelated(worker, now)) {
     blame.evidence = job::CrashEvidence::kWeak;
   } else if (is_one_unit) {
     blame.evidence = job::CrashEvidence::kAlone;
--- a/test/scheduling/crash_attribution_test.cc
+++ b/test/scheduling/crash_attribution_test.cc
@@ -82,7 +82,7 @@
   CPPUNIT_TEST_SUITE(CrashAttributionTest);
   CPPUNIT_TEST(SurvivedRunsAreNotBlamed);
   CPPUNIT_TEST(UnsentAndStoppingRunsAreNotBlamed);
-  CPPUNIT_TEST(UnconfirmedStartIsNotBlamed);
+  CPPUNIT_TEST(UnconfirmedStartIsNoCertainCrash);
   CPPUNIT_TEST(SuspectIsBlamedBeforeOthers);
   CPPUNIT_TEST(LoneStartIsCertain);
   CPPUNIT_TEST(MembersOfOneGangAreOneCause);
@@ -122,13 +122,14 @@
     CPPUNIT_ASSERT(evidence.attribution.FindBlame(worker, kNow).runs.empty());
   }
 
-  // A task was blamed that was sent to a worker which had crashed before.
-  void UnconfirmedStartIsNotBlamed() {
+  // A task was given up that was sent to workers which had crashed before.
+  void UnconfirmedStartIsNoCertainCrash() {
     Evidence evidence;
     Worker worker = MakeKnownWorker("w-1");
     evidence.Start(worker, evidence.AddJob("1"), std::nullopt);
     Blame blame = evidence.attribution.FindBlame(worker, kNow);
-    CPPUNIT_ASSERT(blame.runs.empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, blame.runs.size());
+    CPPUNIT_ASSERT(blame.evidence == CrashEvidence::kUnconfirmed);
     const RunKey confirmed = evidence.Start(worker, evidence.AddJob("2"));
     blame = evidence.attribution.FindBlame(worker, kNow);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, blame.runs.size());
