Blame unproven tasks that start beside a suspect

Cause: on a worker where a suspect was starting, only suspects were blamed. Change: tasks that no worker has survived yet are blamed beside the suspect; the evidence stays weak.

--- a/src/crocusmast/scheduling/crash_attribution.cc
+++ b/src/crocusmast/scheduling/crash_attribution.cc
@@ -202,9 +202,11 @@
     }
   }
   const bool has_other_cause = !suspects.empty() && !unproven.empty();
-  blame.runs = !suspects.empty()   ? std::move(suspects)
-               : !unproven.empty() ? std::move(unproven)
-                                   : std::move(proven);
+  blame.runs = std::move(suspects);
+  blame.runs.insert(blame.runs.end(), unproven.begin(), unproven.end());
+  if (blame.runs.empty()) {
+    blame.runs = std::move(proven);
+  }
   const bool is_one_unit = std::all_of(
       blame.runs.begin(), blame.runs.end(), [this, &blame](const RunKey& run) {
         return IsSameUnit(run.task, blame.runs.front().task);
--- a/test/scheduling/crash_attribution_test.cc
+++ b/test/scheduling/crash_attribution_test.cc
@@ -83,7 +83,7 @@
   CPPUNIT_TEST(SurvivedRunsAreNotBlamed);
   CPPUNIT_TEST(UnsentAndStoppingRunsAreNotBlamed);
   CPPUNIT_TEST(UnconfirmedStartIsNoCertainCrash);
-  CPPUNIT_TEST(SuspectIsBlamedBeforeOthers);
+  CPPUNIT_TEST(UnprovenTaskBesideASuspectIsBlamedToo);
   CPPUNIT_TEST(LoneStartIsCertain);
   CPPUNIT_TEST(MembersOfOneGangAreOneCause);
   CPPUNIT_TEST(PlannedEndBlamesNobody);
@@ -137,8 +137,9 @@
     CPPUNIT_ASSERT(blame.evidence == CrashEvidence::kAlone);
   }
 
-  // A task that started beside a suspect was blamed for its crash.
-  void SuspectIsBlamedBeforeOthers() {
+  // Issue 21: a deadly task that started beside a suspect each time was never
+  // blamed, and crashed six workers.
+  void UnprovenTaskBesideASuspectIsBlamedToo() {
     Evidence evidence;
     Worker worker = MakeKnownWorker("w-1");
     const job::TaskId suspect = evidence.AddJob("1");
@@ -146,7 +147,7 @@
     evidence.Start(worker, suspect);
     evidence.Start(worker, evidence.AddJob("2"));
     const Blame blame = evidence.attribution.FindBlame(worker, kNow);
-    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, blame.runs.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, blame.runs.size());
     CPPUNIT_ASSERT(blame.runs[0].task == suspect);
     CPPUNIT_ASSERT(blame.evidence == CrashEvidence::kWeak);
   }
