--- a/test/scheduling/simulated_cluster.h
+++ b/test/scheduling/simulated_cluster.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "test/scheduling/scheduler_fixture.h"
+#include "test/scheduling/simulated_worker.h"
 
 namespace test {
 
@@ -61,8 +62,7 @@
     Collect();
   }
 
-  /** @brief Begins the term of a new leader.
-   * @param resigns The present leader resigns; else it fails. */
+  /** @brief Begins a new term; the present leader resigns or fails. */
   void ChangeLeader(bool resigns) {
     if (m_leader != nullptr && resigns) {
       m_handover = m_leader->scheduler.FinalHandoverState();
@@ -80,20 +80,17 @@
     m_leader->scheduler.BeginTerm(
         {core::FencingToken(m_token), std::chrono::seconds(5)},
         m_leader->catalog, {m_handover, core::Revision(m_last_commit)});
-    std::vector<execution::WorkerRecord> listed;
+    scheduling::WorkerListReceived list;
     for (const auto& [id, worker] : m_workers) {
       if (worker.is_up) {
-        listed.push_back(RecordOf(id, worker));
+        list.workers.push_back(RecordOf(id, worker));
       }
     }
-    m_leader->scheduler.Handle(
-        scheduling::WorkerListReceived{std::move(listed)});
+    m_leader->scheduler.Handle(std::move(list));
     Cycle();
   }
 
-  /** @brief Replies to the commit in flight.
-   * @param is_stored It takes effect if its condition holds.
-   * @param is_answered The leader gets to know. */
+  /** @brief Replies to the commit in flight, or loses it or its reply. */
   void ReplyToCommit(bool is_stored, bool is_answered) {
     if (m_replied_commits == m_leader->store.commits.size()) {
       return;
@@ -199,17 +196,17 @@
     }
   }
 
-  /** @brief Tells whether the job may be and was given up, because workers
+  /** @brief Tells whether the job was given up, as two workers allow it that
    * crashed under a task. */
   bool IsGivenUp() const {
     return m_progress && m_progress->state == job::JobState::kFailed &&
-           m_has_repeated_crash;
+           m_most_crashes >= 2;
   }
 
   void CrashWorker(std::uint32_t index) {
     auto& [id, worker] = At(index);
     for (const auto& [task, attempt] : worker.runs) {
-      m_has_repeated_crash = m_has_repeated_crash || ++m_crashes[task] >= 2;
+      m_most_crashes = std::max(m_most_crashes, ++m_crashes[task]);
     }
     worker.is_up = false;
     worker.runs.clear();
@@ -257,16 +254,7 @@
   }
 
  private:
-  struct Worker {
-    std::uint64_t incarnation = 1;
-    bool is_up = true;
-    core::FencingToken token;
-    execution::WorkerTime lease_until;
-    std::map<std::uint32_t, core::Attempt> runs;
-    std::map<std::uint32_t, core::Attempt> last_stopped;
-    std::uint64_t last_end = 0;
-    std::vector<execution::EndedRunReport> ended;
-  };
+  using Worker = SimulatedWorker;
 
   std::pair<const std::string, Worker>& At(std::uint32_t index) {
     return *std::next(m_workers.begin(), index % m_workers.size());
@@ -290,8 +278,8 @@
   void EndRun(Worker& worker, std::uint32_t index, job::RunOutcome outcome) {
     const core::Attempt attempt = worker.runs.at(index);
     worker.last_stopped[index] = attempt;
-    worker.ended.push_back({core::RunEndNumber(++worker.last_end), Task(index),
-                            attempt, outcome, ""});
+    const core::RunEndNumber number(++worker.last_end);
+    worker.ended.push_back({number, Task(index), attempt, outcome, ""});
     worker.runs.erase(index);
   }
 
@@ -386,7 +374,7 @@
 
   /** @brief Workers that crashed under each task. */
   std::map<std::uint32_t, int> m_crashes;
-  bool m_has_repeated_crash = false;
+  int m_most_crashes = 0;
   std::map<std::string, Worker> m_workers;
   job::AcceptedJob m_job;
   std::unique_ptr<SchedulerFixture> m_leader;
