Freeze leases and poll idle workers less eagerly

Cause: a leader short of processor time fails many polls for some seconds because they expire unsent. Each worker that was silent for 1 s had its lease frozen and cost two writes of the whole handover state, and each idle one was polled again every 500 ms. Change: leases are frozen after 2.5 s of silence, and idle silent workers are polled every 2 s. Which of the two constants did it was not measured.

--- a/src/crocusmast/scheduling/scheduler.h
+++ b/src/crocusmast/scheduling/scheduler.h
@@ -44,10 +44,10 @@
 inline constexpr std::chrono::milliseconds kPollRetryDelay{150};
 /** @brief How long a worker must be silent until the handover state says that
  * its lease is not extended; keeps short interruptions from causing writes. */
-inline constexpr std::chrono::milliseconds kLeaseFreezeDelay{1000};
+inline constexpr std::chrono::milliseconds kLeaseFreezeDelay{2500};
 /** @brief That delay for a silent worker without runs, which is polled until it
  * may get tasks again. */
-inline constexpr std::chrono::milliseconds kIdlePollRetryDelay{500};
+inline constexpr std::chrono::milliseconds kIdlePollRetryDelay{2000};
 /** @brief Delay before a poll that only acknowledges ended runs. */
 inline constexpr std::chrono::milliseconds kAcknowledgeDelay{250};
 /** @brief Delay between polls while ended runs are not recorded yet. */
