Extend no lease before the term has stored its handover state

Cause: a new term extended the leases of workers that had replied before the store held a state that says so. What a successor knows of a worker must be stored before the worker gets a lease from the term; starts already waited for it, polls did not.

Polls now extend no lease until the handover state of the term is stored with the worker.

--- a/src/crocusmast/scheduling/scheduler.cc
+++ b/src/crocusmast/scheduling/scheduler.cc
@@ -341,9 +341,10 @@
     // The lease of a worker that does not reply is not extended, so that its
     // runs are certain to end; neither is that of one that has not replied to
     // this leader yet, whose runs count as ended when the inherited lease
-    // expires.
+    // expires. Until the handover state of this term is stored, a successor
+    // would begin from the state of an earlier one, which has shorter leases.
     if (worker->failed_polls == 0 && worker->is_reconciled &&
-        !worker->is_lease_frozen) {
+        worker->is_recorded_in_store && !worker->is_lease_frozen) {
       command.lease_until = worker->ExtendLease(kWorkerLeaseLength, now);
     }
     worker->is_poll_pending = true;
--- a/test/scheduling/lease_handover_test.cc
+++ b/test/scheduling/lease_handover_test.cc
@@ -25,6 +25,8 @@
 class LeaseHandoverTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(LeaseHandoverTest);
   CPPUNIT_TEST(PollOfUnreconciledWorkerExtendsNoLease);
+  CPPUNIT_TEST(NoLeaseIsExtendedBeforeTheTermHasStoredItsState);
+  CPPUNIT_TEST(SuccessorsOfOneHandoverStateStartNoSecondRun);
   CPPUNIT_TEST(SilentWorkerIsHandedOverWithItsRemainingLease);
   CPPUNIT_TEST(FrozenLeaseIsExtendedOnceTheHandoverSaysSo);
   CPPUNIT_TEST(FrozenLeaseStaysFrozenWithoutReplyOfTheStore);
@@ -45,17 +47,78 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_fixture.worker_port.polls.size());
     CPPUNIT_ASSERT(!m_fixture.worker_port.polls[0].lease_until);
     // Leases are extended from the first reply on.
-    m_fixture.ReplyToPoll({{{MakeId<core::JobId>(kJob), {0, 0, 0}},
-                            core::Attempt(1),
-                            "",
-                            50,
-                            {}}},
-                          {});
+    m_fixture.ReplyToPoll({ActiveRunOfEarlierTerm()}, {});
     m_fixture.RunCycles();
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_fixture.worker_port.polls.size());
     CPPUNIT_ASSERT(m_fixture.worker_port.polls[1].lease_until);
   }
 
+  // Issue 24: leases that a term extended before it stored a handover state
+  // were not known to the next leader, which began from the state before.
+  void NoLeaseIsExtendedBeforeTheTermHasStoredItsState() {
+    const job::HandoverState handover{
+        {{MakeId<core::InstanceId>("w-1"), core::Incarnation(1),
+          MakeId<core::PoolId>("pool"), milliseconds(1500)}},
+        {}};
+    m_fixture.BeginTerm(11, handover);
+    m_fixture.scheduler.Handle(
+        scheduling::WorkerListReceived{{MakeWorker("w-1")}});
+    m_fixture.scheduler.RunCycle(m_fixture.clock.Now());
+    m_fixture.ReplyToPoll({ActiveRunOfEarlierTerm()}, {});
+    m_fixture.scheduler.RunCycle(m_fixture.clock.Now());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_fixture.worker_port.polls.size());
+    CPPUNIT_ASSERT(!m_fixture.worker_port.polls.back().lease_until);
+    m_fixture.ReplyToCommit(job::StoreOutcome::kDone);
+    m_fixture.ReplyToPoll({ActiveRunOfEarlierTerm()}, {});
+    m_fixture.scheduler.RunCycle(m_fixture.clock.Now());
+    CPPUNIT_ASSERT(m_fixture.worker_port.polls.back().lease_until);
+  }
+
+  // Issue 24: two leaders began from one state of a leader that had resigned;
+  // the second started tasks again whose leases the first had extended.
+  void SuccessorsOfOneHandoverStateStartNoSecondRun() {
+    const job::HandoverState handover{
+        {{MakeId<core::InstanceId>("w-1"), core::Incarnation(1),
+          MakeId<core::PoolId>("pool"), milliseconds(4500)}},
+        {}};
+    // The first one reaches w-1 but not the store, the second one the reverse.
+    Fixture first;
+    BeginWithStartedJob(first, 11, handover);
+    first.scheduler.Handle(scheduling::WorkerListReceived{{MakeWorker("w-1")}});
+    constexpr milliseconds kStep{250};
+    milliseconds elapsed{};
+    execution::WorkerTime leased_until =
+        MakeWorker("w-1").clock + milliseconds(4500);
+    const auto poll_by_first = [&] {
+      first.scheduler.RunCycle(first.clock.Now());
+      leased_until = std::max(
+          leased_until,
+          first.worker_port.polls.back().lease_until.value_or(leased_until));
+      first.ReplyToPoll({ActiveRunOfEarlierTerm()}, {});
+      first.clock.Advance(kStep);
+      elapsed += kStep;
+    };
+    while (elapsed < milliseconds(2000)) {
+      poll_by_first();
+    }
+    Fixture second;
+    BeginWithStartedJob(second, 12, handover);
+    second.SetWorkers({MakeWorker("w-1"), MakeWorker("w-2")});
+    while (second.worker_port.starts.empty() && elapsed < milliseconds(20000)) {
+      poll_by_first();
+      execution::PollReply silence;
+      silence.worker = MakeId<core::InstanceId>("w-1");
+      silence.incarnation = core::Incarnation(1);
+      silence.sequence = second.worker_port.polls.back().sequence;
+      silence.outcome = WorkerCallOutcome::kUnknown;
+      second.scheduler.Handle(silence);
+      second.clock.Advance(kStep);
+      second.RunCycles();
+    }
+    CPPUNIT_ASSERT(!second.worker_port.starts.empty());
+    CPPUNIT_ASSERT(leased_until <= MakeWorker("w-1").clock + elapsed);
+  }
+
   // Issue 21: the successor of a leader that was killed waited for the longest
   // leases, also on a worker that had been gone long before.
   void SilentWorkerIsHandedOverWithItsRemainingLease() {
@@ -105,6 +168,25 @@
   }
 
  private:
+  /** @brief Begins a term with a job of which an earlier leader has started a
+   * task. */
+  static void BeginWithStartedJob(Fixture& leader,
+                                  std::uint64_t token,
+                                  const job::HandoverState& handover) {
+    leader.catalog.Apply(job::JobStored{MakeJob(kJob, {MakeStep(1)})}, {});
+    job::JobProgress progress;
+    progress.state = job::JobState::kRunning;
+    leader.catalog.Apply(job::ProgressStored{MakeId<core::JobId>(kJob),
+                                             progress, core::Revision(1)},
+                         {});
+    leader.BeginTerm(token, handover);
+  }
+
+  static execution::RunReport ActiveRunOfEarlierTerm() {
+    return {
+        {MakeId<core::JobId>(kJob), {0, 0, 0}}, core::Attempt(1), "", 50, {}};
+  }
+
   /** @brief Starts a task on a worker that then fails polls for longer than
    * kLeaseFreezeDelay. */
   execution::StartCommand StartOnSilentWorker() {
