Place long-running tasks first, and keep a worker for one that fits nowhere

Cause: a job of long-running tasks counts as late once its objective has passed, and late jobs come after all that can still meet theirs; and a task that needs most of a worker, such as 7.6 GB, finds none, since each piece that becomes free goes to a small finite task at once. Class: starvation of a large requirement by small ones; an order that treats work without an end like work that is overdue.

Long-running jobs now come before finite ones of their priority, and a waiting long-running task that fits nowhere reserves a worker that its finite runs will leave, at most one of four workers of the pool. The selection of a worker moves to a file of its own.

--- a/src/crocusmast/execution/worker.cc
+++ b/src/crocusmast/execution/worker.cc
@@ -106,6 +106,19 @@
          m_record.capacity.CanFit(m_used + required);
 }
 
+job::Resources Worker::FreeWithoutFiniteRuns() const {
+  if (m_whole_worker_runs > 0) {
+    return {};
+  }
+  job::Resources used;
+  for (const auto& [key, run] : m_runs) {
+    if (run.is_long_running) {
+      used = used + run.resources;
+    }
+  }
+  return m_record.capacity - used;
+}
+
 bool Worker::IsOverCapacity() const {
   const bool is_shared = m_whole_worker_runs > 0 && m_runs.size() > 1;
   return is_shared || !m_record.capacity.CanFit(m_used);
--- a/src/crocusmast/execution/worker.h
+++ b/src/crocusmast/execution/worker.h
@@ -29,6 +29,8 @@
   job::Resources resources;
   /** @brief It only uses processor time that other runs leave idle. */
   bool is_best_effort = false;
+  /** @brief It runs until its job is cancelled. */
+  bool is_long_running = false;
   /** @brief What it uses is not known, so it reserves the whole worker. */
   bool reserves_whole_worker = false;
   /** @brief The worker has confirmed the run. */
@@ -162,6 +164,10 @@
    */
   bool CanFit(const job::Resources& required) const;
 
+  /** @brief Returns the resources that are free once all finite runs have
+   * ended. */
+  job::Resources FreeWithoutFiniteRuns() const;
+
   /** @brief Tells whether the assigned runs exceed the capacity, which may
    * shrink while the worker has runs. */
   bool IsOverCapacity() const;
--- a/src/crocusmast/scheduling/scheduler.h
+++ b/src/crocusmast/scheduling/scheduler.h
@@ -307,6 +307,9 @@
   execution::Worker* ChooseWorker(const ActiveJob& active,
                                   const job::TaskId& task,
                                   const job::Step& step);
+  void ReserveWorker(const ActiveJob& active,
+                     const job::TaskId& task,
+                     const job::Step& step);
   bool IsUsable(const execution::Worker& worker) const;
   static bool IsStaying(const execution::Worker& worker);
   void RequestTickets(const ActiveJob& active,
@@ -365,6 +368,9 @@
   core::TimePoint m_next_placement_at;
   /** @brief Pools in which tasks may have become placeable. */
   std::set<core::PoolId> m_pools_to_place;
+  /** @brief Workers that get no finite tasks in this round of placements, so
+   * that a long-running task that fits nowhere gets one that becomes empty. */
+  std::unordered_set<const execution::Worker*> m_reserved_workers;
   /** @brief Jobs that ended in this term; late events for them are ignored. */
   std::unordered_set<core::JobId> m_ended_jobs;
   Committer m_committer;
--- a/src/crocusmast/scheduling/scheduler_placement.cc
+++ b/src/crocusmast/scheduling/scheduler_placement.cc
@@ -11,17 +11,18 @@
 using execution::RunKey;
 using execution::Worker;
 
-/** @brief A job with tasks to place, ordered by priority, lateness and
- * deadline. */
+/** @brief A job with tasks to place, ordered by priority and deadline;
+ * long-running ones come first, late ones last. */
 struct Scheduler::Candidate {
   ActiveJob* active = nullptr;
+  bool is_finite = true;
   bool is_late = false;
 
   friend bool operator<(const Candidate& left, const Candidate& right) {
-    return std::tie(left.active->priority, left.is_late,
-                    left.active->deadline) < std::tie(right.active->priority,
-                                                      right.is_late,
-                                                      right.active->deadline);
+    return std::tie(left.active->priority, left.is_finite, left.is_late,
+                    left.active->deadline) <
+           std::tie(right.active->priority, right.is_finite, right.is_late,
+                    right.active->deadline);
   }
 };
 
@@ -59,13 +60,16 @@
   const core::TimePoint now = m_ports.clock.Now();
   const job::Resources max_free = MaxFreeResources(pool);
   for (ActiveJob* active : m_jobs_by_pool[pool]) {
-    const bool may_fit =
-        active->may_have_ready_tasks && !job::IsFinal(active->job.State()) &&
-        (!active->min_resources || max_free.CanFit(*active->min_resources));
+    const bool is_finite = !active->job.Accepted().spec.HasLongRunningSteps();
+    // A worker may be reserved for a long-running task that fits nowhere.
+    const bool may_fit = active->may_have_ready_tasks &&
+                         !job::IsFinal(active->job.State()) &&
+                         (!is_finite || !active->min_resources ||
+                          max_free.CanFit(*active->min_resources));
     if (may_fit) {
       const bool is_late =
           active->deadline < now + RemainingCriticalPath(*active);
-      candidates.push_back({active, is_late});
+      candidates.push_back({active, is_finite, is_late});
     }
   }
 }
@@ -83,6 +87,7 @@
   if (m_pools_to_place.empty() || !MayStartTasks()) {
     return;
   }
+  m_reserved_workers.clear();
   for (const Candidate& candidate : SortedCandidates()) {
     ActiveJob& active = *candidate.active;
     if (MayStartFiniteTasks(active) ||
@@ -132,6 +137,9 @@
   for (std::size_t next = 0; next < ready.size(); ++next) {
     const auto& [key, step] = ready[next];
     if (step == blocked_step) {
+      if (step->is_long_running) {
+        ReserveWorker(active, {active.job.Id(), key}, *step);
+      }
       continue;
     }
     if (step->is_gang) {
@@ -149,6 +157,9 @@
     if (worker == nullptr) {
       blocked_step = step;
       RequestTickets(active, task, *step);
+      if (step->is_long_running) {
+        ReserveWorker(active, task, *step);
+      }
       continue;
     }
     StartTask(active, *worker, task, active.job.NextAttempt(key));
@@ -205,120 +216,6 @@
   return true;
 }
 
-execution::AssignedRun Scheduler::MakeAssignedRun(const job::Step& step) {
-  execution::AssignedRun run;
-  run.resources = step.resources;
-  run.is_best_effort = step.is_best_effort;
-  if (step.is_best_effort) {
-    run.resources.processor = {};
-  }
-  return run;
-}
-
-bool Scheduler::IsUsable(const Worker& worker) const {
-  return IsStaying(worker) && worker.is_reconciled &&
-         worker.is_recorded_in_store && worker.failed_polls == 0 &&
-         !worker.is_lease_frozen && worker.backoff_until <= m_ports.clock.Now();
-}
-
-void Scheduler::RequestTickets(const ActiveJob& active,
-                               const job::TaskId& task,
-                               const job::Step& step) {
-  if (!active.needs_tickets) {
-    return;
-  }
-  std::vector<const Worker*> usable;
-  for (const Worker* worker : m_workers_by_pool[active.pool]) {
-    const bool may_run = step.required_label.empty() ||
-                         worker->Record().HasLabel(step.required_label);
-    if (may_run && IsUsable(*worker)) {
-      usable.push_back(worker);
-    }
-  }
-  std::stable_sort(usable.begin(), usable.end(),
-                   [](const Worker* left, const Worker* right) {
-                     return right->FreeResources().processor <
-                            left->FreeResources().processor;
-                   });
-  std::vector<TicketCandidate> candidates;
-  candidates.reserve(usable.size());
-  for (const Worker* worker : usable) {
-    candidates.push_back({worker->Record().id, worker->Record().incarnation});
-  }
-  const StepId id = StepId::Of(task);
-  const std::vector<core::InstanceId> requested =
-      m_tickets.BeginRequest(id, candidates, m_ports.clock.Now());
-  if (!requested.empty()) {
-    Log(core::Severity::kInfo,
-        "Requested tickets for step " + std::to_string(id.step) + " of job " +
-            id.job.Text() + " on " + std::to_string(requested.size()) +
-            " workers.",
-        {{"event", "tickets_asked"},
-         {"job", id.job.Text()},
-         {"workers", std::to_string(requested.size())}});
-    m_ports.tickets.RequestTickets(id, requested);
-  }
-}
-
-void Scheduler::Handle(const TicketReply& reply) {
-  m_tickets.HandleReply(reply, m_ports.clock.Now());
-  if (ActiveJob* active = FindJob(reply.step.job); active != nullptr) {
-    MarkForPlacement(*active);
-    Log(core::Severity::kInfo,
-        "Job " + reply.step.job.Text() + " received tickets for " +
-            std::to_string(reply.allowed.size()) + " workers.",
-        {{"event", "tickets_answered"},
-         {"job", reply.step.job.Text()},
-         {"allowed", std::to_string(reply.allowed.size())}});
-  }
-}
-
-Worker* Scheduler::ChooseWorker(const ActiveJob& active,
-                                const job::TaskId& task,
-                                const job::Step& step) {
-  const core::TimePoint now = m_ports.clock.Now();
-  const job::Resources need = MakeAssignedRun(step).resources;
-  const bool is_suspect = m_crashes.IsSuspect(task);
-  if (is_suspect && m_crashes.MustWait(task)) {
-    return nullptr;
-  }
-  Worker* best = nullptr;
-  bool is_best_on_preferred_rack = false;
-  for (Worker* worker : m_workers_by_pool[active.pool]) {
-    const execution::WorkerRecord& record = worker->Record();
-    const bool is_usable = IsUsable(*worker) && worker->CanFit(need) &&
-                           !m_crashes.IsReserved(record.id) &&
-                           (!active.needs_tickets ||
-                            m_tickets.Find(StepId::Of(task), record.id,
-                                           record.incarnation, now) != nullptr);
-    if (!is_usable ||
-        (!step.required_label.empty() &&
-         !record.HasLabel(step.required_label)) ||
-        (step.max_per_worker > 0 &&
-         worker->CountTasksOfStep(task) >= step.max_per_worker)) {
-      continue;
-    }
-    const bool is_on_preferred_rack =
-        !step.preferred_rack.empty() && record.Rack() == step.preferred_rack;
-    // Best fit keeps whole workers free for large tasks, for maintenance and
-    // for release.
-    const bool is_better_fit =
-        best == nullptr ||
-        (is_on_preferred_rack && !is_best_on_preferred_rack) ||
-        (is_on_preferred_rack == is_best_on_preferred_rack &&
-         worker->FreeResources().processor < best->FreeResources().processor);
-    const bool is_better =
-        is_suspect && best != nullptr
-            ? CrashAttribution::IsBetterForSuspect(*worker, *best)
-            : is_better_fit;
-    if (is_better) {
-      best = worker;
-      is_best_on_preferred_rack = is_on_preferred_rack;
-    }
-  }
-  return best;
-}
-
 void Scheduler::RecordPlacement(const job::TaskId& task,
                                 core::Attempt attempt,
                                 const Worker& worker) {
--- /dev/null
+++ b/src/crocusmast/scheduling/scheduler_selection.cc
@@ -0,0 +1,188 @@
+#include <algorithm>
+#include <utility>
+
+#include "crocusmast/scheduling/scheduler.h"
+
+// Selection of the worker that a task is placed on, and tickets for it.
+
+namespace crocusmast::scheduling {
+namespace internal {
+
+/** @brief Of this many workers of a pool at most one is kept for long-running
+ * tasks, so that finite ones go on; a small pool keeps one. */
+constexpr std::size_t kWorkersPerReservation = 4;
+
+/** @brief Returns by how much a need exceeds resources, in shares of the need.
+ */
+double Shortfall(const job::Resources& need, const job::Resources& free) {
+  const auto share = [](std::uint64_t needed, std::uint64_t available) {
+    return needed <= available ? 0.0
+                               : static_cast<double>(needed - available) /
+                                     static_cast<double>(needed);
+  };
+  return std::max(
+      {share(need.processor.Count(), free.processor.Count()),
+       share(need.memory.Count(), free.memory.Count()),
+       share(need.accelerators.Count(), free.accelerators.Count())});
+}
+
+}  // namespace internal
+
+using execution::Worker;
+
+execution::AssignedRun Scheduler::MakeAssignedRun(const job::Step& step) {
+  execution::AssignedRun run;
+  run.resources = step.resources;
+  run.is_best_effort = step.is_best_effort;
+  run.is_long_running = step.is_long_running;
+  if (step.is_best_effort) {
+    run.resources.processor = {};
+  }
+  return run;
+}
+
+bool Scheduler::IsUsable(const Worker& worker) const {
+  return IsStaying(worker) && worker.is_reconciled &&
+         worker.is_recorded_in_store && worker.failed_polls == 0 &&
+         !worker.is_lease_frozen && worker.backoff_until <= m_ports.clock.Now();
+}
+
+void Scheduler::RequestTickets(const ActiveJob& active,
+                               const job::TaskId& task,
+                               const job::Step& step) {
+  if (!active.needs_tickets) {
+    return;
+  }
+  std::vector<const Worker*> usable;
+  for (const Worker* worker : m_workers_by_pool[active.pool]) {
+    const bool may_run = step.required_label.empty() ||
+                         worker->Record().HasLabel(step.required_label);
+    if (may_run && IsUsable(*worker)) {
+      usable.push_back(worker);
+    }
+  }
+  std::stable_sort(usable.begin(), usable.end(),
+                   [](const Worker* left, const Worker* right) {
+                     return right->FreeResources().processor <
+                            left->FreeResources().processor;
+                   });
+  std::vector<TicketCandidate> candidates;
+  candidates.reserve(usable.size());
+  for (const Worker* worker : usable) {
+    candidates.push_back({worker->Record().id, worker->Record().incarnation});
+  }
+  const StepId id = StepId::Of(task);
+  const std::vector<core::InstanceId> requested =
+      m_tickets.BeginRequest(id, candidates, m_ports.clock.Now());
+  if (!requested.empty()) {
+    Log(core::Severity::kInfo,
+        "Requested tickets for step " + std::to_string(id.step) + " of job " +
+            id.job.Text() + " on " + std::to_string(requested.size()) +
+            " workers.",
+        {{"event", "tickets_asked"},
+         {"job", id.job.Text()},
+         {"workers", std::to_string(requested.size())}});
+    m_ports.tickets.RequestTickets(id, requested);
+  }
+}
+
+void Scheduler::Handle(const TicketReply& reply) {
+  m_tickets.HandleReply(reply, m_ports.clock.Now());
+  if (ActiveJob* active = FindJob(reply.step.job); active != nullptr) {
+    MarkForPlacement(*active);
+    Log(core::Severity::kInfo,
+        "Job " + reply.step.job.Text() + " received tickets for " +
+            std::to_string(reply.allowed.size()) + " workers.",
+        {{"event", "tickets_answered"},
+         {"job", reply.step.job.Text()},
+         {"allowed", std::to_string(reply.allowed.size())}});
+  }
+}
+
+Worker* Scheduler::ChooseWorker(const ActiveJob& active,
+                                const job::TaskId& task,
+                                const job::Step& step) {
+  const core::TimePoint now = m_ports.clock.Now();
+  const job::Resources need = MakeAssignedRun(step).resources;
+  const bool is_suspect = m_crashes.IsSuspect(task);
+  if (is_suspect && m_crashes.MustWait(task)) {
+    return nullptr;
+  }
+  Worker* best = nullptr;
+  bool is_best_on_preferred_rack = false;
+  for (Worker* worker : m_workers_by_pool[active.pool]) {
+    const execution::WorkerRecord& record = worker->Record();
+    const bool is_usable =
+        IsUsable(*worker) && worker->CanFit(need) &&
+        !m_crashes.IsReserved(record.id) &&
+        (step.is_long_running || m_reserved_workers.count(worker) == 0) &&
+        (!active.needs_tickets ||
+         m_tickets.Find(StepId::Of(task), record.id, record.incarnation, now) !=
+             nullptr);
+    if (!is_usable ||
+        (!step.required_label.empty() &&
+         !record.HasLabel(step.required_label)) ||
+        (step.max_per_worker > 0 &&
+         worker->CountTasksOfStep(task) >= step.max_per_worker)) {
+      continue;
+    }
+    const bool is_on_preferred_rack =
+        !step.preferred_rack.empty() && record.Rack() == step.preferred_rack;
+    // Best fit keeps whole workers free for large tasks, for maintenance and
+    // for release.
+    const bool is_better_fit =
+        best == nullptr ||
+        (is_on_preferred_rack && !is_best_on_preferred_rack) ||
+        (is_on_preferred_rack == is_best_on_preferred_rack &&
+         worker->FreeResources().processor < best->FreeResources().processor);
+    const bool is_better =
+        is_suspect && best != nullptr
+            ? CrashAttribution::IsBetterForSuspect(*worker, *best)
+            : is_better_fit;
+    if (is_better) {
+      best = worker;
+      is_best_on_preferred_rack = is_on_preferred_rack;
+    }
+  }
+  return best;
+}
+
+void Scheduler::ReserveWorker(const ActiveJob& active,
+                              const job::TaskId& task,
+                              const job::Step& step) {
+  const std::vector<Worker*>& pool = m_workers_by_pool[active.pool];
+  const auto reserved = static_cast<std::size_t>(
+      std::count_if(pool.begin(), pool.end(), [this](const Worker* worker) {
+        return m_reserved_workers.count(worker) > 0;
+      }));
+  if (reserved > 0 &&
+      pool.size() < (reserved + 1) * internal::kWorkersPerReservation) {
+    return;
+  }
+  const job::Resources need = MakeAssignedRun(step).resources;
+  const Worker* best = nullptr;
+  double least_shortfall = 0;
+  for (const Worker* worker : pool) {
+    const execution::WorkerRecord& record = worker->Record();
+    const bool may_run =
+        IsUsable(*worker) && m_reserved_workers.count(worker) == 0 &&
+        !m_crashes.IsReserved(record.id) &&
+        (step.required_label.empty() || record.HasLabel(step.required_label)) &&
+        (step.max_per_worker == 0 ||
+         worker->CountTasksOfStep(task) < step.max_per_worker) &&
+        worker->FreeWithoutFiniteRuns().CanFit(need);
+    if (!may_run) {
+      continue;
+    }
+    const double shortfall = internal::Shortfall(need, worker->FreeResources());
+    if (best == nullptr || shortfall < least_shortfall) {
+      best = worker;
+      least_shortfall = shortfall;
+    }
+  }
+  if (best != nullptr) {
+    m_reserved_workers.insert(best);
+  }
+}
+
+}  // namespace crocusmast::scheduling
--- a/test/scheduling/simulated_workers.h
+++ b/test/scheduling/simulated_workers.h
@@ -40,6 +40,19 @@
   }
 
   void MakeDeadly(const job::TaskId& task) { m_deadly.insert(task); }
+  /** @brief Makes a task whose runs don't end by themselves. */
+  void MakeLongRunning(const job::TaskId& task) { m_long_running.insert(task); }
+  /** @brief Returns the worker that runs a task; empty if none does. */
+  core::InstanceId WorkerOf(const job::TaskId& task) const {
+    for (const auto& [id, worker] : m_workers) {
+      for (const auto& [key, run] : worker.runs) {
+        if (key.task == task) {
+          return id;
+        }
+      }
+    }
+    return {};
+  }
   /** @brief Makes a sound member of a deadly gang: its runs end as broken. */
   void MakeBroken(const job::TaskId& task) { m_broken.insert(task); }
   void SetRack(const core::InstanceId& id, const std::string& rack) {
@@ -173,6 +186,9 @@
           crashes[command.task] >= 3 ? 1 : 0;
       Run run;
       run.ends_at = now + std::chrono::milliseconds(100 + m_random() % 1500);
+      if (m_long_running.count(command.task) > 0) {
+        run.ends_at = core::TimePoint::max();
+      }
       if (m_deadly.count(command.task) > 0) {
         run.crashes_at = now + kCrashDelay;
       }
@@ -292,6 +308,7 @@
   std::map<core::InstanceId, Worker> m_workers;
   std::set<job::TaskId> m_deadly;
   std::set<job::TaskId> m_broken;
+  std::set<job::TaskId> m_long_running;
   std::size_t m_next_start = 0;
   std::size_t m_next_poll = 0;
   std::size_t m_next_stop = 0;
