Keep the cost of a placement round apart from the number of waiting jobs

Cause: after each run end the leader tried every waiting job whose tasks might fit on every worker of the pool, with a reading of the clock per worker, although the first task that was placed had taken the room. Class: a cost per event that grows with the queue.

The waiting jobs of a pool are kept in order in one array, whose ranks are renewed when they change with time; a round reads the usable workers once, and once a task finds no worker, all jobs that need as much are skipped. Pools share no workers, so each is placed by itself. Order and choice of workers stay as they were.

--- a/src/crocusmast/job/resources.h
+++ b/src/crocusmast/job/resources.h
@@ -1,6 +1,8 @@
 #ifndef CROCUSMAST_JOB_RESOURCES_H_
 #define CROCUSMAST_JOB_RESOURCES_H_
 
+#include <algorithm>
+
 #include "crocusmast/core/units.h"
 
 namespace crocusmast::job {
@@ -38,6 +40,20 @@
   }
 };
 
+/** @brief Returns the lesser amount of each component. */
+inline Resources ComponentMin(const Resources& left, const Resources& right) {
+  return {std::min(left.processor, right.processor),
+          std::min(left.memory, right.memory),
+          std::min(left.accelerators, right.accelerators)};
+}
+
+/** @brief Returns the greater amount of each component. */
+inline Resources ComponentMax(const Resources& left, const Resources& right) {
+  return {std::max(left.processor, right.processor),
+          std::max(left.memory, right.memory),
+          std::max(left.accelerators, right.accelerators)};
+}
+
 }  // namespace crocusmast::job
 
 #endif  // CROCUSMAST_JOB_RESOURCES_H_
--- a/src/crocusmast/scheduling/scheduler.cc
+++ b/src/crocusmast/scheduling/scheduler.cc
@@ -68,6 +68,7 @@
     }
     if (entry.is_cancelled) {
       active.job.Cancel();
+      StopWaiting(active);
       m_committer.MarkChanged(id);
       m_final_jobs.insert(id);
     }
@@ -96,7 +97,7 @@
   m_has_stored_handover = false;
   m_was_fenced = false;
   m_may_start_tasks = true;
-  m_jobs_by_pool.clear();
+  m_waiting_jobs.clear();
   m_jobs.clear();
   m_scheduled_jobs.clear();
   m_final_jobs.clear();
@@ -130,8 +131,7 @@
   }
 }
 
-Scheduler::ActiveJob& Scheduler::Insert(job::Job job,
-                                        core::TimePoint accepted_at) {
+ActiveJob& Scheduler::Insert(job::Job job, core::TimePoint accepted_at) {
   const core::JobId id = job.Id();
   ActiveJob& active =
       m_jobs.insert_or_assign(id, ActiveJob(std::move(job))).first->second;
@@ -149,9 +149,8 @@
     return;
   }
   const queue::Queue& queue = found->second;
-  m_jobs_by_pool[active.pool].erase(&active);
+  StopWaiting(active);
   active.pool = queue.pool;
-  m_jobs_by_pool[active.pool].insert(&active);
   active.priority = queue.priority;
   active.max_attempts = queue.max_attempts;
   active.needs_tickets = queue.tickets.has_value();
@@ -167,13 +166,6 @@
   MarkForPlacement(active);
 }
 
-void Scheduler::MarkForPlacement(ActiveJob& active) {
-  active.may_have_ready_tasks = true;
-  active.min_resources.reset();
-  active.remaining_critical_path.reset();
-  m_pools_to_place.insert(active.pool);
-}
-
 void Scheduler::AddJob(const job::AcceptedJob& accepted) {
   if (!m_is_active || m_jobs.count(accepted.id) > 0 ||
       m_ended_jobs.count(accepted.id) > 0) {
@@ -194,6 +186,7 @@
     return;
   }
   active->job.Cancel();
+  StopWaiting(*active);
   active->cancelled_at = m_ports.clock.Now();
   m_committer.MarkChanged(id);
   m_final_jobs.insert(id);
@@ -205,7 +198,7 @@
   StopRuns(*active);
 }
 
-Scheduler::ActiveJob* Scheduler::FindJob(const core::JobId& id) {
+ActiveJob* Scheduler::FindJob(const core::JobId& id) {
   const auto found = m_jobs.find(id);
   return found == m_jobs.end() ? nullptr : &found->second;
 }
@@ -253,8 +246,8 @@
   RetryCommands();
   if (m_next_placement_at <= now) {
     m_next_placement_at = now + kPlacementRetryInterval;
-    for (const auto& [pool, jobs] : m_jobs_by_pool) {
-      if (!jobs.empty()) {
+    for (const auto& [pool, waiting] : m_waiting_jobs) {
+      if (!waiting.Entries().empty()) {
         m_pools_to_place.insert(pool);
       }
     }
@@ -311,7 +304,7 @@
     m_ended_jobs.insert(id);
     m_scheduled_jobs.erase(id);
     if (active != nullptr) {
-      m_jobs_by_pool[active->pool].erase(active);
+      StopWaiting(*active);
       m_jobs.erase(id);
     }
     next = m_final_jobs.erase(next);
--- a/src/crocusmast/scheduling/scheduler.h
+++ b/src/crocusmast/scheduling/scheduler.h
@@ -23,12 +23,14 @@
 #include "crocusmast/job/job_catalog.h"
 #include "crocusmast/job/job_store.h"
 #include "crocusmast/queue/queue_catalog.h"
+#include "crocusmast/scheduling/active_job.h"
 #include "crocusmast/scheduling/committer.h"
 #include "crocusmast/scheduling/crash_attribution.h"
 #include "crocusmast/scheduling/inherited_workers.h"
 #include "crocusmast/scheduling/messages.h"
 #include "crocusmast/scheduling/run_time_estimator.h"
 #include "crocusmast/scheduling/ticket_cache.h"
+#include "crocusmast/scheduling/waiting_jobs.h"
 #include "crocusmast/upkeep/worker_drain_port.h"
 
 namespace crocusmast::scheduling {
@@ -193,43 +195,13 @@
   void RunCycle(core::TimePoint confirmed_at);
 
  private:
-  /** @brief A job with its scheduling state. */
-  struct ActiveJob {
-    explicit ActiveJob(job::Job created) : job(std::move(created)) {}
-
-    job::Job job;
-    core::PoolId pool;
-    std::uint32_t priority = 0;
-    std::uint32_t max_attempts = 0;
-    /** @brief Starting its tasks requires tickets. */
-    bool needs_tickets = false;
-    /** @brief When it has to end to meet its queue's objective. */
-    core::TimePoint deadline;
-    /** @brief When this leader handled its cancellation; empty before. */
-    std::optional<core::TimePoint> cancelled_at;
-    /** @brief An earlier leader may have started tasks that are not known yet.
-     */
-    bool is_inherited = false;
-    /** @brief Its start is stored, so that a successor reconciles its runs. No
-     * start command is sent before. */
-    bool is_start_recorded = false;
-    /** @brief It may have tasks that are ready to be placed. */
-    bool may_have_ready_tasks = true;
-    /** @brief Component-wise minimum of the resources that its ready tasks
-     * need; empty if unknown. */
-    std::optional<job::Resources> min_resources;
-    /** @brief Estimated length of the remaining critical path; empty if
-     * unknown.
-     */
-    std::optional<core::Duration> remaining_critical_path;
-  };
-
-  struct Candidate;
+  struct PlacementRound;
 
   execution::Worker* FindWorker(const core::InstanceId& id);
   ActiveJob* FindJob(const core::JobId& id);
   ActiveJob& Insert(job::Job job, core::TimePoint accepted_at);
   void MarkForPlacement(ActiveJob& active);
+  void StopWaiting(ActiveJob& active);
   void Sweep(core::TimePoint confirmed_at);
   void ApplyQueue(ActiveJob& active, core::TimePoint accepted_at);
   void MarkReconciled(const core::InstanceId& id, const char* reason);
@@ -293,24 +265,24 @@
   void RemoveEndedJobs();
 
   void PlaceTasks();
-  std::vector<Candidate> SortedCandidates();
-  void AddCandidates(const core::PoolId& pool,
-                     std::vector<Candidate>& candidates);
-  job::Resources MaxFreeResources(const core::PoolId& pool);
-  void PlaceJob(ActiveJob& active);
+  PlacementRound BeginRound(const core::PoolId& pool);
+  void PlaceTasksIn(const core::PoolId& pool);
+  void PlaceJob(ActiveJob& active, PlacementRound& round);
   bool MayStartFiniteTasks(const ActiveJob& active) const;
   void SettleEarlierPlacements(ActiveJob& active);
   static void UpdateMinResources(ActiveJob& active);
   bool PlaceGang(ActiveJob& active,
                  const std::vector<job::TaskKey>& members,
-                 const job::Step& step);
+                 const job::Step& step,
+                 PlacementRound& round);
   execution::Worker* ChooseWorker(const ActiveJob& active,
                                   const job::TaskId& task,
-                                  const job::Step& step);
-  void ReserveWorker(const ActiveJob& active,
-                     const job::TaskId& task,
-                     const job::Step& step);
-  bool IsUsable(const execution::Worker& worker) const;
+                                  const job::Step& step,
+                                  PlacementRound& round);
+  void ReserveWorker(const job::TaskId& task,
+                     const job::Step& step,
+                     PlacementRound& round);
+  bool IsUsable(const execution::Worker& worker, core::TimePoint now) const;
   static bool IsStaying(const execution::Worker& worker);
   void RequestTickets(const ActiveJob& active,
                       const job::TaskId& task,
@@ -326,7 +298,8 @@
   double EstimateCoreSeconds(const job::AcceptedJob& job) const;
   void AddReadyTasks(const job::Job& job, capacity::PoolLoad& load) const;
   static execution::AssignedRun MakeAssignedRun(const job::Step& step);
-  core::Duration RemainingCriticalPath(ActiveJob& active) const;
+  core::Duration RemainingCriticalPath(const ActiveJob& active) const;
+  JobRank RankOf(const ActiveJob& active) const;
 
   execution::CommandDestination DestinationOf(
       const execution::Worker& worker) const;
@@ -357,7 +330,7 @@
    * a leader that stores none has led since. */
   std::set<core::JobId> m_outdated_placements;
   std::map<core::PoolId, std::vector<execution::Worker*>> m_workers_by_pool;
-  std::map<core::PoolId, std::unordered_set<ActiveJob*>> m_jobs_by_pool;
+  std::map<core::PoolId, WaitingJobs> m_waiting_jobs;
   /** @brief Jobs with scheduled occurrences. */
   std::set<core::JobId> m_scheduled_jobs;
   /** @brief Jobs in a final state that may still have active runs. */
@@ -368,9 +341,6 @@
   core::TimePoint m_next_placement_at;
   /** @brief Pools in which tasks may have become placeable. */
   std::set<core::PoolId> m_pools_to_place;
-  /** @brief Workers that get no finite tasks in this round of placements, so
-   * that a long-running task that fits nowhere gets one that becomes empty. */
-  std::unordered_set<const execution::Worker*> m_reserved_workers;
   /** @brief Jobs that ended in this term; late events for them are ignored. */
   std::unordered_set<core::JobId> m_ended_jobs;
   Committer m_committer;
--- a/src/crocusmast/scheduling/scheduler_crashes.cc
+++ b/src/crocusmast/scheduling/scheduler_crashes.cc
@@ -137,6 +137,7 @@
 }
 
 void Scheduler::HandleFinalState(ActiveJob& active, const job::TaskId& last) {
+  StopWaiting(active);
   const std::string state(job::JobStateName(active.job.State()));
   if (m_final_jobs.insert(active.job.Id()).second) {
     Log(core::Severity::kInfo,
--- a/src/crocusmast/scheduling/scheduler_placement.cc
+++ b/src/crocusmast/scheduling/scheduler_placement.cc
@@ -1,7 +1,8 @@
 #include <algorithm>
-#include <tuple>
+#include <iterator>
 #include <utility>
 
+#include "crocusmast/scheduling/placement_round.h"
 #include "crocusmast/scheduling/scheduler.h"
 
 // Placement of tasks on workers.
@@ -11,91 +12,89 @@
 using execution::RunKey;
 using execution::Worker;
 
-/** @brief A job with tasks to place, ordered by priority and deadline;
- * long-running ones come first, late ones last. */
-struct Scheduler::Candidate {
-  ActiveJob* active = nullptr;
-  bool is_finite = true;
-  bool is_late = false;
-
-  friend bool operator<(const Candidate& left, const Candidate& right) {
-    return std::tie(left.active->priority, left.is_finite, left.is_late,
-                    left.active->deadline) <
-           std::tie(right.active->priority, right.is_finite, right.is_late,
-                    right.active->deadline);
-  }
-};
-
-core::Duration Scheduler::RemainingCriticalPath(ActiveJob& active) const {
-  if (!active.remaining_critical_path) {
-    const job::JobSpec& spec = active.job.Accepted().spec;
-    std::vector<bool> is_pending(spec.steps.size(), false);
-    for (const auto& [number, occurrence] : active.job.OpenOccurrences()) {
-      for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
-        is_pending[step] = is_pending[step] || !occurrence.steps[step].IsDone();
-      }
+core::Duration Scheduler::RemainingCriticalPath(const ActiveJob& active) const {
+  const job::JobSpec& spec = active.job.Accepted().spec;
+  std::vector<bool> is_pending(spec.steps.size(), false);
+  for (const auto& [number, occurrence] : active.job.OpenOccurrences()) {
+    for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+      is_pending[step] = is_pending[step] || !occurrence.steps[step].IsDone();
     }
-    active.remaining_critical_path = m_run_time_estimator.Correct(
-        active.job.Accepted().queue, job::CriticalPath(spec, is_pending));
   }
-  return *active.remaining_critical_path;
+  return m_run_time_estimator.Correct(active.job.Accepted().queue,
+                                      job::CriticalPath(spec, is_pending));
 }
 
-job::Resources Scheduler::MaxFreeResources(const core::PoolId& pool) {
-  job::Resources max_free;
-  for (const Worker* worker : m_workers_by_pool[pool]) {
-    if (IsUsable(*worker)) {
-      const job::Resources free = worker->FreeResources();
-      max_free.processor = std::max(max_free.processor, free.processor);
-      max_free.memory = std::max(max_free.memory, free.memory);
-      max_free.accelerators =
-          std::max(max_free.accelerators, free.accelerators);
-    }
-  }
-  return max_free;
+JobRank Scheduler::RankOf(const ActiveJob& active) const {
+  JobUrgency urgency;
+  urgency.priority = active.priority;
+  urgency.is_long_running = active.job.Accepted().spec.HasLongRunningSteps();
+  urgency.deadline = active.deadline;
+  urgency.remaining = RemainingCriticalPath(active);
+  return JobRank::Of(urgency, m_ports.clock.Now());
 }
 
-void Scheduler::AddCandidates(const core::PoolId& pool,
-                              std::vector<Candidate>& candidates) {
-  const core::TimePoint now = m_ports.clock.Now();
-  const job::Resources max_free = MaxFreeResources(pool);
-  for (ActiveJob* active : m_jobs_by_pool[pool]) {
-    const bool is_finite = !active->job.Accepted().spec.HasLongRunningSteps();
-    // A worker may be reserved for a long-running task that fits nowhere.
-    const bool may_fit = active->may_have_ready_tasks &&
-                         !job::IsFinal(active->job.State()) &&
-                         (!is_finite || !active->min_resources ||
-                          max_free.CanFit(*active->min_resources));
-    if (may_fit) {
-      const bool is_late =
-          active->deadline < now + RemainingCriticalPath(*active);
-      candidates.push_back({active, is_finite, is_late});
-    }
+void Scheduler::MarkForPlacement(ActiveJob& active) {
+  active.may_have_ready_tasks = true;
+  active.min_resources.reset();
+  if (job::IsFinal(active.job.State())) {
+    StopWaiting(active);
+  } else {
+    m_waiting_jobs[active.pool].Set(active, RankOf(active));
   }
+  m_pools_to_place.insert(active.pool);
+}
+
+void Scheduler::StopWaiting(ActiveJob& active) {
+  m_waiting_jobs[active.pool].Remove(active);
 }
 
-std::vector<Scheduler::Candidate> Scheduler::SortedCandidates() {
-  std::vector<Candidate> candidates;
-  for (const core::PoolId& pool : m_pools_to_place) {
-    AddCandidates(pool, candidates);
+Scheduler::PlacementRound Scheduler::BeginRound(const core::PoolId& pool) {
+  const core::TimePoint now = m_ports.clock.Now();
+  PlacementRound round;
+  for (Worker* worker : m_workers_by_pool[pool]) {
+    if (IsUsable(*worker, now)) {
+      round.usable.push_back(worker);
+      round.max_free = ComponentMax(round.max_free, worker->FreeResources());
+    }
   }
-  std::sort(candidates.begin(), candidates.end());
-  return candidates;
+  return round;
 }
 
 void Scheduler::PlaceTasks() {
   if (m_pools_to_place.empty() || !MayStartTasks()) {
     return;
   }
-  m_reserved_workers.clear();
-  for (const Candidate& candidate : SortedCandidates()) {
-    ActiveJob& active = *candidate.active;
-    if (MayStartFiniteTasks(active) ||
-        active.job.Accepted().spec.HasLongRunningSteps()) {
-      PlaceJob(active);
+  for (const core::PoolId& pool : std::exchange(m_pools_to_place, {})) {
+    PlaceTasksIn(pool);
+  }
+}
+
+void Scheduler::PlaceTasksIn(const core::PoolId& pool) {
+  PlacementRound round = BeginRound(pool);
+  WaitingJobs& waiting = m_waiting_jobs[pool];
+  waiting.Advance(m_ports.clock.Now(),
+                  [this](const ActiveJob& job) { return RankOf(job); });
+  std::vector<WaitingJobs::Entry> candidates;
+  std::copy_if(waiting.Entries().begin(), waiting.Entries().end(),
+               std::back_inserter(candidates),
+               [&round](const WaitingJobs::Entry& entry) {
+                 return round.MayPlace(entry);
+               });
+  for (const WaitingJobs::Entry& entry : candidates) {
+    if (!round.MayPlace(entry)) {
+      continue;
+    }
+    ActiveJob& active = *entry.job;
+    if (!MayStartFiniteTasks(active) && entry.rank.is_finite) {
+      continue;
+    }
+    PlaceJob(active, round);
+    if (active.may_have_ready_tasks && !job::IsFinal(active.job.State())) {
+      waiting.UpdateMinResources(active);
+    } else {
+      waiting.Remove(active);
     }
   }
-  m_pools_to_place.clear();
 }
 
 bool Scheduler::MayStartFiniteTasks(const ActiveJob& active) const {
@@ -116,7 +115,7 @@
   }
 }
 
-void Scheduler::PlaceJob(ActiveJob& active) {
+void Scheduler::PlaceJob(ActiveJob& active, PlacementRound& round) {
   if (GiveUpExhaustedTask(active)) {
     return;
   }
@@ -138,7 +137,7 @@
     const auto& [key, step] = ready[next];
     if (step == blocked_step) {
       if (step->is_long_running) {
-        ReserveWorker(active, {active.job.Id(), key}, *step);
+        ReserveWorker({active.job.Id(), key}, *step, round);
       }
       continue;
     }
@@ -149,16 +148,16 @@
         members.push_back(ready[next++].first);
       }
       --next;
-      PlaceGang(active, members, *step);
+      PlaceGang(active, members, *step, round);
       continue;
     }
     const job::TaskId task{active.job.Id(), key};
-    Worker* worker = ChooseWorker(active, task, *step);
+    Worker* worker = ChooseWorker(active, task, *step, round);
     if (worker == nullptr) {
       blocked_step = step;
       RequestTickets(active, task, *step);
       if (step->is_long_running) {
-        ReserveWorker(active, task, *step);
+        ReserveWorker(task, *step, round);
       }
       continue;
     }
@@ -172,31 +171,28 @@
   active.min_resources.reset();
   active.job.ForEachReady([&](const job::TaskKey&, const job::Step& step) {
     const job::Resources required = MakeAssignedRun(step).resources;
-    if (!active.min_resources) {
-      active.min_resources = required;
-    }
-    job::Resources& minimum = *active.min_resources;
-    minimum.processor = std::min(minimum.processor, required.processor);
-    minimum.memory = std::min(minimum.memory, required.memory);
-    minimum.accelerators =
-        std::min(minimum.accelerators, required.accelerators);
+    active.min_resources = active.min_resources
+                               ? ComponentMin(*active.min_resources, required)
+                               : required;
   });
 }
 
 bool Scheduler::PlaceGang(ActiveJob& active,
                           const std::vector<job::TaskKey>& members,
-                          const job::Step& step) {
+                          const job::Step& step,
+                          PlacementRound& round) {
   // Runs of an earlier attempt may not have ended yet.
   if (members.size() != step.count) {
     return false;
   }
   const core::Attempt attempt = active.job.NextAttempt(members.front());
+  const std::size_t unavailable = round.unavailable.size();
   // Each member reserves its resources until all members have a worker, so
   // that two members are not given the same resources.
   std::vector<std::pair<Worker*, RunKey>> reserved;
   for (const job::TaskKey& key : members) {
     const job::TaskId task{active.job.Id(), key};
-    Worker* worker = ChooseWorker(active, task, step);
+    Worker* worker = ChooseWorker(active, task, step, round);
     if (worker == nullptr) {
       break;
     }
@@ -207,6 +203,8 @@
     worker->Remove(key);
   }
   if (reserved.size() != members.size()) {
+    // What the members had reserved is free again.
+    round.unavailable.resize(unavailable);
     RequestTickets(active, {active.job.Id(), members.front()}, step);
     return false;
   }
--- a/src/crocusmast/scheduling/scheduler_selection.cc
+++ b/src/crocusmast/scheduling/scheduler_selection.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "crocusmast/scheduling/placement_round.h"
 #include "crocusmast/scheduling/scheduler.h"
 
 // Selection of the worker that a task is placed on, and tickets for it.
@@ -41,10 +42,10 @@
   return run;
 }
 
-bool Scheduler::IsUsable(const Worker& worker) const {
+bool Scheduler::IsUsable(const Worker& worker, core::TimePoint now) const {
   return IsStaying(worker) && worker.is_reconciled &&
          worker.is_recorded_in_store && worker.failed_polls == 0 &&
-         !worker.is_lease_frozen && worker.backoff_until <= m_ports.clock.Now();
+         !worker.is_lease_frozen && worker.backoff_until <= now;
 }
 
 void Scheduler::RequestTickets(const ActiveJob& active,
@@ -53,11 +54,12 @@
   if (!active.needs_tickets) {
     return;
   }
+  const core::TimePoint now = m_ports.clock.Now();
   std::vector<const Worker*> usable;
   for (const Worker* worker : m_workers_by_pool[active.pool]) {
     const bool may_run = step.required_label.empty() ||
                          worker->Record().HasLabel(step.required_label);
-    if (may_run && IsUsable(*worker)) {
+    if (may_run && IsUsable(*worker, now)) {
       usable.push_back(worker);
     }
   }
@@ -73,7 +75,7 @@
   }
   const StepId id = StepId::Of(task);
   const std::vector<core::InstanceId> requested =
-      m_tickets.BeginRequest(id, candidates, m_ports.clock.Now());
+      m_tickets.BeginRequest(id, candidates, now);
   if (!requested.empty()) {
     Log(core::Severity::kInfo,
         "Requested tickets for step " + std::to_string(id.step) + " of job " +
@@ -101,7 +103,8 @@
 
 Worker* Scheduler::ChooseWorker(const ActiveJob& active,
                                 const job::TaskId& task,
-                                const job::Step& step) {
+                                const job::Step& step,
+                                PlacementRound& round) {
   const core::TimePoint now = m_ports.clock.Now();
   const job::Resources need = MakeAssignedRun(step).resources;
   const bool is_suspect = m_crashes.IsSuspect(task);
@@ -110,15 +113,18 @@
   }
   Worker* best = nullptr;
   bool is_best_on_preferred_rack = false;
-  for (Worker* worker : m_workers_by_pool[active.pool]) {
+  bool has_room = false;
+  for (Worker* worker : round.usable) {
+    if (!worker->CanFit(need) ||
+        (!step.is_long_running && round.reserved.count(worker) > 0)) {
+      continue;
+    }
+    has_room = true;
     const execution::WorkerRecord& record = worker->Record();
-    const bool is_usable =
-        IsUsable(*worker) && worker->CanFit(need) &&
-        !m_crashes.IsReserved(record.id) &&
-        (step.is_long_running || m_reserved_workers.count(worker) == 0) &&
-        (!active.needs_tickets ||
-         m_tickets.Find(StepId::Of(task), record.id, record.incarnation, now) !=
-             nullptr);
+    const bool is_usable = !m_crashes.IsReserved(record.id) &&
+                           (!active.needs_tickets ||
+                            m_tickets.Find(StepId::Of(task), record.id,
+                                           record.incarnation, now) != nullptr);
     if (!is_usable ||
         (!step.required_label.empty() &&
          !record.HasLabel(step.required_label)) ||
@@ -144,29 +150,27 @@
       is_best_on_preferred_rack = is_on_preferred_rack;
     }
   }
+  if (!has_room && !step.is_long_running) {
+    round.unavailable.push_back(need);
+  }
   return best;
 }
 
-void Scheduler::ReserveWorker(const ActiveJob& active,
-                              const job::TaskId& task,
-                              const job::Step& step) {
-  const std::vector<Worker*>& pool = m_workers_by_pool[active.pool];
-  const auto reserved = static_cast<std::size_t>(
-      std::count_if(pool.begin(), pool.end(), [this](const Worker* worker) {
-        return m_reserved_workers.count(worker) > 0;
-      }));
+void Scheduler::ReserveWorker(const job::TaskId& task,
+                              const job::Step& step,
+                              PlacementRound& round) {
+  const std::size_t reserved = round.reserved.size();
   if (reserved > 0 &&
-      pool.size() < (reserved + 1) * internal::kWorkersPerReservation) {
+      round.usable.size() < (reserved + 1) * internal::kWorkersPerReservation) {
     return;
   }
   const job::Resources need = MakeAssignedRun(step).resources;
   const Worker* best = nullptr;
   double least_shortfall = 0;
-  for (const Worker* worker : pool) {
+  for (const Worker* worker : round.usable) {
     const execution::WorkerRecord& record = worker->Record();
     const bool may_run =
-        IsUsable(*worker) && m_reserved_workers.count(worker) == 0 &&
-        !m_crashes.IsReserved(record.id) &&
+        round.reserved.count(worker) == 0 && !m_crashes.IsReserved(record.id) &&
         (step.required_label.empty() || record.HasLabel(step.required_label)) &&
         (step.max_per_worker == 0 ||
          worker->CountTasksOfStep(task) < step.max_per_worker) &&
@@ -181,7 +185,7 @@
     }
   }
   if (best != nullptr) {
-    m_reserved_workers.insert(best);
+    round.reserved.insert(best);
   }
 }
 
--- a/src/crocusmast/scheduling/scheduler_upkeep.cc
+++ b/src/crocusmast/scheduling/scheduler_upkeep.cc
@@ -117,17 +117,18 @@
 }
 
 std::vector<capacity::PoolLoad> Scheduler::PoolLoads() const {
+  const core::TimePoint now = m_ports.clock.Now();
   std::map<core::PoolId, capacity::PoolLoad> loads;
   for (const auto& [id, pool] : m_pools) {
     loads[id].pool = id;
     loads[id].is_standby = pool.is_standby;
-    const auto rates = m_demand.RatesOf(id, m_ports.clock.Now());
+    const auto rates = m_demand.RatesOf(id, now);
     loads[id].arriving_cores = rates.peak;
     loads[id].steady_cores = rates.steady;
   }
   for (const auto& [id, worker] : m_workers) {
     const auto load = loads.find(worker->Record().pool);
-    if (load == loads.end() || !IsUsable(*worker)) {
+    if (load == loads.end() || !IsUsable(*worker, now)) {
       continue;
     }
     const core::MilliCores capacity = worker->Record().capacity.processor;
@@ -136,10 +137,13 @@
         internal::ToCores(capacity) -
         internal::ToCores(worker->FreeResources().processor);
   }
-  for (const auto& [id, active] : m_jobs) {
-    const auto load = loads.find(active.pool);
-    if (load != loads.end() && active.may_have_ready_tasks) {
-      AddReadyTasks(active.job, load->second);
+  for (const auto& [id, waiting] : m_waiting_jobs) {
+    const auto load = loads.find(id);
+    if (load == loads.end()) {
+      continue;
+    }
+    for (const WaitingJobs::Entry& entry : waiting.Entries()) {
+      AddReadyTasks(entry.job->job, load->second);
     }
   }
   std::vector<capacity::PoolLoad> result;
