Order waiting jobs by what they are still worth, started ones first

Cause: the order knew only jobs that can meet their objective and late ones, each by deadline. A wide job that became late stood behind every job that was not, with part of its tasks done; a job past its worth was treated as one that was late by a little.

JobRank, a rule of its own without scheduler, threads or network: jobs that can end in time by deadline; then late ones, the latest first; jobs past three times their objective last, whatever their priority, and only up to 55% of the pool (above the half below which the job interface wants them started, below the load at which a pool lends machines); in each group started jobs first.

--- a/src/crocusmast/scheduling/active_job.h
+++ b/src/crocusmast/scheduling/active_job.h
@@ -23,6 +23,8 @@
   std::uint32_t max_attempts = 0;
   /** @brief Starting its tasks requires tickets. */
   bool needs_tickets = false;
+  /** @brief When it was accepted, by this leader's clock. */
+  core::TimePoint accepted_at;
   /** @brief When it has to end to meet its queue's objective. */
   core::TimePoint deadline;
   /** @brief When this leader handled its cancellation; empty before. */
--- a/src/crocusmast/scheduling/job_order.h
+++ b/src/crocusmast/scheduling/job_order.h
@@ -8,8 +8,26 @@
 
 namespace crocusmast::scheduling {
 
-/** @brief Whether a job can still end within its objective. */
-enum class Timeliness { kInTime, kLate };
+/** @brief What a job is still worth to its caller if its tasks start now. */
+enum class Timeliness {
+  /** @brief It can end within its objective. */
+  kInTime,
+  /** @brief It can end before its result is worth nothing. */
+  kLate,
+  /** @brief Its result is worth nothing when it ends. */
+  kExpired
+};
+
+/** @brief Multiple of a job's objective after which its result is worth
+ * nothing; specified by the job interface. */
+inline constexpr int kExpiryFactor = 3;
+
+/** @brief Share of a pool's processor capacity up to which the tasks of expired
+ * jobs are started, in per cent: above the half below which the job interface
+ * wants waiting jobs started, and below the load at which a pool lends
+ * machines.
+ */
+inline constexpr std::uint64_t kExpiredSharePercent = 55;
 
 /** @brief What decides when the tasks of a waiting job are placed. */
 struct JobUrgency {
@@ -17,18 +35,33 @@
   std::uint32_t priority = 0;
   /** @brief It has long-running tasks, which have no end to be in time for. */
   bool is_long_running = false;
-  /** @brief When it has to end to meet its queue's objective. */
-  core::TimePoint deadline;
+  /** @brief Some of its tasks have been started, so that work is lost to its
+   * caller if the others are late. */
+  bool is_started = false;
+  /** @brief When it was accepted. */
+  core::TimePoint accepted_at;
+  /** @brief Time after its acceptance in which it should end. */
+  core::Duration objective{};
   /** @brief Estimated length of its remaining critical path. */
   core::Duration remaining{};
 };
 
-/** @brief Place of a job in the order in which tasks are placed. */
+/**
+ * @brief Place of a job in the order in which tasks are placed.
+ *
+ * Jobs that can end in time come by deadline. Of the others the latest come
+ * first: in a long backlog they are those that most likely end before they
+ * expire. Started jobs come before those that have not started, so that wide
+ * jobs, which need many tasks at once, end as often as narrow ones. Expired
+ * jobs come last whatever their priority.
+ */
 struct JobRank {
   std::uint32_t priority = 0;
   bool is_finite = true;
+  bool is_started = false;
   Timeliness timeliness = Timeliness::kInTime;
-  core::TimePoint deadline;
+  /** @brief Orders jobs that are equal in all else. */
+  core::Duration order{};
   /** @brief When the job gets another rank if it still waits. */
   core::TimePoint valid_until = core::TimePoint::max();
 
@@ -41,21 +74,44 @@
     JobRank rank;
     rank.priority = urgency.priority;
     rank.is_finite = !urgency.is_long_running;
-    rank.deadline = urgency.deadline;
-    const core::TimePoint last_start = urgency.deadline - urgency.remaining;
-    if (last_start < now) {
-      rank.timeliness = Timeliness::kLate;
-    } else {
+    rank.is_started = urgency.is_started;
+    const core::TimePoint deadline = urgency.accepted_at + urgency.objective;
+    if (urgency.is_long_running) {
+      rank.order = deadline.time_since_epoch();
+      return rank;
+    }
+    const core::TimePoint last_start = deadline - urgency.remaining;
+    const core::TimePoint last_useful_start =
+        urgency.accepted_at + kExpiryFactor * urgency.objective -
+        urgency.remaining;
+    if (now <= last_start) {
+      rank.order = deadline.time_since_epoch();
       rank.valid_until = last_start;
+      return rank;
+    }
+    rank.order = -urgency.accepted_at.time_since_epoch();
+    rank.timeliness = Timeliness::kExpired;
+    if (now <= last_useful_start) {
+      rank.timeliness = Timeliness::kLate;
+      rank.valid_until = last_useful_start;
     }
     return rank;
   }
 
   /** @brief Tells whether the tasks of the left job are placed first. */
   friend bool operator<(const JobRank& left, const JobRank& right) {
-    return std::tie(left.priority, left.is_finite, left.timeliness,
-                    left.deadline) < std::tie(right.priority, right.is_finite,
-                                              right.timeliness, right.deadline);
+    return left.Key() < right.Key();
+  }
+
+ private:
+  std::tuple<bool, std::uint32_t, bool, Timeliness, bool, core::Duration> Key()
+      const {
+    return {timeliness == Timeliness::kExpired,
+            priority,
+            is_finite,
+            timeliness,
+            !is_started,
+            order};
   }
 };
 
--- a/src/crocusmast/scheduling/placement_round.h
+++ b/src/crocusmast/scheduling/placement_round.h
@@ -24,11 +24,25 @@
   std::unordered_set<const execution::Worker*> reserved;
   /** @brief The most that a worker had free at the beginning, by component. */
   job::Resources max_free;
+  /** @brief Processor capacity of the usable workers. */
+  core::MilliCores capacity;
+  /** @brief What runs have of it. */
+  core::MilliCores in_use;
+  /** @brief The job whose tasks are placed has expired. */
+  bool is_expired = false;
   /** @brief Resources that no worker has free for a finite task. */
   std::vector<job::Resources> unavailable;
 
+  /** @brief Tells whether a task of an expired job may be started. */
+  bool MayStartExpired() const {
+    return in_use.Count() * 100 < capacity.Count() * kExpiredSharePercent;
+  }
+
   /** @brief Tells whether a task of a job may find a worker. */
   bool MayPlace(const WaitingJobs::Entry& entry) const {
+    if (entry.rank.timeliness == Timeliness::kExpired && !MayStartExpired()) {
+      return false;
+    }
     // A worker may be reserved for a long-running task that fits nowhere.
     if (!entry.rank.is_finite || !entry.min_resources) {
       return true;
--- a/src/crocusmast/scheduling/scheduler.cc
+++ b/src/crocusmast/scheduling/scheduler.cc
@@ -157,6 +157,7 @@
   if (active.deadline == core::TimePoint()) {
     const job::JobSpec& spec = active.job.Accepted().spec;
     const std::vector<bool> all(spec.steps.size(), true);
+    active.accepted_at = accepted_at;
     active.deadline = accepted_at + queue.slack;
     if (!spec.HasLongRunningSteps()) {
       active.deadline += std::chrono::duration_cast<core::Duration>(
--- a/src/crocusmast/scheduling/scheduler_placement.cc
+++ b/src/crocusmast/scheduling/scheduler_placement.cc
@@ -28,7 +28,9 @@
   JobUrgency urgency;
   urgency.priority = active.priority;
   urgency.is_long_running = active.job.Accepted().spec.HasLongRunningSteps();
-  urgency.deadline = active.deadline;
+  urgency.is_started = active.job.State() == job::JobState::kRunning;
+  urgency.accepted_at = active.accepted_at;
+  urgency.objective = active.deadline - active.accepted_at;
   urgency.remaining = RemainingCriticalPath(active);
   return JobRank::Of(urgency, m_ports.clock.Now());
 }
@@ -54,7 +56,11 @@
   for (Worker* worker : m_workers_by_pool[pool]) {
     if (IsUsable(*worker, now)) {
       round.usable.push_back(worker);
-      round.max_free = ComponentMax(round.max_free, worker->FreeResources());
+      const job::Resources free = worker->FreeResources();
+      round.max_free = ComponentMax(round.max_free, free);
+      const core::MilliCores capacity = worker->Record().capacity.processor;
+      round.capacity = round.capacity + capacity;
+      round.in_use = round.in_use + (capacity - free.processor);
     }
   }
   return round;
@@ -88,11 +94,15 @@
     if (!MayStartFiniteTasks(active) && entry.rank.is_finite) {
       continue;
     }
+    round.is_expired = entry.rank.timeliness == Timeliness::kExpired;
     PlaceJob(active, round);
-    if (active.may_have_ready_tasks && !job::IsFinal(active.job.State())) {
-      waiting.UpdateMinResources(active);
-    } else {
+    if (!active.may_have_ready_tasks || job::IsFinal(active.job.State())) {
       waiting.Remove(active);
+    } else if (!entry.rank.is_started &&
+               active.job.State() == job::JobState::kRunning) {
+      waiting.Set(active, RankOf(active));
+    } else {
+      waiting.UpdateMinResources(active);
     }
   }
 }
@@ -162,6 +172,7 @@
       continue;
     }
     StartTask(active, *worker, task, active.job.NextAttempt(key));
+    round.in_use = round.in_use + step->resources.processor;
   }
   UpdateMinResources(active);
   LogPlacements(active);
@@ -210,6 +221,7 @@
   }
   for (const auto& [worker, key] : reserved) {
     StartTask(active, *worker, key.task, attempt);
+    round.in_use = round.in_use + step.resources.processor;
   }
   return true;
 }
--- a/src/crocusmast/scheduling/scheduler_selection.cc
+++ b/src/crocusmast/scheduling/scheduler_selection.cc
@@ -111,6 +111,9 @@
   if (is_suspect && m_crashes.MustWait(task)) {
     return nullptr;
   }
+  if (round.is_expired && !round.MayStartExpired()) {
+    return nullptr;
+  }
   Worker* best = nullptr;
   bool is_best_on_preferred_rack = false;
   bool has_room = false;
