Give machines only to work that is still worth something

Cause: the load of a pool counted all waiting tasks alike. A job whose ready tasks were all placed stops waiting at once instead of in the next round. The line pool_loads also tells how many jobs wait in time, late and expired.

ExpiredJobTest fails before: the waiting core-seconds of a pool with only expired jobs are not zero.

--- a/src/crocusmast/capacity/balancer.cc
+++ b/src/crocusmast/capacity/balancer.cc
@@ -220,10 +220,15 @@
                                        rounded(load.capacity_cores) + " " +
                                        rounded(load.running_cores) + " " +
                                        rounded(load.waiting_cores) + " " +
-                                       rounded(load.arriving_cores)});
+                                       rounded(load.arriving_cores) + " " +
+                                       std::to_string(load.waiting_in_time) +
+                                       " " + std::to_string(load.waiting_late) +
+                                       " " +
+                                       std::to_string(load.waiting_expired)});
   }
   Log("Pool loads, as: machines, idle machines, cores, cores in use, cores "
-      "needed by waiting tasks, cores needed by recent arrivals.",
+      "needed by waiting tasks, cores needed by recent arrivals, waiting jobs "
+      "in time, late and expired.",
       std::move(fields));
 }
 
--- a/src/crocusmast/capacity/pool_load.h
+++ b/src/crocusmast/capacity/pool_load.h
@@ -1,6 +1,7 @@
 #ifndef CROCUSMAST_CAPACITY_POOL_LOAD_H_
 #define CROCUSMAST_CAPACITY_POOL_LOAD_H_
 
+#include <cstddef>
 #include <vector>
 
 #include "crocusmast/core/ids.h"
@@ -26,11 +27,16 @@
   double steady_cores = 0;
   /**
    * @brief Cores needed by the work that could start now if there were
-   * capacity.
+   * capacity; without that of expired jobs, which justifies no machine.
    */
   double waiting_cores = 0;
-  /** @brief The work that could start now, in core-seconds. */
+  /** @brief The same work in core-seconds. */
   double waiting_core_seconds = 0;
+  /** @brief Numbers of jobs with tasks that could start now, by what they are
+   * still worth: in time, late and expired. */
+  std::size_t waiting_in_time = 0;
+  std::size_t waiting_late = 0;
+  std::size_t waiting_expired = 0;
 };
 
 /** @brief Provides the load of the pools. */
--- a/src/crocusmast/scheduling/scheduler.h
+++ b/src/crocusmast/scheduling/scheduler.h
@@ -296,7 +296,8 @@
                        const execution::Worker& worker);
   void LogPlacements(const ActiveJob& active);
   double EstimateCoreSeconds(const job::AcceptedJob& job) const;
-  void AddReadyTasks(const job::Job& job, capacity::PoolLoad& load) const;
+  void AddWaitingJob(const WaitingJobs::Entry& entry,
+                     capacity::PoolLoad& load) const;
   static execution::AssignedRun MakeAssignedRun(const job::Step& step);
   core::Duration RemainingCriticalPath(const ActiveJob& active) const;
   JobRank RankOf(const ActiveJob& active) const;
--- a/src/crocusmast/scheduling/scheduler_placement.cc
+++ b/src/crocusmast/scheduling/scheduler_placement.cc
@@ -141,7 +141,6 @@
       is_waiting = true;
     }
   });
-  active.may_have_ready_tasks = !ready.empty() || is_waiting;
   const job::Step* blocked_step = nullptr;
   for (std::size_t next = 0; next < ready.size(); ++next) {
     const auto& [key, step] = ready[next];
@@ -175,6 +174,7 @@
     round.in_use = round.in_use + step->resources.processor;
   }
   UpdateMinResources(active);
+  active.may_have_ready_tasks = active.min_resources || is_waiting;
   LogPlacements(active);
 }
 
--- a/src/crocusmast/scheduling/scheduler_upkeep.cc
+++ b/src/crocusmast/scheduling/scheduler_upkeep.cc
@@ -101,8 +101,20 @@
   return core_seconds;
 }
 
-void Scheduler::AddReadyTasks(const job::Job& job,
+void Scheduler::AddWaitingJob(const WaitingJobs::Entry& entry,
                               capacity::PoolLoad& load) const {
+  switch (entry.rank.timeliness) {
+    case Timeliness::kInTime:
+      ++load.waiting_in_time;
+      break;
+    case Timeliness::kLate:
+      ++load.waiting_late;
+      break;
+    case Timeliness::kExpired:
+      ++load.waiting_expired;
+      return;
+  }
+  const job::Job& job = entry.job->job;
   job.ForEachReady([&](const job::TaskKey&, const job::Step& step) {
     if (step.is_best_effort) {
       return;
@@ -143,7 +155,7 @@
       continue;
     }
     for (const WaitingJobs::Entry& entry : waiting.Entries()) {
-      AddReadyTasks(entry.job->job, load->second);
+      AddWaitingJob(entry, load->second);
     }
   }
   std::vector<capacity::PoolLoad> result;
--- /dev/null
+++ b/test/scheduling/expired_job_test.cc
@@ -0,0 +1,94 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <chrono>
+#include <string>
+#include <vector>
+
+#include "test/scheduling/scheduler_fixture.h"
+
+namespace {
+
+using namespace crocusmast;
+using test::MakeJob;
+using test::MakeStep;
+using test::MakeWorker;
+
+constexpr std::uint32_t kWorkers = 10;
+constexpr std::uint64_t kCoresPerWorker = 4;
+constexpr std::uint32_t kExpiredJobs = 100;
+/** @brief Well above three times the objective of a job, 2.6 s. */
+constexpr std::chrono::seconds kLongAgo{30};
+
+std::string JobId(std::uint32_t number) {
+  const std::string digits = std::to_string(number);
+  return std::string(16 - digits.size(), '0') + digits;
+}
+
+/** @brief Jobs that have waited for so long that their results are worth
+ * nothing. */
+class ExpiredJobTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ExpiredJobTest);
+  CPPUNIT_TEST(ExpiredJobsLeaveCapacityToOthers);
+  CPPUNIT_TEST(ExpiredJobsRunInAnIdlePool);
+  CPPUNIT_TEST(ExpiredJobsNeedNoMachines);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    m_fixture.BeginTerm();
+    for (std::uint32_t job = 0; job < kExpiredJobs; ++job) {
+      m_fixture.scheduler.AddJob(MakeJob(JobId(job), {MakeStep(1)}));
+    }
+    m_fixture.RunCycles();
+    m_fixture.clock.Advance(kLongAgo);
+    m_fixture.ReceiveStoreState();
+  }
+
+  // Issue 24: a backlog that nobody waited for any more kept a pool full, so
+  // that jobs that arrived after a burst were late too.
+  void ExpiredJobsLeaveCapacityToOthers() {
+    ListWorkers();
+    const std::size_t expired = m_fixture.worker_port.starts.size();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{kWorkers * kCoresPerWorker *
+                                     scheduling::kExpiredSharePercent / 100},
+                         expired);
+    m_fixture.scheduler.AddJob(MakeJob(JobId(kExpiredJobs), {MakeStep(10)}));
+    m_fixture.RunCycles();
+    CPPUNIT_ASSERT_EQUAL(expired + 10, m_fixture.worker_port.starts.size());
+  }
+
+  // A job must not wait for ever while less than half of its pool is in use.
+  void ExpiredJobsRunInAnIdlePool() {
+    m_fixture.SetWorkers({MakeWorker("w-1", 1, 1000)});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_fixture.worker_port.starts.size());
+  }
+
+  // Issue 24: machines stayed with a pool that worked off what was worth
+  // nothing, while another pool lacked them.
+  void ExpiredJobsNeedNoMachines() {
+    ListWorkers();
+    const std::vector<capacity::PoolLoad> loads =
+        m_fixture.scheduler.PoolLoads();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, loads.size());
+    CPPUNIT_ASSERT_EQUAL(0.0, loads[0].waiting_core_seconds);
+    CPPUNIT_ASSERT_EQUAL(0.0, loads[0].waiting_cores);
+    CPPUNIT_ASSERT_EQUAL(kExpiredJobs - m_fixture.worker_port.starts.size(),
+                         loads[0].waiting_expired);
+  }
+
+ private:
+  void ListWorkers() {
+    std::vector<execution::WorkerRecord> workers;
+    for (std::uint32_t index = 0; index < kWorkers; ++index) {
+      workers.push_back(
+          MakeWorker("w-" + std::to_string(index), 1, kCoresPerWorker * 1000));
+    }
+    m_fixture.SetWorkers(std::move(workers));
+  }
+
+  test::SchedulerFixture m_fixture;
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(ExpiredJobTest, "scheduling");
+
+}  // namespace
