Log what is known of the store writes behind a response

The responses of the request handler move to a file of their own.

Shown by ResponseIsLoggedWithItsStoreFailures.

--- a/src/crocusmast/adapters/async/http_client.cc
+++ b/src/crocusmast/adapters/async/http_client.cc
@@ -300,8 +300,10 @@
   const HttpClient::ReplyHandler on_reply =
       std::move(connection->pending.on_reply);
   StartQueued(pool);
-  on_reply(internal::MakeFailure(
-      result, connection->is_expired ? "timed out" : error.message()));
+  HttpReply reply = internal::MakeFailure(
+      result, connection->is_expired ? "timed out" : error.message());
+  reply.is_timed_out = connection->is_expired && result == CallResult::kUnknown;
+  on_reply(std::move(reply));
 }
 
 }  // namespace crocusmast::adapters::async
--- a/src/crocusmast/adapters/async/http_client.h
+++ b/src/crocusmast/adapters/async/http_client.h
@@ -56,6 +56,8 @@
   std::string body;
   /** @brief Description of the failure; empty if the call was answered. */
   std::string error;
+  /** @brief The time limit passed after the call was sent. */
+  bool is_timed_out = false;
 };
 
 /** @brief Resource limits of a client. */
--- a/src/crocusmast/intake/messages.h
+++ b/src/crocusmast/intake/messages.h
@@ -66,6 +66,14 @@
   kUnknown,
 };
 
+/** @brief What is known of the writes to the store for a request. */
+struct StoreWriteHistory {
+  /** @brief Number of writes, repeated ones included. */
+  std::uint32_t writes = 0;
+  job::StoreFailure first_failure = job::StoreFailure::kNone;
+  job::StoreFailure last_failure = job::StoreFailure::kNone;
+};
+
 /** @brief Response to a caller. */
 struct JobResponse {
   job::ExchangeId exchange;
@@ -76,6 +84,8 @@
   std::uint64_t count = 0;
   /** @brief Store revision of the caller's write, for the log; 0 for none. */
   core::Revision revision;
+  /** @brief The writes that led to the response, for the log. */
+  StoreWriteHistory store_writes{};
   /** @brief Error description for the caller. */
   std::string detail;
   /** @brief Time after which the caller may retry; only with
--- a/src/crocusmast/intake/request_handler.cc
+++ b/src/crocusmast/intake/request_handler.cc
@@ -2,7 +2,6 @@
 
 #include <string_view>
 #include <utility>
-#include <vector>
 
 namespace crocusmast::intake {
 namespace internal {
@@ -23,32 +22,6 @@
                       [](const core::Error&) { return core::JobId(); });
 }
 
-std::string_view ResponseStatusName(ResponseStatus status) {
-  switch (status) {
-    case ResponseStatus::kAccepted:
-      return "accepted";
-    case ResponseStatus::kJobState:
-      return "state";
-    case ResponseStatus::kQueuedCount:
-      return "count";
-    case ResponseStatus::kCancelled:
-      return "cancelled";
-    case ResponseStatus::kQueueNotFound:
-      return "no queue";
-    case ResponseStatus::kJobNotFound:
-      return "no job";
-    case ResponseStatus::kBadRequest:
-      return "bad request";
-    case ResponseStatus::kIdConflict:
-      return "id taken";
-    case ResponseStatus::kTemporarilyUnavailable:
-      return "not now";
-    case ResponseStatus::kUnknown:
-      return "unknown";
-  }
-  return "unknown";
-}
-
 }  // namespace internal
 
 using job::StoreOutcome;
@@ -125,6 +98,7 @@
                  std::move(*request.spec)};
   pending.deadline = request.deadline;
   pending.started_at = m_ports.clock.Now();
+  pending.store_writes.writes = 1;
   m_ports.store.Create(request.exchange, pending.job);
   m_pending.emplace(request.exchange.Count(), std::move(pending));
 }
@@ -176,6 +150,7 @@
   if (known == nullptr) {
     m_ports.store.Read(request.exchange, id);
   } else {
+    pending.store_writes.writes = 1;
     m_ports.store.Cancel(request.exchange, id);
   }
   m_pending.emplace(request.exchange.Count(), std::move(pending));
@@ -201,6 +176,7 @@
     return;
   }
   PendingRequest& pending = found->second;
+  RecordFailure(reply.failure, pending.store_writes);
   const bool is_unconfirmed = reply.outcome == StoreOutcome::kUnknown ||
                               reply.outcome == StoreOutcome::kRefused;
   pending.may_be_applied =
@@ -220,6 +196,17 @@
   }
 }
 
+void RequestHandler::RecordFailure(job::StoreFailure failure,
+                                   StoreWriteHistory& history) {
+  if (failure == job::StoreFailure::kNone) {
+    return;
+  }
+  if (history.first_failure == job::StoreFailure::kNone) {
+    history.first_failure = failure;
+  }
+  history.last_failure = failure;
+}
+
 void RequestHandler::Tick() {
   const core::TimePoint now = m_ports.clock.Now();
   EndExpired(now);
@@ -228,6 +215,7 @@
       continue;
     }
     pending.retry_at.reset();
+    ++pending.store_writes.writes;
     if (pending.operation == JobOperation::kSubmit) {
       m_ports.store.Create(job::ExchangeId(number), pending.job);
     } else {
@@ -245,7 +233,8 @@
             pending.operation == JobOperation::kGet
                 ? ResponseStatus::kTemporarilyUnavailable
                 : ResponseStatus::kUnknown,
-            pending.job.id, "the store did not reply before the deadline");
+            pending.job.id, "the store did not reply before the deadline",
+            pending.store_writes);
       m_pending.erase(current);
     }
   }
@@ -266,21 +255,22 @@
                             m_ports.clock.Now() - pending.started_at);
       m_job_catalog.Apply(job::JobStored{std::move(pending.job)},
                           m_ports.clock.Now());
-      Reply(exchange, ResponseStatus::kAccepted, id, "");
+      Reply(exchange, ResponseStatus::kAccepted, id, "", pending.store_writes);
       break;
     case StoreOutcome::kConflict:
       Reply(exchange, ResponseStatus::kAccepted, id,
-            "the job was already stored");
+            "the job was already stored", pending.store_writes);
       break;
     case StoreOutcome::kAbsent:
     case StoreOutcome::kRefused:
       Reply(exchange,
             pending.may_be_applied ? ResponseStatus::kUnknown
                                    : ResponseStatus::kTemporarilyUnavailable,
-            id, "the store rejected the job");
+            id, "the store rejected the job", pending.store_writes);
       break;
     case StoreOutcome::kUnknown:
-      Reply(exchange, ResponseStatus::kUnknown, id, "the store did not reply");
+      Reply(exchange, ResponseStatus::kUnknown, id, "the store did not reply",
+            pending.store_writes);
       break;
   }
 }
@@ -294,6 +284,7 @@
     response.exchange = reply.exchange;
     response.status = ResponseStatus::kCancelled;
     response.revision = reply.revision;
+    response.store_writes = pending.store_writes;
     Send(std::move(response), pending.job.id);
     return;
   }
@@ -302,7 +293,8 @@
   Reply(reply.exchange,
         is_unconfirmed ? ResponseStatus::kUnknown
                        : ResponseStatus::kTemporarilyUnavailable,
-        pending.job.id, "the store did not confirm the cancellation");
+        pending.job.id, "the store did not confirm the cancellation",
+        pending.store_writes);
 }
 
 void RequestHandler::Handle(job::JobReadReply&& reply) {
@@ -334,6 +326,7 @@
   }
   if (pending.operation == JobOperation::kCancel &&
       !job::IsFinal(known->State())) {
+    pending.store_writes.writes = 1;
     m_ports.store.Cancel(reply.exchange, id);
     m_pending.emplace(reply.exchange.Count(), std::move(pending));
     return;
@@ -347,53 +340,4 @@
   Send(std::move(response), id);
 }
 
-void RequestHandler::Reply(job::ExchangeId exchange,
-                           ResponseStatus status,
-                           const core::JobId& job,
-                           std::string detail) {
-  JobResponse response;
-  response.exchange = exchange;
-  response.status = status;
-  response.detail = std::move(detail);
-  response.retry_after = kStoreRetryAfter;
-  Send(std::move(response), job);
-}
-
-void RequestHandler::Send(JobResponse response, const core::JobId& job) {
-  const bool is_success = response.status == ResponseStatus::kAccepted ||
-                          response.status == ResponseStatus::kJobState ||
-                          response.status == ResponseStatus::kQueuedCount ||
-                          response.status == ResponseStatus::kCancelled;
-  m_ports.meter.Add(is_success ? core::Counter::kRequestsAnswered
-                               : core::Counter::kRequestsRefused,
-                    1);
-  if (m_ports.logger.IsEnabled(core::Severity::kInfo)) {
-    const std::string status(internal::ResponseStatusName(response.status));
-    std::string sentence = "Sent response: " + status;
-    if (!job.IsEmpty()) {
-      sentence += " for job " + job.Text();
-    }
-    if (response.status == ResponseStatus::kJobState) {
-      sentence += ": " + std::string(job::JobStateName(response.state));
-    }
-    sentence += response.detail.empty() ? "" : ": " + response.detail;
-    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
-        m_ports.clock.Now() - m_jobs_complete_at);
-    std::vector<core::LogField> fields{
-        {"event", "answered"},
-        {"job", job.Text()},
-        {"answer", status},
-        {"version",
-         std::to_string(m_queue_catalog ? m_queue_catalog->Version().Count()
-                                        : 0)},
-        {"book_age_ms", std::to_string(age.count())}};
-    if (response.revision != core::Revision()) {
-      fields.push_back({"revision", std::to_string(response.revision.Count())});
-    }
-    m_ports.logger.Write({core::Component::kIntake, core::Severity::kInfo,
-                          sentence + ".", std::move(fields)});
-  }
-  m_ports.responses.Send(std::move(response));
-}
-
 }  // namespace crocusmast::intake
--- a/src/crocusmast/intake/request_handler.h
+++ b/src/crocusmast/intake/request_handler.h
@@ -118,6 +118,7 @@
     bool may_be_applied = false;
     core::TimePoint started_at;
     std::uint32_t retries = 0;
+    StoreWriteHistory store_writes;
     /** @brief Time of the next retry; empty while a call is in progress. */
     std::optional<core::TimePoint> retry_at;
   };
@@ -130,13 +131,16 @@
                     PendingRequest& pending,
                     job::StoreOutcome outcome);
   void FinishCancel(const job::JobWriteReply& reply, PendingRequest& pending);
+  static void RecordFailure(job::StoreFailure failure,
+                            StoreWriteHistory& history);
   bool CanRetry(const PendingRequest& pending) const;
   /** @brief Responds to requests whose reply from the store was lost. */
   void EndExpired(core::TimePoint now);
   void Reply(job::ExchangeId exchange,
              ResponseStatus status,
              const core::JobId& job,
-             std::string detail);
+             std::string detail,
+             const StoreWriteHistory& store_writes = {});
   void Send(JobResponse response, const core::JobId& job);
 
   RequestHandlerPorts m_ports;
--- a/src/crocusmast/job/job_store.h
+++ b/src/crocusmast/job/job_store.h
@@ -52,12 +52,51 @@
   return "unknown";
 }
 
+/** @brief Why a call to the store was not confirmed. */
+enum class StoreFailure {
+  kNone,
+  /** @brief No byte of the call was sent. */
+  kNotSent,
+  /** @brief The store answered that it did not execute the call. */
+  kRejected,
+  /** @brief The connection broke after the call was sent. */
+  kConnectionLost,
+  /** @brief The call was sent and not answered in time. */
+  kTimedOut,
+  /** @brief The answer was not valid. */
+  kInvalidReply,
+};
+
+/**
+ * @brief Returns the name of a failure for logs.
+ * @param failure The failure.
+ */
+constexpr std::string_view StoreFailureName(StoreFailure failure) {
+  switch (failure) {
+    case StoreFailure::kNone:
+      return "none";
+    case StoreFailure::kNotSent:
+      return "not sent";
+    case StoreFailure::kRejected:
+      return "rejected";
+    case StoreFailure::kConnectionLost:
+      return "connection lost";
+    case StoreFailure::kTimedOut:
+      return "timed out";
+    case StoreFailure::kInvalidReply:
+      return "invalid reply";
+  }
+  return "none";
+}
+
 /** @brief Reply to JobStore::Create and JobStore::Cancel. */
 struct JobWriteReply {
   ExchangeId exchange;
   StoreOutcome outcome = StoreOutcome::kUnknown;
   /** @brief Store revision of the write; 0 unless it is known to be done. */
   core::Revision revision{};
+  /** @brief Why the write is not confirmed, for logs. */
+  StoreFailure failure = StoreFailure::kNone;
 };
 
 /** @brief Reply to JobStore::Read. */
--- a/test/intake/request_handler_test.cc
+++ b/test/intake/request_handler_test.cc
@@ -32,6 +32,7 @@
   CPPUNIT_TEST(CancelOfAFinishedJobSucceedsWithoutAWrite);
   CPPUNIT_TEST(StaleQueuedCountIsNotReturned);
   CPPUNIT_TEST(RequestWithLostStoreReplyEnds);
+  CPPUNIT_TEST(ResponseIsLoggedWithItsStoreFailures);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -203,6 +204,22 @@
     CPPUNIT_ASSERT(LastStatus() == ResponseStatus::kTemporarilyUnavailable);
   }
 
+  void ResponseIsLoggedWithItsStoreFailures() {
+    SendRequest(JobOperation::kSubmit, Path());
+    CompleteWrite(StoreOutcome::kUnknown, job::StoreFailure::kTimedOut);
+    m_clock.Advance(intake::kInitialRetryDelay);
+    m_handler.Tick();
+    m_clock.Advance(std::chrono::milliseconds(2900));
+    CompleteWrite(StoreOutcome::kRefused, job::StoreFailure::kNotSent);
+    CPPUNIT_ASSERT(LastStatus() == ResponseStatus::kUnknown);
+    CPPUNIT_ASSERT_EQUAL(std::string("2"),
+                         m_logger.Field("answered", "store_writes"));
+    CPPUNIT_ASSERT_EQUAL(std::string("timed out"),
+                         m_logger.Field("answered", "first_failure"));
+    CPPUNIT_ASSERT_EQUAL(std::string("not sent"),
+                         m_logger.Field("answered", "last_failure"));
+  }
+
  private:
   static std::string Path() { return std::string("/jobs/") + kJob; }
 
@@ -219,9 +236,11 @@
     m_handler.Handle(std::move(request));
   }
 
-  void CompleteWrite(StoreOutcome outcome) {
+  void CompleteWrite(StoreOutcome outcome,
+                     job::StoreFailure failure = job::StoreFailure::kNone) {
     const core::Revision revision(outcome == StoreOutcome::kDone ? 12 : 0);
-    m_handler.Handle(job::JobWriteReply{m_exchange, outcome, revision});
+    m_handler.Handle(
+        job::JobWriteReply{m_exchange, outcome, revision, failure});
   }
 
   ResponseStatus LastStatus() const {
