Report a call on a broken idle connection as not sent

When a server had reset an idle connection, the next call on it failed with its first write and was reported as unknown, although no byte had left the instance. A submission was then repeated and in an outage answered as unknown, after which its caller must not repeat it.

A write that fails before its first byte is sent is reported as kNotSent. A call that fails later stays unknown.

Shown by CallOnAnIdleConnectionThatWasResetIsNotSent, which failed before; its counterpart CallThatIsResetAfterItWasSentIsUnknown holds before and after.

--- a/src/crocusmast/adapters/async/http_client.cc
+++ b/src/crocusmast/adapters/async/http_client.cc
@@ -230,10 +230,11 @@
   boost::asio::async_write(
       current.socket, boost::asio::buffer(current.request),
       [self = shared_from_this(), connection = std::move(connection)](
-          const boost::system::error_code& error,
-          std::size_t /*sent*/) mutable {
+          const boost::system::error_code& error, std::size_t sent) mutable {
         if (error) {
-          self->Fail(connection, CallResult::kUnknown, error);
+          self->Fail(connection,
+                     sent == 0 ? CallResult::kNotSent : CallResult::kUnknown,
+                     error);
           return;
         }
         self->Receive(std::move(connection));
--- a/src/crocusmast/adapters/async/http_client.h
+++ b/src/crocusmast/adapters/async/http_client.h
@@ -36,7 +36,7 @@
   kAnswered,
   /**
    * @brief Nothing was sent: the queue was full, the call expired in the queue,
-   * or no connection could be established.
+   * no connection could be established, or an idle one turned out to be broken.
    */
   kNotSent,
   /**
