Reject submissions at once while the store does not reply

Each instance sent each new submission to a store that had not replied for seconds.

The new aggregate intake::StoreCircuit opens after two consecutive calls without a reply. While it is open, submissions get 503 with Retry-After at once and are not sent; repeated writes that may be stored are the probes, one at a time. Without one due, a submission's probe is a read of its id: lost, the submission is rejected; answered, it is stored. Any reply of the store, a watch's included, closes the circuit. Slow replies open nothing, nor do calls sent before the latest reply.

A request without any write to the store that ends without a reply is now answered 503 instead of 504.

Shown by test/intake/store_circuit_test.cc and store_outage_test.cc.

--- a/src/crocusmast/intake/fwd.h
+++ b/src/crocusmast/intake/fwd.h
@@ -5,6 +5,7 @@
 
 class ResponsePort;
 class RequestHandler;
+class StoreCircuit;
 struct JobResponse;
 
 }  // namespace crocusmast::intake
--- a/src/crocusmast/intake/request_handler.cc
+++ b/src/crocusmast/intake/request_handler.cc
@@ -28,7 +28,17 @@
 
 RequestHandler::RequestHandler(const RequestHandlerPorts& ports,
                                job::JobCatalog& job_catalog)
-    : m_ports(ports), m_job_catalog(job_catalog) {}
+    : m_ports(ports),
+      m_job_catalog(job_catalog),
+      m_store_circuit(ports.clock) {}
+
+void RequestHandler::SetJobsCompleteAt(core::TimePoint complete_at) {
+  // Only a reply to a watch or list moves this time.
+  if (m_jobs_complete_at < complete_at) {
+    RecordStoreReply();
+  }
+  m_jobs_complete_at = complete_at;
+}
 
 void RequestHandler::Handle(CallerRequest&& request) {
   if (m_queue_catalog == nullptr || m_queue_catalog->Version().Count() == 0) {
@@ -85,11 +95,7 @@
     return;
   }
   if (const job::JobEntry* known = m_job_catalog.Find(id); known != nullptr) {
-    const bool is_same_queue = known->job.queue == queue.id;
-    Reply(
-        request.exchange,
-        is_same_queue ? ResponseStatus::kAccepted : ResponseStatus::kIdConflict,
-        id, is_same_queue ? "" : "a job of another queue has this id");
+    ReplyToKnownJob(request.exchange, id, queue.id, *known);
     return;
   }
   PendingRequest pending;
@@ -98,9 +104,50 @@
                  std::move(*request.spec)};
   pending.deadline = request.deadline;
   pending.started_at = m_ports.clock.Now();
-  pending.store_writes.writes = 1;
-  m_ports.store.Create(request.exchange, pending.job);
-  m_pending.emplace(request.exchange.Count(), std::move(pending));
+  StartSubmit(request.exchange, std::move(pending));
+}
+
+void RequestHandler::ReplyToKnownJob(job::ExchangeId exchange,
+                                     const core::JobId& id,
+                                     const core::QueueId& queue,
+                                     const job::JobEntry& known) {
+  const bool is_same_queue = known.job.queue == queue;
+  Reply(exchange,
+        is_same_queue ? ResponseStatus::kAccepted : ResponseStatus::kIdConflict,
+        id, is_same_queue ? "" : "a job of another queue has this id");
+}
+
+void RequestHandler::StartSubmit(job::ExchangeId exchange,
+                                 PendingRequest pending) {
+  if (m_store_circuit.IsClosed()) {
+    Write(exchange, pending);
+  } else if (m_store_circuit.TryStartProbe()) {
+    // A lost write would leave the job's outcome unknown; a lost read does not.
+    pending.is_probe = true;
+    Read(exchange, pending);
+  } else {
+    Reply(exchange, ResponseStatus::kTemporarilyUnavailable, pending.job.id,
+          "the store does not reply");
+    return;
+  }
+  m_pending.emplace(exchange.Count(), std::move(pending));
+}
+
+void RequestHandler::FinishProbe(job::JobReadReply&& reply,
+                                 PendingRequest pending) {
+  const core::JobId id = pending.job.id;
+  for (job::JobEvent& event : reply.events) {
+    m_job_catalog.Apply(std::move(event), m_ports.clock.Now());
+  }
+  if (const job::JobEntry* known = m_job_catalog.Find(id); known != nullptr) {
+    ReplyToKnownJob(reply.exchange, id, pending.job.queue, *known);
+  } else if (reply.outcome == StoreOutcome::kAbsent) {
+    Write(reply.exchange, pending);
+    m_pending.emplace(reply.exchange.Count(), std::move(pending));
+  } else {
+    Reply(reply.exchange, ResponseStatus::kTemporarilyUnavailable, id,
+          "the store does not reply");
+  }
 }
 
 void RequestHandler::GetState(const CallerRequest& request,
@@ -124,7 +171,7 @@
   pending.operation = JobOperation::kGet;
   pending.job.id = id;
   pending.deadline = request.deadline;
-  m_ports.store.Read(request.exchange, id);
+  Read(request.exchange, pending);
   m_pending.emplace(request.exchange.Count(), std::move(pending));
 }
 
@@ -148,10 +195,9 @@
     return;
   }
   if (known == nullptr) {
-    m_ports.store.Read(request.exchange, id);
+    Read(request.exchange, pending);
   } else {
-    pending.store_writes.writes = 1;
-    m_ports.store.Cancel(request.exchange, id);
+    Write(request.exchange, pending);
   }
   m_pending.emplace(request.exchange.Count(), std::move(pending));
 }
@@ -170,81 +216,6 @@
   Send(std::move(response), {});
 }
 
-void RequestHandler::Handle(const job::JobWriteReply& reply) {
-  const auto found = m_pending.find(reply.exchange.Count());
-  if (found == m_pending.end()) {
-    return;
-  }
-  PendingRequest& pending = found->second;
-  RecordFailure(reply.failure, pending.store_writes);
-  const bool is_unconfirmed = reply.outcome == StoreOutcome::kUnknown ||
-                              reply.outcome == StoreOutcome::kRefused;
-  pending.may_be_applied =
-      pending.may_be_applied || reply.outcome == StoreOutcome::kUnknown;
-  if (is_unconfirmed && pending.may_be_applied && CanRetry(pending)) {
-    pending.retry_at =
-        m_ports.clock.Now() + kInitialRetryDelay * (1U << pending.retries);
-    ++pending.retries;
-    return;
-  }
-  PendingRequest finished = std::move(pending);
-  m_pending.erase(found);
-  if (finished.operation == JobOperation::kSubmit) {
-    FinishSubmit(reply.exchange, finished, reply.outcome);
-  } else {
-    FinishCancel(reply, finished);
-  }
-}
-
-void RequestHandler::RecordFailure(job::StoreFailure failure,
-                                   StoreWriteHistory& history) {
-  if (failure == job::StoreFailure::kNone) {
-    return;
-  }
-  if (history.first_failure == job::StoreFailure::kNone) {
-    history.first_failure = failure;
-  }
-  history.last_failure = failure;
-}
-
-void RequestHandler::Tick() {
-  const core::TimePoint now = m_ports.clock.Now();
-  EndExpired(now);
-  for (auto& [number, pending] : m_pending) {
-    if (!pending.retry_at || now < *pending.retry_at) {
-      continue;
-    }
-    pending.retry_at.reset();
-    ++pending.store_writes.writes;
-    if (pending.operation == JobOperation::kSubmit) {
-      m_ports.store.Create(job::ExchangeId(number), pending.job);
-    } else {
-      m_ports.store.Cancel(job::ExchangeId(number), pending.job.id);
-    }
-  }
-}
-
-void RequestHandler::EndExpired(core::TimePoint now) {
-  for (auto next = m_pending.begin(); next != m_pending.end();) {
-    const auto current = next++;
-    const PendingRequest& pending = current->second;
-    if (pending.deadline + kLostReplyGrace <= now) {
-      Reply(job::ExchangeId(current->first),
-            pending.operation == JobOperation::kGet
-                ? ResponseStatus::kTemporarilyUnavailable
-                : ResponseStatus::kUnknown,
-            pending.job.id, "the store did not reply before the deadline",
-            pending.store_writes);
-      m_pending.erase(current);
-    }
-  }
-}
-
-bool RequestHandler::CanRetry(const PendingRequest& pending) const {
-  return pending.retries < kMaxRetries &&
-         m_ports.clock.Now() + kMinTimeToRetry < pending.deadline;
-}
-
 void RequestHandler::FinishSubmit(job::ExchangeId exchange,
                                   PendingRequest& pending,
                                   StoreOutcome outcome) {
@@ -304,6 +275,11 @@
   }
   PendingRequest pending = std::move(found->second);
   m_pending.erase(found);
+  Record(reply.outcome, pending);
+  if (pending.operation == JobOperation::kSubmit) {
+    FinishProbe(std::move(reply), std::move(pending));
+    return;
+  }
   const core::JobId id = pending.job.id;
   if (reply.outcome == StoreOutcome::kAbsent) {
     Reply(reply.exchange, ResponseStatus::kJobNotFound, id,
@@ -326,8 +302,7 @@
   }
   if (pending.operation == JobOperation::kCancel &&
       !job::IsFinal(known->State())) {
-    pending.store_writes.writes = 1;
-    m_ports.store.Cancel(reply.exchange, id);
+    Write(reply.exchange, pending);
     m_pending.emplace(reply.exchange.Count(), std::move(pending));
     return;
   }
--- a/src/crocusmast/intake/request_handler.h
+++ b/src/crocusmast/intake/request_handler.h
@@ -10,6 +10,7 @@
 #include "crocusmast/core/logger.h"
 #include "crocusmast/core/meter.h"
 #include "crocusmast/intake/messages.h"
+#include "crocusmast/intake/store_circuit.h"
 #include "crocusmast/job/job_catalog.h"
 #include "crocusmast/job/job_store.h"
 #include "crocusmast/queue/queue_catalog.h"
@@ -88,9 +89,7 @@
    * @brief Sets the time up to which the job catalog is known to be complete.
    * @param complete_at That time.
    */
-  void SetJobsCompleteAt(core::TimePoint complete_at) {
-    m_jobs_complete_at = complete_at;
-  }
+  void SetJobsCompleteAt(core::TimePoint complete_at);
 
   /**
    * @brief Handles a caller's request; the response is sent at once or after
@@ -117,6 +116,10 @@
      */
     bool may_be_applied = false;
     core::TimePoint started_at;
+    /** @brief When the latest store call was made. */
+    core::TimePoint sent_at;
+    /** @brief The call in progress is the probe of the store circuit. */
+    bool is_probe = false;
     std::uint32_t retries = 0;
     StoreWriteHistory store_writes;
     /** @brief Time of the next retry; empty while a call is in progress. */
@@ -124,6 +127,17 @@
   };
 
   void Submit(CallerRequest&& request, const queue::Queue& queue);
+  void StartSubmit(job::ExchangeId exchange, PendingRequest pending);
+  void FinishProbe(job::JobReadReply&& reply, PendingRequest pending);
+  void Write(job::ExchangeId exchange, PendingRequest& pending);
+  void Read(job::ExchangeId exchange, PendingRequest& pending);
+  void ReplyToKnownJob(job::ExchangeId exchange,
+                       const core::JobId& id,
+                       const core::QueueId& queue,
+                       const job::JobEntry& known);
+  /** @brief Records a store reply in the circuit. */
+  void Record(job::StoreOutcome outcome, PendingRequest& pending);
+  void RecordStoreReply();
   void GetState(const CallerRequest& request, const queue::Queue& queue);
   void Cancel(const CallerRequest& request, const queue::Queue& queue);
   void CountQueued(const CallerRequest& request, const queue::Queue& queue);
@@ -136,6 +150,7 @@
   bool CanRetry(const PendingRequest& pending) const;
   /** @brief Responds to requests whose reply from the store was lost. */
   void EndExpired(core::TimePoint now);
+  void LogCircuit(bool is_closed);
   void Reply(job::ExchangeId exchange,
              ResponseStatus status,
              const core::JobId& job,
@@ -147,6 +162,7 @@
   job::JobCatalog& m_job_catalog;
   const queue::QueueCatalog* m_queue_catalog = nullptr;
   core::TimePoint m_jobs_complete_at;
+  StoreCircuit m_store_circuit;
   std::unordered_map<std::uint64_t, PendingRequest> m_pending;
 };
 
--- a/src/crocusmast/intake/request_handler_responses.cc
+++ b/src/crocusmast/intake/request_handler_responses.cc
@@ -36,6 +36,16 @@
 
 }  // namespace internal
 
+void RequestHandler::LogCircuit(bool is_closed) {
+  m_ports.logger.Write(
+      {core::Component::kIntake,
+       is_closed ? core::Severity::kInfo : core::Severity::kWarning,
+       is_closed ? "The store replies again; submissions are accepted."
+                 : "The store does not reply; submissions are rejected.",
+       {{"event",
+         is_closed ? "store_circuit_closed" : "store_circuit_opened"}}});
+}
+
 void RequestHandler::Reply(job::ExchangeId exchange,
                            ResponseStatus status,
                            const core::JobId& job,
