Repeat a write that may be stored until its caller's deadline

A submission whose write got no reply was repeated three times within 0.7 s and then answered 504, although its caller waits for 3 s and the store may be back before. Its caller must not repeat it after that.

The write is repeated until 100 ms before the deadline, with delays of 100, 200 and then 400 ms, and while the store does not reply only as the one probe. Creating the job again is safe: done and conflict both mean that it is stored.

UnconfirmedSubmissionIsAcceptedOnceTheStoreIsBack shows the gain.

--- a/src/crocusmast/intake/request_handler.h
+++ b/src/crocusmast/intake/request_handler.h
@@ -23,10 +23,10 @@
  */
 inline constexpr std::chrono::milliseconds kMaxQueuedCountAge{1800};
 /**
- * @brief A store call without a reply is retried only while at least this much
- * time is left until the caller's deadline.
+ * @brief A write without a reply is retried until this much time is left until
+ * the caller's deadline; then the caller gets a response.
  */
-inline constexpr std::chrono::milliseconds kMinTimeToRetry{500};
+inline constexpr std::chrono::milliseconds kMinTimeToRetry{100};
 /**
  * @brief Time after the deadline from which a reply of the store counts as
  * lost. An earlier one is still passed on; a call to the store takes at most
@@ -34,17 +34,15 @@
  */
 inline constexpr std::chrono::milliseconds kLostReplyGrace{1000};
 /**
- * @brief Delay before the first retry; it doubles with each retry.
+ * @brief Delay before the first retry; it doubles with each retry up to
+ * kMaxRetryDelay.
  *
- * The delay limits the load when the store rejects this instance's calls
+ * The delay limits the load when the store resets this instance's connections
  * immediately.
  */
 inline constexpr std::chrono::milliseconds kInitialRetryDelay{100};
-/**
- * @brief Maximum number of retries, after which the caller gets a response; the
- * same request may succeed at another instance.
- */
-inline constexpr std::uint32_t kMaxRetries = 3;
+/** @brief Maximum delay between two retries. */
+inline constexpr std::chrono::milliseconds kMaxRetryDelay{400};
 /**
  * @brief Time after which a caller may retry when the store has failed; outages
  * last for seconds.
@@ -120,7 +118,7 @@
     core::TimePoint sent_at;
     /** @brief The call in progress is the probe of the store circuit. */
     bool is_probe = false;
-    std::uint32_t retries = 0;
+    std::chrono::milliseconds retry_delay = kInitialRetryDelay;
     StoreWriteHistory store_writes;
     /** @brief Time of the next retry; empty while a call is in progress. */
     std::optional<core::TimePoint> retry_at;
--- a/src/crocusmast/intake/request_handler_store_calls.cc
+++ b/src/crocusmast/intake/request_handler_store_calls.cc
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include "crocusmast/intake/request_handler.h"
 
 namespace crocusmast::intake {
@@ -32,9 +34,8 @@
   pending.may_be_applied =
       pending.may_be_applied || reply.outcome == StoreOutcome::kUnknown;
   if (is_unconfirmed && pending.may_be_applied && CanRetry(pending)) {
-    pending.retry_at =
-        m_ports.clock.Now() + kInitialRetryDelay * (1U << pending.retries);
-    ++pending.retries;
+    pending.retry_at = m_ports.clock.Now() + pending.retry_delay;
+    pending.retry_delay = std::min(pending.retry_delay * 2, kMaxRetryDelay);
     return;
   }
   PendingRequest finished = std::move(pending);
@@ -126,8 +127,7 @@
 }
 
 bool RequestHandler::CanRetry(const PendingRequest& pending) const {
-  return pending.retries < kMaxRetries &&
-         m_ports.clock.Now() + kMinTimeToRetry < pending.deadline;
+  return m_ports.clock.Now() + kMinTimeToRetry < pending.deadline;
 }
 
 }  // namespace crocusmast::intake
--- a/test/intake/store_outage_test.cc
+++ b/test/intake/store_outage_test.cc
@@ -29,6 +29,7 @@
   CPPUNIT_TEST(ProbeThatFindsTheJobAcceptsIt);
   CPPUNIT_TEST(ReplyToAWatchEndsTheOutage);
   CPPUNIT_TEST(SlowStoreRejectsNothing);
+  CPPUNIT_TEST(UnconfirmedSubmissionIsAcceptedOnceTheStoreIsBack);
   CPPUNIT_TEST(UnconfirmedWritesAreRetriedOneAtATime);
   CPPUNIT_TEST_SUITE_END();
 
@@ -123,6 +124,27 @@
     }
   }
 
+  // Guards against a submission that is answered as unknown although the store
+  // is back before its deadline.
+  void UnconfirmedSubmissionIsAcceptedOnceTheStoreIsBack() {
+    const job::ExchangeId exchange = Submit();
+    std::size_t completed = 0;
+    const core::TimePoint back_at = m_clock.Now() + milliseconds(2400);
+    while (m_responses.responses.empty()) {
+      if (completed < m_store.created.size()) {
+        ++completed;
+        CompleteWrite(exchange, m_clock.Now() < back_at
+                                    ? StoreOutcome::kUnknown
+                                    : StoreOutcome::kConflict);
+      }
+      m_clock.Advance(milliseconds(1));
+      m_handler.Tick();
+    }
+    CPPUNIT_ASSERT(LastStatus() == ResponseStatus::kAccepted);
+    CPPUNIT_ASSERT(m_clock.Now() <
+                   back_at + intake::kMaxRetryDelay + milliseconds(2));
+  }
+
   // Guards against an outage in which the retries of all pending submissions
   // occupy the connections to the store.
   void UnconfirmedWritesAreRetriedOneAtATime() {
