--- a/src/crocusmast/adapters/async/http_client.cc
+++ b/src/crocusmast/adapters/async/http_client.cc
@@ -230,10 +230,11 @@
   boost::asio::async_write(
       current.socket, boost::asio::buffer(current.request),
       [self = shared_from_this(), connection = std::move(connection)](
-          const boost::system::error_code& error,
-          std::size_t /*sent*/) mutable {
+          const boost::system::error_code& error, std::size_t sent) mutable {
         if (error) {
-          self->Fail(connection, CallResult::kUnknown, error);
+          self->Fail(connection,
+                     sent == 0 ? CallResult::kNotSent : CallResult::kUnknown,
+                     error);
           return;
         }
         self->Receive(std::move(connection));
@@ -300,8 +301,10 @@
   const HttpClient::ReplyHandler on_reply =
       std::move(connection->pending.on_reply);
   StartQueued(pool);
-  on_reply(internal::MakeFailure(
-      result, connection->is_expired ? "timed out" : error.message()));
+  HttpReply reply = internal::MakeFailure(
+      result, connection->is_expired ? "timed out" : error.message());
+  reply.is_timed_out = connection->is_expired && result == CallResult::kUnknown;
+  on_reply(std::move(reply));
 }
 
 }  // namespace crocusmast::adapters::async
--- a/src/crocusmast/adapters/async/http_client.h
+++ b/src/crocusmast/adapters/async/http_client.h
@@ -36,7 +36,7 @@
   kAnswered,
   /**
    * @brief Nothing was sent: the queue was full, the call expired in the queue,
-   * or no connection could be established.
+   * no connection could be established, or an idle one turned out to be broken.
    */
   kNotSent,
   /**
@@ -56,6 +56,8 @@
   std::string body;
   /** @brief Description of the failure; empty if the call was answered. */
   std::string error;
+  /** @brief The time limit passed after the call was sent. */
+  bool is_timed_out = false;
 };
 
 /** @brief Resource limits of a client. */
--- a/src/crocusmast/intake/request_handler.cc
+++ b/src/crocusmast/intake/request_handler.cc
@@ -2,7 +2,6 @@
 
 #include <string_view>
 #include <utility>
-#include <vector>
 
 namespace crocusmast::intake {
 namespace internal {
@@ -23,39 +22,23 @@
                       [](const core::Error&) { return core::JobId(); });
 }
 
-std::string_view ResponseStatusName(ResponseStatus status) {
-  switch (status) {
-    case ResponseStatus::kAccepted:
-      return "accepted";
-    case ResponseStatus::kJobState:
-      return "state";
-    case ResponseStatus::kQueuedCount:
-      return "count";
-    case ResponseStatus::kCancelled:
-      return "cancelled";
-    case ResponseStatus::kQueueNotFound:
-      return "no queue";
-    case ResponseStatus::kJobNotFound:
-      return "no job";
-    case ResponseStatus::kBadRequest:
-      return "bad request";
-    case ResponseStatus::kIdConflict:
-      return "id taken";
-    case ResponseStatus::kTemporarilyUnavailable:
-      return "not now";
-    case ResponseStatus::kUnknown:
-      return "unknown";
-  }
-  return "unknown";
-}
-
 }  // namespace internal
 
 using job::StoreOutcome;
 
 RequestHandler::RequestHandler(const RequestHandlerPorts& ports,
                                job::JobCatalog& job_catalog)
-    : m_ports(ports), m_job_catalog(job_catalog) {}
+    : m_ports(ports),
+      m_job_catalog(job_catalog),
+      m_store_circuit(ports.clock) {}
+
+void RequestHandler::SetJobsCompleteAt(core::TimePoint complete_at) {
+  // Only a reply to a watch or list moves this time.
+  if (m_jobs_complete_at < complete_at) {
+    RecordStoreReply();
+  }
+  m_jobs_complete_at = complete_at;
+}
 
 void RequestHandler::Handle(CallerRequest&& request) {
   if (m_queue_catalog == nullptr || m_queue_catalog->Version().Count() == 0) {
@@ -112,11 +95,7 @@
     return;
   }
   if (const job::JobEntry* known = m_job_catalog.Find(id); known != nullptr) {
-    const bool is_same_queue = known->job.queue == queue.id;
-    Reply(
-        request.exchange,
-        is_same_queue ? ResponseStatus::kAccepted : ResponseStatus::kIdConflict,
-        id, is_same_queue ? "" : "a job of another queue has this id");
+    ReplyToKnownJob(request.exchange, id, queue.id, *known);
     return;
   }
   PendingRequest pending;
@@ -125,8 +104,50 @@
                  std::move(*request.spec)};
   pending.deadline = request.deadline;
   pending.started_at = m_ports.clock.Now();
-  m_ports.store.Create(request.exchange, pending.job);
-  m_pending.emplace(request.exchange.Count(), std::move(pending));
+  StartSubmit(request.exchange, std::move(pending));
+}
+
+void RequestHandler::ReplyToKnownJob(job::ExchangeId exchange,
+                                     const core::JobId& id,
+                                     const core::QueueId& queue,
+                                     const job::JobEntry& known) {
+  const bool is_same_queue = known.job.queue == queue;
+  Reply(exchange,
+        is_same_queue ? ResponseStatus::kAccepted : ResponseStatus::kIdConflict,
+        id, is_same_queue ? "" : "a job of another queue has this id");
+}
+
+void RequestHandler::StartSubmit(job::ExchangeId exchange,
+                                 PendingRequest pending) {
+  if (m_store_circuit.IsClosed()) {
+    Write(exchange, pending);
+  } else if (m_store_circuit.TryStartProbe()) {
+    // A lost write would leave the job's outcome unknown; a lost read does not.
+    pending.is_probe = true;
+    Read(exchange, pending);
+  } else {
+    Reply(exchange, ResponseStatus::kTemporarilyUnavailable, pending.job.id,
+          "the store does not reply");
+    return;
+  }
+  m_pending.emplace(exchange.Count(), std::move(pending));
+}
+
+void RequestHandler::FinishProbe(job::JobReadReply&& reply,
+                                 PendingRequest pending) {
+  const core::JobId id = pending.job.id;
+  for (job::JobEvent& event : reply.events) {
+    m_job_catalog.Apply(std::move(event), m_ports.clock.Now());
+  }
+  if (const job::JobEntry* known = m_job_catalog.Find(id); known != nullptr) {
+    ReplyToKnownJob(reply.exchange, id, pending.job.queue, *known);
+  } else if (reply.outcome == StoreOutcome::kAbsent) {
+    Write(reply.exchange, pending);
+    m_pending.emplace(reply.exchange.Count(), std::move(pending));
+  } else {
+    Reply(reply.exchange, ResponseStatus::kTemporarilyUnavailable, id,
+          "the store does not reply");
+  }
 }
 
 void RequestHandler::GetState(const CallerRequest& request,
@@ -150,7 +171,7 @@
   pending.operation = JobOperation::kGet;
   pending.job.id = id;
   pending.deadline = request.deadline;
-  m_ports.store.Read(request.exchange, id);
+  Read(request.exchange, pending);
   m_pending.emplace(request.exchange.Count(), std::move(pending));
 }
 
@@ -174,9 +195,9 @@
     return;
   }
   if (known == nullptr) {
-    m_ports.store.Read(request.exchange, id);
+    Read(request.exchange, pending);
   } else {
-    m_ports.store.Cancel(request.exchange, id);
+    Write(request.exchange, pending);
   }
   m_pending.emplace(request.exchange.Count(), std::move(pending));
 }
@@ -195,67 +216,6 @@
   Send(std::move(response), {});
 }
 
-void RequestHandler::Handle(const job::JobWriteReply& reply) {
-  const auto found = m_pending.find(reply.exchange.Count());
-  if (found == m_pending.end()) {
-    return;
-  }
-  PendingRequest& pending = found->second;
-  const bool is_unconfirmed = reply.outcome == StoreOutcome::kUnknown ||
-                              reply.outcome == StoreOutcome::kRefused;
-  pending.may_be_applied =
-      pending.may_be_applied || reply.outcome == StoreOutcome::kUnknown;
-  if (is_unconfirmed && pending.may_be_applied && CanRetry(pending)) {
-    pending.retry_at =
-        m_ports.clock.Now() + kInitialRetryDelay * (1U << pending.retries);
-    ++pending.retries;
-    return;
-  }
-  PendingRequest finished = std::move(pending);
-  m_pending.erase(found);
-  if (finished.operation == JobOperation::kSubmit) {
-    FinishSubmit(reply.exchange, finished, reply.outcome);
-  } else {
-    FinishCancel(reply, finished);
-  }
-}
-
-void RequestHandler::Tick() {
-  const core::TimePoint now = m_ports.clock.Now();
-  EndExpired(now);
-  for (auto& [number, pending] : m_pending) {
-    if (!pending.retry_at || now < *pending.retry_at) {
-      continue;
-    }
-    pending.retry_at.reset();
-    if (pending.operation == JobOperation::kSubmit) {
-      m_ports.store.Create(job::ExchangeId(number), pending.job);
-    } else {
-      m_ports.store.Cancel(job::ExchangeId(number), pending.job.id);
-    }
-  }
-}
-
-void RequestHandler::EndExpired(core::TimePoint now) {
-  for (auto next = m_pending.begin(); next != m_pending.end();) {
-    const auto current = next++;
-    const PendingRequest& pending = current->second;
-    if (pending.deadline + kLostReplyGrace <= now) {
-      Reply(job::ExchangeId(current->first),
-            pending.operation == JobOperation::kGet
-                ? ResponseStatus::kTemporarilyUnavailable
-                : ResponseStatus::kUnknown,
-            pending.job.id, "the store did not reply before the deadline");
-      m_pending.erase(current);
-    }
-  }
-}
-
-bool RequestHandler::CanRetry(const PendingRequest& pending) const {
-  return pending.retries < kMaxRetries &&
-         m_ports.clock.Now() + kMinTimeToRetry < pending.deadline;
-}
-
 void RequestHandler::FinishSubmit(job::ExchangeId exchange,
                                   PendingRequest& pending,
                                   StoreOutcome outcome) {
@@ -266,21 +226,22 @@
                             m_ports.clock.Now() - pending.started_at);
       m_job_catalog.Apply(job::JobStored{std::move(pending.job)},
                           m_ports.clock.Now());
-      Reply(exchange, ResponseStatus::kAccepted, id, "");
+      Reply(exchange, ResponseStatus::kAccepted, id, "", pending.store_writes);
       break;
     case StoreOutcome::kConflict:
       Reply(exchange, ResponseStatus::kAccepted, id,
-            "the job was already stored");
+            "the job was already stored", pending.store_writes);
       break;
     case StoreOutcome::kAbsent:
     case StoreOutcome::kRefused:
       Reply(exchange,
             pending.may_be_applied ? ResponseStatus::kUnknown
                                    : ResponseStatus::kTemporarilyUnavailable,
-            id, "the store rejected the job");
+            id, "the store rejected the job", pending.store_writes);
       break;
     case StoreOutcome::kUnknown:
-      Reply(exchange, ResponseStatus::kUnknown, id, "the store did not reply");
+      Reply(exchange, ResponseStatus::kUnknown, id, "the store did not reply",
+            pending.store_writes);
       break;
   }
 }
@@ -294,6 +255,7 @@
     response.exchange = reply.exchange;
     response.status = ResponseStatus::kCancelled;
     response.revision = reply.revision;
+    response.store_writes = pending.store_writes;
     Send(std::move(response), pending.job.id);
     return;
   }
@@ -302,7 +264,8 @@
   Reply(reply.exchange,
         is_unconfirmed ? ResponseStatus::kUnknown
                        : ResponseStatus::kTemporarilyUnavailable,
-        pending.job.id, "the store did not confirm the cancellation");
+        pending.job.id, "the store did not confirm the cancellation",
+        pending.store_writes);
 }
 
 void RequestHandler::Handle(job::JobReadReply&& reply) {
@@ -312,6 +275,11 @@
   }
   PendingRequest pending = std::move(found->second);
   m_pending.erase(found);
+  Record(reply.outcome, pending);
+  if (pending.operation == JobOperation::kSubmit) {
+    FinishProbe(std::move(reply), std::move(pending));
+    return;
+  }
   const core::JobId id = pending.job.id;
   if (reply.outcome == StoreOutcome::kAbsent) {
     Reply(reply.exchange, ResponseStatus::kJobNotFound, id,
@@ -334,7 +302,7 @@
   }
   if (pending.operation == JobOperation::kCancel &&
       !job::IsFinal(known->State())) {
-    m_ports.store.Cancel(reply.exchange, id);
+    Write(reply.exchange, pending);
     m_pending.emplace(reply.exchange.Count(), std::move(pending));
     return;
   }
@@ -347,53 +315,4 @@
   Send(std::move(response), id);
 }
 
-void RequestHandler::Reply(job::ExchangeId exchange,
-                           ResponseStatus status,
-                           const core::JobId& job,
-                           std::string detail) {
-  JobResponse response;
-  response.exchange = exchange;
-  response.status = status;
-  response.detail = std::move(detail);
-  response.retry_after = kStoreRetryAfter;
-  Send(std::move(response), job);
-}
-
-void RequestHandler::Send(JobResponse response, const core::JobId& job) {
-  const bool is_success = response.status == ResponseStatus::kAccepted ||
-                          response.status == ResponseStatus::kJobState ||
-                          response.status == ResponseStatus::kQueuedCount ||
-                          response.status == ResponseStatus::kCancelled;
-  m_ports.meter.Add(is_success ? core::Counter::kRequestsAnswered
-                               : core::Counter::kRequestsRefused,
-                    1);
-  if (m_ports.logger.IsEnabled(core::Severity::kInfo)) {
-    const std::string status(internal::ResponseStatusName(response.status));
-    std::string sentence = "Sent response: " + status;
-    if (!job.IsEmpty()) {
-      sentence += " for job " + job.Text();
-    }
-    if (response.status == ResponseStatus::kJobState) {
-      sentence += ": " + std::string(job::JobStateName(response.state));
-    }
-    sentence += response.detail.empty() ? "" : ": " + response.detail;
-    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
-        m_ports.clock.Now() - m_jobs_complete_at);
-    std::vector<core::LogField> fields{
-        {"event", "answered"},
-        {"job", job.Text()},
-        {"answer", status},
-        {"version",
-         std::to_string(m_queue_catalog ? m_queue_catalog->Version().Count()
-                                        : 0)},
-        {"book_age_ms", std::to_string(age.count())}};
-    if (response.revision != core::Revision()) {
-      fields.push_back({"revision", std::to_string(response.revision.Count())});
-    }
-    m_ports.logger.Write({core::Component::kIntake, core::Severity::kInfo,
-                          sentence + ".", std::move(fields)});
-  }
-  m_ports.responses.Send(std::move(response));
-}
-
 }  // namespace crocusmast::intake
--- a/src/crocusmast/intake/request_handler.h
+++ b/src/crocusmast/intake/request_handler.h
@@ -10,6 +10,7 @@
 #include "crocusmast/core/logger.h"
 #include "crocusmast/core/meter.h"
 #include "crocusmast/intake/messages.h"
+#include "crocusmast/intake/store_circuit.h"
 #include "crocusmast/job/job_catalog.h"
 #include "crocusmast/job/job_store.h"
 #include "crocusmast/queue/queue_catalog.h"
@@ -22,10 +23,10 @@
  */
 inline constexpr std::chrono::milliseconds kMaxQueuedCountAge{1800};
 /**
- * @brief A store call without a reply is retried only while at least this much
- * time is left until the caller's deadline.
+ * @brief A write without a reply is retried until this much time is left until
+ * the caller's deadline; then the caller gets a response.
  */
-inline constexpr std::chrono::milliseconds kMinTimeToRetry{500};
+inline constexpr std::chrono::milliseconds kMinTimeToRetry{100};
 /**
  * @brief Time after the deadline from which a reply of the store counts as
  * lost. An earlier one is still passed on; a call to the store takes at most
@@ -33,17 +34,15 @@
  */
 inline constexpr std::chrono::milliseconds kLostReplyGrace{1000};
 /**
- * @brief Delay before the first retry; it doubles with each retry.
+ * @brief Delay before the first retry; it doubles with each retry up to
+ * kMaxRetryDelay.
  *
- * The delay limits the load when the store rejects this instance's calls
+ * The delay limits the load when the store resets this instance's connections
  * immediately.
  */
 inline constexpr std::chrono::milliseconds kInitialRetryDelay{100};
-/**
- * @brief Maximum number of retries, after which the caller gets a response; the
- * same request may succeed at another instance.
- */
-inline constexpr std::uint32_t kMaxRetries = 3;
+/** @brief Maximum delay between two retries. */
+inline constexpr std::chrono::milliseconds kMaxRetryDelay{400};
 /**
  * @brief Time after which a caller may retry when the store has failed; outages
  * last for seconds.
@@ -88,9 +87,7 @@
    * @brief Sets the time up to which the job catalog is known to be complete.
    * @param complete_at That time.
    */
-  void SetJobsCompleteAt(core::TimePoint complete_at) {
-    m_jobs_complete_at = complete_at;
-  }
+  void SetJobsCompleteAt(core::TimePoint complete_at);
 
   /**
    * @brief Handles a caller's request; the response is sent at once or after
@@ -117,12 +114,28 @@
      */
     bool may_be_applied = false;
     core::TimePoint started_at;
-    std::uint32_t retries = 0;
+    /** @brief When the latest store call was made. */
+    core::TimePoint sent_at;
+    /** @brief The call in progress is the probe of the store circuit. */
+    bool is_probe = false;
+    std::chrono::milliseconds retry_delay = kInitialRetryDelay;
+    StoreWriteHistory store_writes;
     /** @brief Time of the next retry; empty while a call is in progress. */
     std::optional<core::TimePoint> retry_at;
   };
 
   void Submit(CallerRequest&& request, const queue::Queue& queue);
+  void StartSubmit(job::ExchangeId exchange, PendingRequest pending);
+  void FinishProbe(job::JobReadReply&& reply, PendingRequest pending);
+  void Write(job::ExchangeId exchange, PendingRequest& pending);
+  void Read(job::ExchangeId exchange, PendingRequest& pending);
+  void ReplyToKnownJob(job::ExchangeId exchange,
+                       const core::JobId& id,
+                       const core::QueueId& queue,
+                       const job::JobEntry& known);
+  /** @brief Records a store reply in the circuit. */
+  void Record(job::StoreOutcome outcome, PendingRequest& pending);
+  void RecordStoreReply();
   void GetState(const CallerRequest& request, const queue::Queue& queue);
   void Cancel(const CallerRequest& request, const queue::Queue& queue);
   void CountQueued(const CallerRequest& request, const queue::Queue& queue);
@@ -130,19 +143,24 @@
                     PendingRequest& pending,
                     job::StoreOutcome outcome);
   void FinishCancel(const job::JobWriteReply& reply, PendingRequest& pending);
+  static void RecordFailure(job::StoreFailure failure,
+                            StoreWriteHistory& history);
   bool CanRetry(const PendingRequest& pending) const;
   /** @brief Responds to requests whose reply from the store was lost. */
   void EndExpired(core::TimePoint now);
+  void LogCircuit(bool is_closed);
   void Reply(job::ExchangeId exchange,
              ResponseStatus status,
              const core::JobId& job,
-             std::string detail);
+             std::string detail,
+             const StoreWriteHistory& store_writes = {});
   void Send(JobResponse response, const core::JobId& job);
 
   RequestHandlerPorts m_ports;
   job::JobCatalog& m_job_catalog;
   const queue::QueueCatalog* m_queue_catalog = nullptr;
   core::TimePoint m_jobs_complete_at;
+  StoreCircuit m_store_circuit;
   std::unordered_map<std::uint64_t, PendingRequest> m_pending;
 };
 
