Count inherited leases from the end of the predecessor's term

Cause: the handover state says how long each lease may outlive the term that ended, but a successor counted it from the beginning of its own term. Each change of the leader so added the time without one, and a lease that one successor handed to the next grew again. Class: a duration without the moment that it is counted from.

The elector now tells when it saw the claim removed, if the handover state that was read is no newer than that, and inherited leases count from then. A worker that is listed and has not failed the first poll of the term keeps its time from the beginning of the term, so that the ends that it has not reported are not lost.

JobManagerTest::InheritedLeasesCountFromTheVacancy and WorkerWithAnExpiredLeaseMayReplyToTheFirstPoll fail without the time of the vacancy.

--- a/src/crocusmast/leadership/leader_elector.cc
+++ b/src/crocusmast/leadership/leader_elector.cc
@@ -16,7 +16,7 @@
       m_logger(logger) {}
 
 void LeaderElector::Handle(const LeaderObserved& leader) {
-  m_vacant_since.reset();
+  const std::optional<Vacancy> vacancy = std::exchange(m_vacancy, std::nullopt);
   if (m_phase == Phase::kLeading && m_token.Count() < leader.revision.Count()) {
     LoseLeadership("the store names " + leader.holder.instance +
                    " as the leader at revision " +
@@ -25,6 +25,7 @@
   const bool is_own_claim =
       m_phase == Phase::kClaiming && leader.holder == m_self;
   if (is_own_claim) {
+    m_vacancy = vacancy;
     BecomeLeader(leader.revision);
     return;
   }
@@ -41,8 +42,8 @@
 }
 
 void LeaderElector::Handle(const LeadershipVacant& vacant) {
-  if (!m_vacant_since) {
-    m_vacant_since = m_clock.Now();
+  if (!m_vacancy) {
+    m_vacancy = {m_clock.Now(), vacant.revision};
   }
   if (m_phase == Phase::kLeading && m_token.Count() < vacant.revision.Count()) {
     LoseLeadership("the claim was removed from the store at revision " +
@@ -53,8 +54,8 @@
 
 void LeaderElector::TryAcquire() {
   const core::TimePoint now = m_clock.Now();
-  const bool can_try = m_phase == Phase::kFollowing && m_vacant_since &&
-                       *m_vacant_since + m_claim_delay <= now &&
+  const bool can_try = m_phase == Phase::kFollowing && m_vacancy &&
+                       m_vacancy->since + m_claim_delay <= now &&
                        m_next_attempt_at <= now;
   if (!can_try) {
     return;
@@ -98,7 +99,7 @@
 void LeaderElector::BecomeLeader(core::Revision revision) {
   m_phase = Phase::kLeading;
   m_token = core::FencingToken(revision.Count());
-  m_vacant_since.reset();
+  m_ended_vacancy = std::exchange(m_vacancy, std::nullopt);
   m_lease.Extend(m_lease_requested_at);
   Log(core::Severity::kInfo,
       "This instance is the scheduling leader with token " +
@@ -189,6 +190,13 @@
   return m_phase == Phase::kLeading && m_lease.MayAct(m_clock.Now());
 }
 
+std::optional<core::TimePoint> LeaderElector::VacantSince(
+    core::Revision revision) const {
+  const bool is_known = m_phase == Phase::kLeading && m_ended_vacancy &&
+                        !(m_ended_vacancy->revision < revision);
+  return is_known ? std::optional(m_ended_vacancy->since) : std::nullopt;
+}
+
 bool LeaderElector::IsLeaseValid() const {
   return m_phase == Phase::kLeading && m_lease.IsValid(m_clock.Now());
 }
--- a/src/crocusmast/leadership/leader_elector.h
+++ b/src/crocusmast/leadership/leader_elector.h
@@ -104,6 +104,15 @@
    */
   core::TimePoint ConfirmedAt() const { return m_lease.ConfirmedAt(); }
 
+  /**
+   * @brief Returns when the claim of the previous leader was known to be
+   * removed.
+   * @param revision Store revision that the removal is not older than.
+   * @return The time; empty outside a term, and if the claim may have been
+   * removed before that revision.
+   */
+  std::optional<core::TimePoint> VacantSince(core::Revision revision) const;
+
   /** @brief Returns the fencing token of the term; 0 if not the leader. */
   core::FencingToken Token() const { return m_token; }
 
@@ -117,6 +126,12 @@
     kResigned
   };
 
+  /** @brief Proof that the store contained no leader's claim. */
+  struct Vacancy {
+    core::TimePoint since;
+    core::Revision revision;
+  };
+
   void TryAcquire();
   void BecomeLeader(core::Revision revision);
   void LoseLeadership(const std::string& reason);
@@ -128,11 +143,11 @@
   const core::Clock& m_clock;
   core::Logger& m_logger;
   Phase m_phase = Phase::kFollowing;
-  /**
-   * @brief Time since which the leadership is known to be vacant; empty if it
-   * is held.
-   */
-  std::optional<core::TimePoint> m_vacant_since;
+  /** @brief Since when the leadership is known to be vacant; empty if it is
+   * held. */
+  std::optional<Vacancy> m_vacancy;
+  /** @brief The vacancy that this term ended. */
+  std::optional<Vacancy> m_ended_vacancy;
   LeaderLease m_lease{kSchedulingLease};
   LeaseId m_lease_id;
   core::TimePoint m_lease_requested_at;
--- a/src/crocusmast/manager/job_manager.cc
+++ b/src/crocusmast/manager/job_manager.cc
@@ -298,8 +298,10 @@
   if (may_begin) {
     m_token = token;
     m_scheduler.SetQueueCatalog(*m_queue_catalog);
-    m_scheduler.BeginTerm({token, leadership::kSchedulingLease.renew_deadline -
-                                      leadership::kSchedulingLease.duration},
+    m_scheduler.BeginTerm({token,
+                           leadership::kSchedulingLease.renew_deadline -
+                               leadership::kSchedulingLease.duration,
+                           m_elector.VacantSince(m_stored_handover.revision)},
                           m_job_catalog, m_stored_handover);
     m_machine_port.BeginTerm(
         m_stored_handover.handover.fleet.machine_cooldowns);
--- a/src/crocusmast/scheduling/inherited_workers.cc
+++ b/src/crocusmast/scheduling/inherited_workers.cc
@@ -7,11 +7,11 @@
 
 InheritedWorkers InheritedWorkers::Create(
     const std::vector<job::LeasedWorker>& workers,
-    core::TimePoint now) {
+    core::TimePoint ended_at) {
   InheritedWorkers inherited;
   for (const job::LeasedWorker& leased : workers) {
     inherited.m_workers[leased.worker] = {leased.incarnation, leased.pool,
-                                          now + leased.lease_remaining};
+                                          ended_at + leased.lease_remaining};
   }
   return inherited;
 }
--- a/src/crocusmast/scheduling/inherited_workers.h
+++ b/src/crocusmast/scheduling/inherited_workers.h
@@ -34,10 +34,10 @@
   /**
    * @brief Creates the set of the workers that a predecessor handed over.
    * @param workers Workers that may hold leases of the predecessor.
-   * @param now When the handover state was read.
+   * @param ended_at When the predecessor's term had ended.
    */
   static InheritedWorkers Create(const std::vector<job::LeasedWorker>& workers,
-                                 core::TimePoint now);
+                                 core::TimePoint ended_at);
 
   /**
    * @brief Finds a worker that is not reconciled.
--- a/src/crocusmast/scheduling/scheduler.cc
+++ b/src/crocusmast/scheduling/scheduler.cc
@@ -38,7 +38,8 @@
   for (const job::LeasedWorker& leased : handover.workers) {
     longest_lease = std::max(longest_lease, leased.lease_remaining);
   }
-  m_inherited_workers = InheritedWorkers::Create(handover.workers, now);
+  m_inherited_workers = InheritedWorkers::Create(
+      handover.workers, term.vacant_since.value_or(now));
   const core::WallTime wall = m_ports.clock.WallNow();
   for (const auto& [id, entry] : catalog.Entries()) {
     // A cancelled job is kept until its final state is stored.
--- a/src/crocusmast/scheduling/scheduler.h
+++ b/src/crocusmast/scheduling/scheduler.h
@@ -92,6 +92,9 @@
   core::FencingToken token;
   /** @brief How long a leader may stay active after it was deposed. */
   std::chrono::milliseconds deposed_leader_grace{};
+  /** @brief When the claim of the previous leader was known to be removed, no
+   * earlier than its handover state was stored; empty if unknown. */
+  std::optional<core::TimePoint> vacant_since{};
 };
 
 /**
--- a/src/crocusmast/scheduling/scheduler_workers.cc
+++ b/src/crocusmast/scheduling/scheduler_workers.cc
@@ -204,8 +204,20 @@
 
 void Scheduler::ExpireWorkers(core::TimePoint confirmed_at) {
   m_crashes.Forget(m_ports.clock.Now());
+  const core::Duration vacancy =
+      m_term_began_at - m_term.vacant_since.value_or(m_term_began_at);
   for (const core::InstanceId& id : m_inherited_workers.Expired(confirmed_at)) {
-    if (Worker* worker = FindWorker(id); worker != nullptr) {
+    Worker* worker = FindWorker(id);
+    // A worker that replies to the first poll tells the ends of its runs, which
+    // must not be run again.
+    const bool may_reply = worker == nullptr
+                               ? !m_has_worker_list
+                               : worker->IsListed() && !worker->failed_polls;
+    if (may_reply &&
+        confirmed_at < m_inherited_workers.Find(id)->leased_until + vacancy) {
+      continue;
+    }
+    if (worker != nullptr) {
       worker->is_reconciled = true;
     }
     MarkReconciled(id, "all leases it may have held have expired");
--- a/test/leadership/leader_elector_test.cc
+++ b/test/leadership/leader_elector_test.cc
@@ -36,6 +36,8 @@
   CPPUNIT_TEST(ResigningReleasesTheLease);
   CPPUNIT_TEST(LostLeaseWhileHandingOverIsNotReplaced);
   CPPUNIT_TEST(ClaimDelayLetsOtherInstancesClaimFirst);
+  CPPUNIT_TEST(VacancyIsKnownFromItsFirstObservation);
+  CPPUNIT_TEST(VacancyBeforeAnotherClaimIsForgotten);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -154,6 +156,40 @@
     delayed.Tick();
   }
 
+  void VacancyIsKnownFromItsFirstObservation() {
+    const core::TimePoint start = m_clock.Now();
+    ClaimVacantLeadership();
+    m_clock.Advance(std::chrono::milliseconds(300));
+    m_elector.Handle(LeadershipVacant{core::Revision(4)});
+    CPPUNIT_ASSERT(!m_elector.VacantSince(core::Revision(3)));
+    m_elector.Handle(LeaderObserved{kSelf, core::Revision(15)});
+    CPPUNIT_ASSERT(m_elector.VacantSince(core::Revision(3)) == start);
+    CPPUNIT_ASSERT(!m_elector.VacantSince(core::Revision(4)));
+    m_elector.Handle(LeaderObserved{kSelf, core::Revision(15)});
+    CPPUNIT_ASSERT(m_elector.VacantSince(core::Revision(3)) == start);
+    m_elector.Handle(LeaderObserved{kOther, core::Revision(30)});
+    CPPUNIT_ASSERT(!m_elector.VacantSince(core::Revision(3)));
+  }
+
+  void VacancyBeforeAnotherClaimIsForgotten() {
+    LeaderElector delayed{kSelf, std::chrono::milliseconds(700), m_leases,
+                          m_clock, m_logger};
+    delayed.Handle(LeadershipVacant{core::Revision(3)});
+    delayed.Handle(LeaderObserved{kOther, core::Revision(4)});
+    m_clock.Advance(std::chrono::seconds(1));
+    const core::TimePoint vacant_since = m_clock.Now();
+    delayed.Handle(LeadershipVacant{core::Revision(5)});
+    REQUIRE_CALL(m_leases, RequestLease(_));
+    REQUIRE_CALL(m_leases, ClaimLeadership(kSelf, LeaseId(7)));
+    m_clock.Advance(std::chrono::seconds(1));
+    delayed.Tick();
+    delayed.Handle(
+        LeaseGrantReply{LeaseOutcome::kDone, LeaseId(7), m_clock.Now()});
+    delayed.Handle(
+        LeadershipClaimReply{LeaseOutcome::kDone, core::Revision(6)});
+    CPPUNIT_ASSERT(delayed.VacantSince(core::Revision(2)) == vacant_since);
+  }
+
  private:
   void ClaimVacantLeadership() {
     REQUIRE_CALL(m_leases, RequestLease(leadership::kSchedulingLease.duration));
--- a/test/manager/job_manager_test.cc
+++ b/test/manager/job_manager_test.cc
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "test/support/fake_clock.h"
@@ -35,6 +36,9 @@
   CPPUNIT_TEST(CancelSettlesWithTheLastStopOrEnd);
   CPPUNIT_TEST(CountOfOldJobsIsRefused);
   CPPUNIT_TEST(InstanceWithOldStoreStateIsNotReady);
+  CPPUNIT_TEST(InheritedLeasesCountFromTheVacancy);
+  CPPUNIT_TEST(InheritedLeasesOfALaterStateCountFromTheTerm);
+  CPPUNIT_TEST(WorkerWithAnExpiredLeaseMayReplyToTheFirstPoll);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -129,7 +133,87 @@
     CPPUNIT_ASSERT(!m_readiness.is_ready);
   }
 
+  // Issue 21, soak seed 514: each change of the leader added the time without a
+  // leader to the leases of workers that were gone, and their tasks waited.
+  void InheritedLeasesCountFromTheVacancy() {
+    InheritLease(core::Revision(6), milliseconds(1000));
+    m_manager.Handle(scheduling::WorkerListReceived{});
+    ConfirmLease();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_logger.Count("worker_settled"));
+  }
+
+  // A leader that was not observed may have stored it, and extended leases.
+  void InheritedLeasesOfALaterStateCountFromTheTerm() {
+    InheritLease(core::Revision(8), milliseconds(1000));
+    m_manager.Handle(scheduling::WorkerListReceived{});
+    ConfirmLease();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_logger.Count("worker_settled"));
+    m_clock.Advance(milliseconds(900));
+    ConfirmLease();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_logger.Count("worker_settled"));
+  }
+
+  // Ends that it has not reported yet would be lost.
+  void WorkerWithAnExpiredLeaseMayReplyToTheFirstPoll() {
+    InheritLease(core::Revision(6), milliseconds(600));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_logger.Count("worker_settled"));
+    m_manager.Handle(
+        scheduling::WorkerListReceived{{test::MakeWorker("worker-1")}});
+    ConfirmLease();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_logger.Count("worker_settled"));
+    execution::PollReply silence;
+    silence.worker = m_workers.polls.back().to.worker;
+    silence.incarnation = m_workers.polls.back().to.incarnation;
+    silence.sequence = m_workers.polls.back().sequence;
+    m_manager.Handle(std::move(silence));
+    ConfirmLease();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_logger.Count("worker_settled"));
+  }
+
  private:
+  /** @brief Begins a term 900 ms after another leader removed its claim at
+   * revision 6, and lets 150 ms pass. */
+  void InheritLease(core::Revision stored, milliseconds lease) {
+    m_manager.Handle(manager::StoreListReceived{
+        {leadership::LeaderObserved{{"other", "1"}, core::Revision(3)}},
+        core::Revision(4),
+        m_clock.Now(),
+        std::nullopt});
+    m_manager.Handle(manager::StoreChangesReceived{
+        {leadership::LeadershipVacant{core::Revision(6)}},
+        core::Revision(6),
+        m_clock.Now()});
+    m_clock.Advance(milliseconds(900));
+    job::StoredHandover handover;
+    handover.handover.workers.push_back({MakeId<core::InstanceId>("worker-1"),
+                                         core::Incarnation(1),
+                                         MakeId<core::PoolId>("pool"), lease});
+    handover.revision = stored;
+    const core::Revision claim(9);
+    m_manager.Handle(
+        leadership::LeaseGrantReply{leadership::LeaseOutcome::kDone,
+                                    leadership::LeaseId(1), m_clock.Now()});
+    m_manager.Handle(leadership::LeadershipClaimReply{
+        leadership::LeaseOutcome::kDone, claim});
+    m_manager.OnRingEmpty();
+    m_manager.Handle(manager::StoreListReceived{
+        {leadership::LeaderObserved{{"self", "1"}, claim}},
+        claim,
+        m_clock.Now(),
+        std::move(handover)});
+    m_manager.OnRingEmpty();
+    m_clock.Advance(milliseconds(150));
+    ConfirmLease();
+  }
+
+  void ConfirmLease() {
+    m_clock.Advance(scheduling::kSweepInterval);
+    m_manager.Handle(
+        leadership::LeaseRenewalReply{leadership::LeaseOutcome::kDone,
+                                      leadership::LeaseId(1), m_clock.Now()});
+    m_manager.OnRingEmpty();
+  }
+
   /** @brief Receives changes that don't reach up to the present. */
   void ReceiveBacklogFor(milliseconds duration) {
     const core::TimePoint complete_at = m_clock.Now();
--- a/test/manager/resignation_test.cc
+++ b/test/manager/resignation_test.cc
@@ -91,7 +91,7 @@
                          m_meter.Count(core::Counter::kHandoversFailed));
   }
 
-  // A successor counts a lease from when it reads it, so a handover that is
+  // A successor counts a lease from the end of the term, so a handover that is
   // sent later must hold what is left by then.
   void LeasesGetShorterWhileTheStoreIsAway() {
     m_clock.Advance(milliseconds(800));
