Store the pools in which tasks of a job were started

Callers could see a finite task run twice: after a change of the configuration that moves its queue to another pool, and a change of the leader, the successor started the task in the new pool while a silent worker of the old pool might still run it (SilentWorkerTest::TaskOfAMovedQueueWaitsForItsEarlierPool, 1 start, 0 allowed).

Cause: the successor waits for the workers of one pool, and takes the pool from the configuration that it has, not from the one that the task was started under. Class: a fact of the past that is derived from the present settings.

The progress of a job now holds the pools in which its tasks were started. A pool is stored before the first start command to it, so that the first start after a move waits for one commit; starts in a pool that is stored wait for nothing new. A successor waits for the workers of these pools, and for all inherited workers if the pools are unknown: a record of an earlier version, or a term of such a leader in between.

Two more tests show that the successor does not wait for the new pool, and that a start in a new pool waits for the commit.

--- a/src/crocusmast/adapters/records/progress_records.cc
+++ b/src/crocusmast/adapters/records/progress_records.cc
@@ -105,6 +105,12 @@
       placements.push_back(internal::EncodePlacement(placement));
     }
   }
+  if (progress.pools) {
+    Json& pools = json["pools"] = Json::array();
+    for (const core::PoolId& pool : *progress.pools) {
+      pools.push_back(pool.Text());
+    }
+  }
   return internal::ToCbor(json);
 }
 
@@ -135,6 +141,14 @@
             progress.placements->push_back(std::move(placement));
           }
         }
+        if (json.contains("pools")) {
+          progress.pools.emplace();
+          for (const Json& name : json.at("pools")) {
+            BOOST_LEAF_AUTO(pool,
+                            core::PoolId::Create(name.get<std::string>()));
+            progress.pools->push_back(std::move(pool));
+          }
+        }
         return progress;
       });
 }
--- a/src/crocusmast/job/fwd.h
+++ b/src/crocusmast/job/fwd.h
@@ -6,6 +6,7 @@
 class EarlierPlacements;
 class Job;
 class JobCatalog;
+class StartedPools;
 struct AcceptedJob;
 struct JobProgress;
 struct JobSpec;
--- a/src/crocusmast/job/job.h
+++ b/src/crocusmast/job/job.h
@@ -13,6 +13,7 @@
 #include "crocusmast/job/earlier_placements.h"
 #include "crocusmast/job/job_spec.h"
 #include "crocusmast/job/progress.h"
+#include "crocusmast/job/started_pools.h"
 #include "crocusmast/job/task_id.h"
 
 namespace crocusmast::job {
@@ -348,12 +349,15 @@
   JobProgress CaptureProgress();
 
   /** @brief Marks the runs that the progress captured last contains as
-   * stored. */
-  void MarkCapturedProgressStored();
+   * stored; returns whether it contains a pool that was not stored before. */
+  bool MarkCapturedProgressStored();
 
   /** @brief Returns where runs of an earlier leader may be active; only of
    * long-running tasks. */
   EarlierPlacements& Earlier() { return m_earlier_placements; }
+  /** @brief Returns the pools in which tasks may have been started. */
+  StartedPools& Pools() { return m_pools; }
+  const StartedPools& Pools() const { return m_pools; }
 
  private:
   Job(AcceptedJob accepted, core::Attempt last_attempt)
@@ -381,6 +385,7 @@
   std::uint32_t m_opened_count = 0;
   std::map<std::uint32_t, Occurrence> m_open_occurrences;
   EarlierPlacements m_earlier_placements;
+  StartedPools m_pools;
 };
 
 }  // namespace crocusmast::job
--- a/src/crocusmast/job/job_progress.cc
+++ b/src/crocusmast/job/job_progress.cc
@@ -65,6 +65,9 @@
   if (m_state != JobState::kQueued && m_accepted.spec.HasLongRunningSteps()) {
     m_earlier_placements = EarlierPlacements::Restore(stored.placements);
   }
+  if (m_state != JobState::kQueued) {
+    m_pools = StartedPools::Restore(stored.pools);
+  }
   for (const OccurrenceProgress& open : stored.open_occurrences) {
     Occurrence occurrence = MakeOccurrence();
     const std::size_t known =
@@ -90,6 +93,7 @@
       open.steps.push_back(internal::ToProgress(step));
     }
   }
+  progress.pools = m_pools.List();
   if (m_accepted.spec.HasLongRunningSteps() &&
       m_earlier_placements.AreKnown()) {
     std::vector<TaskPlacement>& placements = progress.placements.emplace();
@@ -116,14 +120,16 @@
 
 JobProgress Job::CaptureProgress() {
   ForEachMutableRun([](Run& run) { run.is_in_captured_progress = true; });
+  m_pools.Capture();
   return Progress();
 }
 
-void Job::MarkCapturedProgressStored() {
+bool Job::MarkCapturedProgressStored() {
   ForEachMutableRun([](Run& run) {
     run.is_placement_stored =
         run.is_placement_stored || run.is_in_captured_progress;
   });
+  return m_pools.MarkCapturedStored();
 }
 
 }  // namespace crocusmast::job
--- a/src/crocusmast/job/job_store.h
+++ b/src/crocusmast/job/job_store.h
@@ -111,8 +111,8 @@
   /** @brief Workers that may hold leases. */
   std::vector<LeasedWorker> workers;
   FleetHandover fleet;
-  /** @brief The stored placements of long-running tasks are current: no leader
-   * that does not store placements has led since they were stored. */
+  /** @brief The stored placements of long-running tasks and pools of jobs are
+   * current: no leader that does not store them has led since. */
   bool has_current_placements = false;
 };
 
--- a/src/crocusmast/job/progress.h
+++ b/src/crocusmast/job/progress.h
@@ -93,6 +93,8 @@
   /** @brief Where runs of long-running tasks may be active; absent if unknown,
    * and for a job without such tasks. */
   std::optional<std::vector<TaskPlacement>> placements;
+  /** @brief Pools in which tasks may have been started; absent if unknown. */
+  std::optional<std::vector<core::PoolId>> pools;
 };
 
 }  // namespace crocusmast::job
--- a/src/crocusmast/scheduling/scheduler.cc
+++ b/src/crocusmast/scheduling/scheduler.cc
@@ -62,8 +62,11 @@
         entry.progress && entry.progress->state != job::JobState::kQueued;
     active.is_inherited = active.is_start_recorded;
     if (active.is_inherited && !handover.has_current_placements &&
-        entry.job.spec.HasLongRunningSteps()) {
-      active.job.Earlier() = job::EarlierPlacements::Unknown();
+        (entry.job.spec.HasLongRunningSteps() || entry.progress->pools)) {
+      if (entry.job.spec.HasLongRunningSteps()) {
+        active.job.Earlier() = job::EarlierPlacements::Unknown();
+      }
+      active.job.Pools() = job::StartedPools::Restore(std::nullopt);
       m_committer.MarkChanged(id);
       m_outdated_placements.insert(id);
     }
--- a/src/crocusmast/scheduling/scheduler.h
+++ b/src/crocusmast/scheduling/scheduler.h
@@ -104,7 +104,8 @@
  * that earlier leaders may have used, which fences the worker against them,
  * before it starts tasks that may be running there. The worker of each
  * long-running task is stored before the task starts, so that only this worker
- * is waited for; a finite task may run on any worker of its pool.
+ * is waited for; a finite task may run on any worker of the pools in which
+ * tasks of its job were started, which are stored before.
  */
 class Scheduler final : public upkeep::WorkerDrainPort,
                         public capacity::PoolLoadSource {
@@ -356,8 +357,8 @@
   std::unordered_map<core::JobId, ActiveJob> m_jobs;
   std::map<core::InstanceId, std::unique_ptr<execution::Worker>> m_workers;
   InheritedWorkers m_inherited_workers;
-  /** @brief Jobs whose stored placements may be older than their runs, because
-   * a leader that stores none has led since. */
+  /** @brief Jobs whose stored placements or pools may be older than their runs,
+   * because a leader that stores none has led since. */
   std::set<core::JobId> m_outdated_placements;
   std::map<core::PoolId, std::vector<execution::Worker*>> m_workers_by_pool;
   std::map<core::PoolId, std::unordered_set<ActiveJob*>> m_jobs_by_pool;
--- a/src/crocusmast/scheduling/scheduler_placement.cc
+++ b/src/crocusmast/scheduling/scheduler_placement.cc
@@ -99,8 +99,15 @@
 }
 
 bool Scheduler::MayStartFiniteTasks(const ActiveJob& active) const {
-  return !active.is_inherited ||
-         m_inherited_workers.IsPoolReconciled(active.pool);
+  if (!active.is_inherited || m_inherited_workers.All().empty()) {
+    return true;
+  }
+  const auto pools = active.job.Pools().List();
+  return pools &&
+         std::all_of(pools->begin(), pools->end(),
+                     [this](const core::PoolId& pool) {
+                       return m_inherited_workers.IsPoolReconciled(pool);
+                     });
 }
 
 void Scheduler::SettleEarlierPlacements(ActiveJob& active) {
--- a/src/crocusmast/scheduling/scheduler_starts.cc
+++ b/src/crocusmast/scheduling/scheduler_starts.cc
@@ -17,16 +17,19 @@
   const core::TimePoint now = m_ports.clock.Now();
   const job::Step& step = active.job.StepOf(task.key);
   execution::AssignedRun assigned = MakeAssignedRun(step);
-  // A successor must know that the job has started, and on which worker each
-  // long-running task may run.
-  assigned.is_waiting_for_commit =
-      !active.is_start_recorded || step.is_long_running;
+  // A successor must know that the job has started, in which pools, and on
+  // which worker each long-running task may run.
+  const core::PoolId& pool = worker.Record().pool;
+  const bool is_new_pool = active.job.Pools().Add(pool);
+  assigned.is_waiting_for_commit = !active.is_start_recorded ||
+                                   step.is_long_running ||
+                                   !active.job.Pools().IsStored(pool);
   worker.Add({task, attempt}, assigned);
   if (worker.received_end == worker.recorded_end) {
     worker.next_poll_at = std::min(worker.next_poll_at, now);
   }
   if (active.job.State() == job::JobState::kQueued || step.is_long_running ||
-      active.job.CrashCount(task.key) > 0) {
+      is_new_pool || active.job.CrashCount(task.key) > 0) {
     m_committer.MarkChanged(task.job);
   }
   job::Run run;
@@ -46,15 +49,14 @@
 void Scheduler::HandleProgressStored(ActiveJob& active, job::JobState state) {
   const bool is_first_start = state == job::JobState::kRunning &&
                               !std::exchange(active.is_start_recorded, true);
-  const bool is_long_running = active.job.Accepted().spec.HasLongRunningSteps();
-  if (is_long_running) {
-    if (m_outdated_placements.erase(active.job.Id()) > 0 &&
-        m_outdated_placements.empty() && m_has_worker_list) {
-      StoreHandover();
-    }
-    active.job.MarkCapturedProgressStored();
+  if (m_outdated_placements.erase(active.job.Id()) > 0 &&
+      m_outdated_placements.empty() && m_has_worker_list) {
+    StoreHandover();
   }
-  if (is_first_start || (is_long_running && active.is_start_recorded)) {
+  const bool has_new_pool = active.job.MarkCapturedProgressStored();
+  const bool may_send =
+      has_new_pool || active.job.Accepted().spec.HasLongRunningSteps();
+  if (is_first_start || (may_send && active.is_start_recorded)) {
     SendDeferredStarts(active);
   }
 }
@@ -62,7 +64,13 @@
 void Scheduler::SendDeferredStarts(ActiveJob& active) {
   std::vector<std::pair<core::InstanceId, RunKey>> stored;
   active.job.ForEachRun([&](const job::TaskKey& key, const job::Run& run) {
-    if (run.is_placement_stored || !active.job.StepOf(key).is_long_running) {
+    const Worker* worker = FindWorker(run.worker);
+    const bool is_stored =
+        active.job.StepOf(key).is_long_running
+            ? run.is_placement_stored
+            : worker != nullptr &&
+                  active.job.Pools().IsStored(worker->Record().pool);
+    if (is_stored) {
       stored.emplace_back(run.worker,
                           RunKey{{active.job.Id(), key}, run.attempt});
     }
--- a/test/adapters/job_records_test.cc
+++ b/test/adapters/job_records_test.cc
@@ -21,6 +21,7 @@
   CPPUNIT_TEST(ProgressWithoutPlacementsIsDecoded);
   CPPUNIT_TEST(ProgressWithPlacementsIsReadableByEarlierVersions);
   CPPUNIT_TEST(CrashedAttemptsRoundTrip);
+  CPPUNIT_TEST(StartedPoolsRoundTrip);
   CPPUNIT_TEST(JobEndIsDistinguishedFromJob);
   CPPUNIT_TEST(HandoverStateAndHolderRoundTrip);
   CPPUNIT_TEST(DamagedBytesGiveJobOrError);
@@ -137,6 +138,20 @@
     }
   }
 
+  void StartedPoolsRoundTrip() {
+    job::JobProgress progress;
+    progress.state = job::JobState::kRunning;
+    const auto decode = [&progress] {
+      return records::DecodeProgress(records::EncodeProgress(progress))
+          .value()
+          .pools;
+    };
+    CPPUNIT_ASSERT(!decode());
+    progress.pools = {MakeId<core::PoolId>("pool"),
+                      MakeId<core::PoolId>("other")};
+    CPPUNIT_ASSERT(decode() == progress.pools);
+  }
+
   // A successor counted the crashes under a task from zero.
   void CrashedAttemptsRoundTrip() {
     job::JobProgress progress;
--- a/test/scheduling/silent_worker_test.cc
+++ b/test/scheduling/silent_worker_test.cc
@@ -42,6 +42,8 @@
   CPPUNIT_TEST(FrozenLeasesAreExtendedWhileOtherWorkersReply);
   CPPUNIT_TEST(WorkerIsPolledAfterItsLeaseHasExpired);
   CPPUNIT_TEST(TaskOfAMovedQueueWaitsForItsEarlierPool);
+  CPPUNIT_TEST(TaskOfAMovedQueueDoesNotWaitForItsNewPool);
+  CPPUNIT_TEST(StartInANewPoolWaitsUntilThePoolIsStored);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -141,7 +143,80 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_fixture.worker_port.starts.size());
   }
 
+  // No task of the job was started there.
+  void TaskOfAMovedQueueDoesNotWaitForItsNewPool() {
+    StartThenMoveQueue();
+    Fixture successor;
+    successor.scheduler.SetQueueCatalog(MakeOtherPoolCatalog());
+    successor.catalog.Apply(job::JobStored{MakeJob(kJob, {MakeStep(1)})}, {});
+    successor.catalog.Apply(
+        job::ProgressStored{MakeId<core::JobId>(kJob), StoredProgress(),
+                            core::Revision(50)},
+        {});
+    job::HandoverState handover{
+        {{MakeId<core::InstanceId>("w-1"), core::Incarnation(1),
+          MakeId<core::PoolId>("pool"), milliseconds(4000)},
+         {MakeId<core::InstanceId>("w-3"), core::Incarnation(1),
+          MakeId<core::PoolId>("other"), milliseconds(9000)}},
+        {}};
+    handover.has_current_placements = true;
+    successor.BeginTerm(11, handover);
+    successor.SetWorkers({MakeOtherWorker("w-2")});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, successor.worker_port.starts.size());
+    successor.clock.Advance(milliseconds(4000));
+    successor.RunCycles();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, successor.worker_port.starts.size());
+  }
+
+  // Otherwise a successor would wait for the workers of the earlier pool only.
+  void StartInANewPoolWaitsUntilThePoolIsStored() {
+    StartThenMoveQueue();
+    const execution::StartCommand start = m_fixture.worker_port.starts[0];
+    m_fixture.ReplyToPoll(
+        {}, {Fixture::EndedRun(start, 1, job::RunOutcome::kFailed)});
+    const std::size_t commits = m_fixture.store.commits.size();
+    m_fixture.ReceiveStoreState();
+    m_fixture.scheduler.RunCycle(m_fixture.clock.Now());
+    CPPUNIT_ASSERT_EQUAL(commits + 1, m_fixture.store.commits.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, StoredProgress().pools->size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_fixture.worker_port.starts.size());
+    m_fixture.ReplyToCommit(job::StoreOutcome::kDone);
+    m_fixture.RunCycles();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_fixture.worker_port.starts.size());
+  }
+
  private:
+  static execution::WorkerRecord MakeOtherWorker(const char* id) {
+    execution::WorkerRecord worker = MakeWorker(id);
+    worker.pool = MakeId<core::PoolId>("other");
+    return worker;
+  }
+
+  /** @brief Starts the task in the pool "pool", then moves its queue to the
+   * pool "other". */
+  void StartThenMoveQueue() {
+    m_fixture.BeginTerm();
+    m_fixture.SetWorkers({MakeWorker("w-1"), MakeOtherWorker("w-2")});
+    m_fixture.scheduler.AddJob(MakeJob(kJob, {MakeStep(1)}));
+    m_fixture.RunCycles();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_fixture.worker_port.starts.size());
+    m_fixture.ReplyToStart(m_fixture.worker_port.starts[0],
+                           WorkerCallOutcome::kDone);
+    m_fixture.scheduler.SetQueueCatalog(MakeOtherPoolCatalog());
+    m_fixture.RunCycles();
+  }
+
+  /** @brief Returns the progress of the job that was sent to the store last. */
+  job::JobProgress StoredProgress() const {
+    job::JobProgress last;
+    for (const job::Commit& commit : m_fixture.store.commits) {
+      for (const job::ProgressWrite& write : commit.progress) {
+        last = write.progress;
+      }
+    }
+    return last;
+  }
+
   /** @brief Replies to the last poll of a worker, which runs one task. */
   void Reply(const execution::StartCommand& start, WorkerCallOutcome outcome) {
     std::optional<execution::PollCommand> last;
