--- a/src/crocusmast/scheduling/scheduler.cc
+++ b/src/crocusmast/scheduling/scheduler.cc
@@ -38,7 +38,8 @@
   for (const job::LeasedWorker& leased : handover.workers) {
     longest_lease = std::max(longest_lease, leased.lease_remaining);
   }
-  m_inherited_workers = InheritedWorkers::Create(handover.workers, now);
+  m_inherited_workers = InheritedWorkers::Create(
+      handover.workers, term.vacant_since.value_or(now));
   const core::WallTime wall = m_ports.clock.WallNow();
   for (const auto& [id, entry] : catalog.Entries()) {
     // A cancelled job is kept until its final state is stored.
@@ -61,8 +62,11 @@
         entry.progress && entry.progress->state != job::JobState::kQueued;
     active.is_inherited = active.is_start_recorded;
     if (active.is_inherited && !handover.has_current_placements &&
-        entry.job.spec.HasLongRunningSteps()) {
-      active.job.Earlier() = job::EarlierPlacements::Unknown();
+        (entry.job.spec.HasLongRunningSteps() || entry.progress->pools)) {
+      if (entry.job.spec.HasLongRunningSteps()) {
+        active.job.Earlier() = job::EarlierPlacements::Unknown();
+      }
+      active.job.Pools() = job::StartedPools::Restore(std::nullopt);
       m_committer.MarkChanged(id);
       m_outdated_placements.insert(id);
     }
--- a/src/crocusmast/scheduling/scheduler.h
+++ b/src/crocusmast/scheduling/scheduler.h
@@ -94,6 +94,9 @@
   core::FencingToken token;
   /** @brief How long a leader may stay active after it was deposed. */
   std::chrono::milliseconds deposed_leader_grace{};
+  /** @brief When the claim of the previous leader was known to be removed, no
+   * earlier than its handover state was stored; empty if unknown. */
+  std::optional<core::TimePoint> vacant_since{};
 };
 
 /**
@@ -103,7 +106,8 @@
  * that earlier leaders may have used, which fences the worker against them,
  * before it starts tasks that may be running there. The worker of each
  * long-running task is stored before the task starts, so that only this worker
- * is waited for; a finite task may run on any worker of its pool.
+ * is waited for; a finite task may run on any worker of the pools in which
+ * tasks of its job were started, which are stored before.
  */
 class Scheduler final : public upkeep::WorkerDrainPort,
                         public capacity::PoolLoadSource {
@@ -327,8 +331,8 @@
   std::unordered_map<core::JobId, ActiveJob> m_jobs;
   std::map<core::InstanceId, std::unique_ptr<execution::Worker>> m_workers;
   InheritedWorkers m_inherited_workers;
-  /** @brief Jobs whose stored placements may be older than their runs, because
-   * a leader that stores none has led since. */
+  /** @brief Jobs whose stored placements or pools may be older than their runs,
+   * because a leader that stores none has led since. */
   std::set<core::JobId> m_outdated_placements;
   std::map<core::PoolId, std::vector<execution::Worker*>> m_workers_by_pool;
   std::map<core::PoolId, WaitingJobs> m_waiting_jobs;
