Accept a submission once a watch of the store shows its job

A write whose answer is lost may be done, and then the instance's watch brings the job; the handler looked at the job list only when a request arrived.

Tick() now answers pending submissions whose job is in the list, by the same rule as a repeated submission. A reply that arrives later is ignored.

Shown by SubmissionWhoseReplyWasLostIsAcceptedOnceAWatchShowsIt.

--- a/src/crocusmast/intake/request_handler.h
+++ b/src/crocusmast/intake/request_handler.h
@@ -146,6 +146,8 @@
   static void RecordFailure(job::StoreFailure failure,
                             StoreWriteHistory& history);
   bool CanRetry(const PendingRequest& pending) const;
+  /** @brief Responds to submissions that a watch of the store has confirmed. */
+  void EndConfirmed();
   /** @brief Responds to requests whose reply from the store was lost. */
   void EndExpired(core::TimePoint now);
   void LogCircuit(bool is_closed);
--- a/src/crocusmast/intake/request_handler_store_calls.cc
+++ b/src/crocusmast/intake/request_handler_store_calls.cc
@@ -88,6 +88,7 @@
 
 void RequestHandler::Tick() {
   const core::TimePoint now = m_ports.clock.Now();
+  EndConfirmed();
   EndExpired(now);
   for (auto& [number, pending] : m_pending) {
     if (!pending.retry_at || now < *pending.retry_at) {
@@ -104,6 +105,25 @@
   }
 }
 
+void RequestHandler::EndConfirmed() {
+  for (auto next = m_pending.begin(); next != m_pending.end();) {
+    const auto current = next++;
+    const PendingRequest& pending = current->second;
+    if (pending.operation != JobOperation::kSubmit) {
+      continue;
+    }
+    const core::JobId id = pending.job.id;
+    if (const job::JobEntry* known = m_job_catalog.Find(id); known != nullptr) {
+      if (pending.is_probe) {
+        m_store_circuit.EndProbe();
+      }
+      ReplyToKnownJob(job::ExchangeId(current->first), id, pending.job.queue,
+                      *known);
+      m_pending.erase(current);
+    }
+  }
+}
+
 void RequestHandler::EndExpired(core::TimePoint now) {
   for (auto next = m_pending.begin(); next != m_pending.end();) {
     const auto current = next++;
--- a/test/intake/store_outage_test.cc
+++ b/test/intake/store_outage_test.cc
@@ -31,6 +31,7 @@
   CPPUNIT_TEST(SlowStoreRejectsNothing);
   CPPUNIT_TEST(UnconfirmedSubmissionIsAcceptedOnceTheStoreIsBack);
   CPPUNIT_TEST(UnconfirmedWritesAreRetriedOneAtATime);
+  CPPUNIT_TEST(SubmissionWhoseReplyWasLostIsAcceptedOnceAWatchShowsIt);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -175,6 +176,24 @@
     }
   }
 
+  // Guards against a caller that waits for time-outs of lost replies, and may
+  // get 504 in the end, although the instance knows that the job is stored.
+  void SubmissionWhoseReplyWasLostIsAcceptedOnceAWatchShowsIt() {
+    const job::ExchangeId exchange = Submit();
+    m_handler.Tick();
+    CPPUNIT_ASSERT(m_responses.responses.empty());
+    m_job_catalog.Apply(job::JobStored{MakeJob(m_last_id, {MakeStep(1)})},
+                        m_clock.Now());
+    m_handler.Tick();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_responses.responses.size());
+    CPPUNIT_ASSERT(LastStatus() == ResponseStatus::kAccepted);
+    CompleteWrite(exchange, StoreOutcome::kUnknown);
+    m_clock.Advance(kDeadline);
+    m_handler.Tick();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_responses.responses.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_store.created.size());
+  }
+
  private:
   /** @brief Loses writes until the circuit is open; their retries are not due
    * yet. */
