Measure the phases of runs, and log the run-time ratios once a second

A task held its resources two to three times as long as it ran, and new jobs counted as late when they arrived, but no line told where the time went or by which ratio estimates were corrected.

The leader now meters four phases of a run that add up to the time of its reservation: the wait for the start command, the wait for its confirmation, the run on the worker's own clock, and the rest until the end is handled. A line run_time_ratios a second gives their means, the ratio of each queue, and how many of the jobs that arrived were late by them. No decision changes.

--- a/src/crocusmast/adapters/metrics_registry.cc
+++ b/src/crocusmast/adapters/metrics_registry.cc
@@ -65,6 +65,10 @@
     "store_call_seconds{kind=\"list\"}",
     "store_call_seconds{kind=\"write\"}",
     "cancel_settled_seconds",
+    "run_phase_seconds{phase=\"start_wait\"}",
+    "run_phase_seconds{phase=\"start_reply\"}",
+    "run_phase_seconds{phase=\"run\"}",
+    "run_phase_seconds{phase=\"end_report\"}",
 };
 
 constexpr std::array<std::string_view, kSizeCount> kSizeNames{
--- a/src/crocusmast/core/meter.h
+++ b/src/crocusmast/core/meter.h
@@ -65,6 +65,16 @@
   /** @brief From the handling of a cancellation to the last stop acknowledged
    * or run ended of its job. */
   kCancelSettled,
+  /** @brief From the placement of a task to its start command; includes the
+   * commit that the command waits for. */
+  kRunStartWait,
+  /** @brief From a start command to the handling of its confirmation. */
+  kRunStartReply,
+  /** @brief A run that succeeded, on its worker's clock. */
+  kRunTime,
+  /** @brief From the confirmation of a run that succeeded to the handling of
+   * its end, less its run time. */
+  kRunEndReport,
   kCount,
 };
 
--- a/src/crocusmast/execution/worker.h
+++ b/src/crocusmast/execution/worker.h
@@ -49,6 +49,11 @@
   bool has_unanswered_cpu_share = false;
   /** @brief The worker has accepted the stop command. */
   bool is_stop_acknowledged = false;
+  /** @brief When it was placed; unset for a run that an earlier leader started.
+   */
+  core::TimePoint placed_at;
+  /** @brief When the worker's confirmation of its start was handled. */
+  core::TimePoint confirmed_at;
   /** @brief Replies to polls with a higher sequence number must list it. */
   std::uint64_t confirmed_at_poll = 0;
   /** @brief When the last command for it was sent. */
--- a/src/crocusmast/scheduling/fwd.h
+++ b/src/crocusmast/scheduling/fwd.h
@@ -5,6 +5,7 @@
 
 class Committer;
 class InheritedWorkers;
+class RunMonitor;
 class RunTimeEstimator;
 class Scheduler;
 
--- a/src/crocusmast/scheduling/run_time_estimator.h
+++ b/src/crocusmast/scheduling/run_time_estimator.h
@@ -1,7 +1,9 @@
 #ifndef CROCUSMAST_SCHEDULING_RUN_TIME_ESTIMATOR_H_
 #define CROCUSMAST_SCHEDULING_RUN_TIME_ESTIMATOR_H_
 
+#include <cstdio>
 #include <map>
+#include <string>
 
 #include "crocusmast/core/clock.h"
 #include "crocusmast/core/ids.h"
@@ -44,6 +46,17 @@
     return std::chrono::duration_cast<core::Duration>(estimate * ratio);
   }
 
+  /** @brief Returns the ratio of each queue for the log, as QUEUE=RATIO. */
+  std::string Describe() const {
+    std::string text;
+    for (const auto& [queue, ratio] : m_ratios) {
+      char value[16];
+      std::snprintf(value, sizeof(value), "%.2f", ratio);
+      text += (text.empty() ? "" : " ") + queue.Text() + '=' + value;
+    }
+    return text;
+  }
+
  private:
   std::map<core::QueueId, double> m_ratios;
 };
--- a/src/crocusmast/scheduling/scheduler.cc
+++ b/src/crocusmast/scheduling/scheduler.cc
@@ -15,7 +15,9 @@
 using execution::Worker;
 
 Scheduler::Scheduler(const SchedulerPorts& ports)
-    : m_ports(ports), m_crashes([this](const core::JobId& id) {
+    : m_ports(ports),
+      m_run_monitor(ports.meter),
+      m_crashes([this](const core::JobId& id) {
         const ActiveJob* active = FindJob(id);
         return active == nullptr ? nullptr : &active->job;
       }) {}
@@ -183,8 +185,10 @@
   const auto age = std::clamp<core::Duration>(
       m_ports.clock.WallNow() - accepted.accepted_at, core::Duration::zero(),
       std::chrono::seconds(1));
-  const ActiveJob& active =
+  ActiveJob& active =
       Insert(job::Job::Create(accepted, nullptr, core::Attempt(0)), now - age);
+  m_run_monitor.HandleArrival(active.deadline <
+                              now + RemainingCriticalPath(active));
   m_demand.Add(active.pool, EstimateCoreSeconds(accepted), now);
 }
 
@@ -242,6 +246,7 @@
   m_next_sweep_at = now + kSweepInterval;
   ExpireWorkers(confirmed_at);
   FreezeLeasesOfSilentWorkers();
+  LogRunTimes();
   const core::WallTime wall = m_ports.clock.WallNow();
   for (const core::JobId& id : m_scheduled_jobs) {
     ActiveJob* active = FindJob(id);
--- a/src/crocusmast/scheduling/scheduler.h
+++ b/src/crocusmast/scheduling/scheduler.h
@@ -27,6 +27,7 @@
 #include "crocusmast/scheduling/crash_attribution.h"
 #include "crocusmast/scheduling/inherited_workers.h"
 #include "crocusmast/scheduling/messages.h"
+#include "crocusmast/scheduling/run_monitor.h"
 #include "crocusmast/scheduling/run_time_estimator.h"
 #include "crocusmast/scheduling/ticket_cache.h"
 #include "crocusmast/upkeep/worker_drain_port.h"
@@ -263,6 +264,10 @@
               const std::string& checkpoint);
   void ProcessEndedRuns(execution::Worker& worker,
                         const execution::PollReply& reply);
+  void MeasureRun(execution::Worker& worker,
+                  const execution::EndedRunReport& end,
+                  const execution::PollReply& reply);
+  void LogRunTimes();
   void ProcessRunningRuns(execution::Worker& worker,
                           const execution::PollReply& reply);
   void AdoptRun(execution::Worker& worker, const execution::RunReport& report);
@@ -369,6 +374,7 @@
   std::unordered_set<core::JobId> m_ended_jobs;
   Committer m_committer;
   RunTimeEstimator m_run_time_estimator;
+  RunMonitor m_run_monitor;
   capacity::DemandEstimator m_demand;
   TicketCache m_tickets;
   CrashAttribution m_crashes;
--- a/src/crocusmast/scheduling/scheduler_polls.cc
+++ b/src/crocusmast/scheduling/scheduler_polls.cc
@@ -105,6 +105,7 @@
     }
     worker.received_end = end.number;
     TrackFailures(worker, end.outcome);
+    MeasureRun(worker, end, reply);
     EndRun(worker, {end.task, end.attempt}, end.outcome, end.checkpoint);
     ends += (ends.empty() ? "" : " ") + Describe(end.task) + '#' +
             std::to_string(end.attempt.Count()) + '=' +
@@ -130,6 +131,32 @@
   }
 }
 
+void Scheduler::MeasureRun(Worker& worker,
+                           const execution::EndedRunReport& end,
+                           const execution::PollReply& reply) {
+  const AssignedRun* run = worker.Find({end.task, end.attempt});
+  const bool is_known = run != nullptr && run->placed_at != core::TimePoint() &&
+                        run->confirmed_at != core::TimePoint() &&
+                        run->active_since && reply.clock &&
+                        !(*reply.clock < *run->active_since);
+  if (end.outcome == job::RunOutcome::kDone && is_known) {
+    m_run_monitor.HandleEnd(*run, *reply.clock - *run->active_since,
+                            m_ports.clock.Now());
+  }
+}
+
+void Scheduler::LogRunTimes() {
+  std::vector<core::LogField> fields =
+      m_run_monitor.NextReport(m_ports.clock.Now());
+  if (fields.empty()) {
+    return;
+  }
+  fields.insert(fields.begin(), {"event", "run_time_ratios"});
+  fields.push_back({"ratios", m_run_time_estimator.Describe()});
+  Log(core::Severity::kInfo, "Run times of the last second.",
+      std::move(fields));
+}
+
 void Scheduler::TrackFailures(Worker& worker, job::RunOutcome outcome) {
   if (outcome == job::RunOutcome::kDone) {
     worker.failed_runs = 0;
@@ -161,6 +188,7 @@
     } else if (!run->is_confirmed) {
       run->is_confirmed = true;
       run->confirmed_at_poll = reply.sequence;
+      m_run_monitor.HandleConfirmation(*run, now);
     }
     if (run != nullptr && !run->active_since) {
       run->active_since = reply.clock;
--- a/src/crocusmast/scheduling/scheduler_runs.cc
+++ b/src/crocusmast/scheduling/scheduler_runs.cc
@@ -201,6 +201,9 @@
   }
   switch (reply.outcome) {
     case WorkerCallOutcome::kDone:
+      if (!run->is_confirmed) {
+        m_run_monitor.HandleConfirmation(*run, m_ports.clock.Now());
+      }
       run->is_confirmed = true;
       run->confirmed_at_poll = worker->poll_sequence;
       if (!run->active_since) {
--- a/src/crocusmast/scheduling/scheduler_starts.cc
+++ b/src/crocusmast/scheduling/scheduler_starts.cc
@@ -19,6 +19,7 @@
   execution::AssignedRun assigned = MakeAssignedRun(step);
   // A successor must know that the job has started, and on which worker each
   // long-running task may run.
+  assigned.placed_at = now;
   assigned.is_waiting_for_commit =
       !active.is_start_recorded || step.is_long_running;
   worker.Add({task, attempt}, assigned);
@@ -116,6 +117,9 @@
     m_workers_to_retry.insert(worker.Record().id);
     return;
   }
+  if (run->IsUnsent()) {
+    m_run_monitor.HandleStart(*run, m_ports.clock.Now());
+  }
   run->is_command_pending = true;
   run->command_sent_at = m_ports.clock.Now();
   execution::StartCommand command;
--- a/test/scheduling/scheduler_fixture.h
+++ b/test/scheduling/scheduler_fixture.h
@@ -104,7 +104,7 @@
   FakeClock clock;
   RecordingWorkerPort worker_port;
   RecordingJobStore store;
-  NullLogger logger;
+  RecordingLogger logger;
   CountingMeter meter;
   trompeloeil::sequence sequence;
   MockWorkerWatch worker_watch;
