Measure run times on the worker's clock

Cause: a run was taken to last from its placement until the leader handled its end, so the leader's own delays (the wait for the start command, late replies) corrected the estimates; a backlog lengthened them and thereby kept itself.

A run is now measured from the worker's clock in the reply that showed it active to the clock in the reply that reports its end. If the poll waited for an end, that reading is taken; it is exact, or too late by the time between two polls if the run ended before the poll arrived. If the poll did not wait, the middle since the worker listed the run last is taken. Runs with an unknown start (adopted ones), without a reading, or with no time between the readings don't count.

The test of the phases' log line gives the worker's clock in its replies now, as a run without one is no longer measured; what it checks is the same.

--- a/src/crocusmast/execution/worker.h
+++ b/src/crocusmast/execution/worker.h
@@ -63,6 +63,8 @@
   /** @brief Reading of the worker's clock by which the run was active; absent
    * before. */
   std::optional<WorkerTime> active_since;
+  /** @brief Reading of the worker's clock in the last reply that listed it. */
+  std::optional<WorkerTime> listed_at;
   /** @brief Its job was told that the worker survived its start. */
   bool has_survived_start = false;
 
@@ -214,6 +216,8 @@
   core::RunEndNumber acknowledging_end;
   /** @brief A poll is in flight. */
   bool is_poll_pending = false;
+  /** @brief The latest poll waits at the worker until a run ends. */
+  bool is_poll_waiting = false;
   /** @brief Sequence number of the latest poll. */
   std::uint64_t poll_sequence = 0;
   /** @brief All runs that it may have from earlier terms are known. */
--- a/src/crocusmast/scheduling/run_time_estimator.h
+++ b/src/crocusmast/scheduling/run_time_estimator.h
@@ -1,18 +1,51 @@
 #ifndef CROCUSMAST_SCHEDULING_RUN_TIME_ESTIMATOR_H_
 #define CROCUSMAST_SCHEDULING_RUN_TIME_ESTIMATOR_H_
 
+#include <algorithm>
 #include <cstdio>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "crocusmast/core/clock.h"
 #include "crocusmast/core/ids.h"
+#include "crocusmast/execution/worker.h"
 
 namespace crocusmast::scheduling {
 
 /** @brief Weight of a new sample in the moving average of about 30 runs. */
 inline constexpr double kRunTimeSmoothing = 0.03;
 
+/**
+ * @brief Estimates the time of a run that ended, on its worker's clock; the
+ * leader's own delays don't count.
+ *
+ * If the poll waited for an end, the run ended when the reply was sent, or
+ * before the poll arrived. Otherwise it ended at any time since the worker
+ * listed it last; the middle is taken.
+ * @param run The run.
+ * @param ended_by The worker's clock in the reply that reports the end.
+ * @param has_poll_waited Whether the poll waited for a run to end.
+ * @return Empty if the start is not known, or not before the end.
+ */
+inline std::optional<core::Duration> EstimateRunTime(
+    const execution::AssignedRun& run,
+    std::optional<execution::WorkerTime> ended_by,
+    bool has_poll_waited) {
+  const bool is_known = run.placed_at != core::TimePoint() &&
+                        run.active_since && ended_by &&
+                        *run.active_since < *ended_by;
+  if (!is_known) {
+    return std::nullopt;
+  }
+  const core::Duration longest = *ended_by - *run.active_since;
+  if (has_poll_waited || !run.listed_at) {
+    return has_poll_waited ? longest : longest / 2;
+  }
+  const core::Duration shortest = *run.listed_at - *run.active_since;
+  return (std::max(core::Duration::zero(), shortest) + longest) / 2;
+}
+
 /** @brief Tracks for each queue the ratio of actual to estimated run times. */
 class RunTimeEstimator {
  public:
--- a/src/crocusmast/scheduling/scheduler.cc
+++ b/src/crocusmast/scheduling/scheduler.cc
@@ -342,6 +342,7 @@
                           worker->received_end == worker->recorded_end;
     const std::chrono::milliseconds wait =
         m_crashes.IsReserved(id) ? kStartProbation : kPollWait;
+    worker->is_poll_waiting = may_wait;
     command.max_wait = may_wait ? wait : std::chrono::milliseconds(0);
     // The lease of a worker that does not reply is not extended, so that its
     // runs are certain to end; neither is that of one that has not replied to
--- a/src/crocusmast/scheduling/scheduler_polls.cc
+++ b/src/crocusmast/scheduling/scheduler_polls.cc
@@ -135,13 +135,22 @@
                            const execution::EndedRunReport& end,
                            const execution::PollReply& reply) {
   const AssignedRun* run = worker.Find({end.task, end.attempt});
-  const bool is_known = run != nullptr && run->placed_at != core::TimePoint() &&
-                        run->confirmed_at != core::TimePoint() &&
-                        run->active_since && reply.clock &&
-                        !(*reply.clock < *run->active_since);
-  if (end.outcome == job::RunOutcome::kDone && is_known) {
-    m_run_monitor.HandleEnd(*run, *reply.clock - *run->active_since,
-                            m_ports.clock.Now());
+  if (run == nullptr || end.outcome != job::RunOutcome::kDone) {
+    return;
+  }
+  const std::optional<core::Duration> run_time =
+      EstimateRunTime(*run, reply.clock, worker.is_poll_waiting);
+  if (!run_time) {
+    return;
+  }
+  if (run->confirmed_at != core::TimePoint()) {
+    m_run_monitor.HandleEnd(*run, *run_time, m_ports.clock.Now());
+  }
+  const ActiveJob* active = FindJob(end.task.job);
+  if (active != nullptr && active->job.Find(end.task.key) != nullptr) {
+    m_run_time_estimator.Observe(active->job.Accepted().queue,
+                                 active->job.StepOf(end.task.key).estimate,
+                                 *run_time);
   }
 }
 
@@ -193,6 +202,9 @@
     if (run != nullptr && !run->active_since) {
       run->active_since = reply.clock;
     }
+    if (run != nullptr && reply.clock) {
+      run->listed_at = reply.clock;
+    }
     if (ActiveJob* active = FindJob(report.task.job); active != nullptr) {
       active->job.UpdateRun(report.task.key, report.attempt, report.percent,
                             report.checkpoint, now);
--- a/src/crocusmast/scheduling/scheduler_runs.cc
+++ b/src/crocusmast/scheduling/scheduler_runs.cc
@@ -25,16 +25,6 @@
   if (active == nullptr) {
     return;
   }
-  const job::Task* task = active->job.Find(key.task.key);
-  if (outcome == job::RunOutcome::kDone && task != nullptr) {
-    for (const job::Run& run : task->runs) {
-      if (run.attempt == key.attempt) {
-        m_run_time_estimator.Observe(active->job.Accepted().queue,
-                                     active->job.StepOf(key.task.key).estimate,
-                                     m_ports.clock.Now() - run.started_at);
-      }
-    }
-  }
   const bool is_changed = active->job.EndRun(key.task.key, key.attempt, outcome,
                                              checkpoint, active->max_attempts);
   MarkForPlacement(*active);
@@ -69,7 +59,7 @@
     GiveUpOtherGangMembers(key);
   }
   // Speculative copies of a finished task are stopped.
-  task = active->job.Find(key.task.key);
+  const job::Task* task = active->job.Find(key.task.key);
   if (task != nullptr && task->is_done) {
     for (const job::Run& run : std::vector<job::Run>(task->runs)) {
       if (Worker* other = FindWorker(run.worker); other != nullptr) {
--- a/test/scheduling/run_monitor_test.cc
+++ b/test/scheduling/run_monitor_test.cc
@@ -61,9 +61,19 @@
     fixture.scheduler.AddJob(MakeJob(kJob, {MakeStep(1)}));
     fixture.RunCycles();
     const execution::StartCommand start = fixture.worker_port.starts.back();
-    fixture.ReplyToStart(start, execution::WorkerCallOutcome::kDone);
-    fixture.ReplyToPoll({},
-                        {Fixture::EndedRun(start, 1, job::RunOutcome::kDone)});
+    execution::WorkerCommandReply started =
+        fixture.MakeReply(start, execution::WorkerCallOutcome::kDone);
+    started.clock = execution::WorkerTime(std::chrono::seconds(20));
+    fixture.scheduler.HandleStartReply(started);
+    const execution::PollCommand& poll = fixture.worker_port.polls.back();
+    execution::PollReply ended;
+    ended.worker = poll.to.worker;
+    ended.incarnation = poll.to.incarnation;
+    ended.sequence = poll.sequence;
+    ended.outcome = execution::WorkerCallOutcome::kDone;
+    ended.clock = execution::WorkerTime(std::chrono::seconds(21));
+    ended.ended = {Fixture::EndedRun(start, 1, job::RunOutcome::kDone)};
+    fixture.scheduler.Handle(ended);
     fixture.clock.Advance(scheduling::kRunReportInterval);
     fixture.RunCycles();
     const std::string event = "run_time_ratios";
