--- a/src/crocusmast/execution/worker.h
+++ b/src/crocusmast/execution/worker.h
@@ -51,6 +51,11 @@
   bool has_unanswered_cpu_share = false;
   /** @brief The worker has accepted the stop command. */
   bool is_stop_acknowledged = false;
+  /** @brief When it was placed; unset for a run that an earlier leader started.
+   */
+  core::TimePoint placed_at;
+  /** @brief When the worker's confirmation of its start was handled. */
+  core::TimePoint confirmed_at;
   /** @brief Replies to polls with a higher sequence number must list it. */
   std::uint64_t confirmed_at_poll = 0;
   /** @brief When the last command for it was sent. */
@@ -60,6 +65,8 @@
   /** @brief Reading of the worker's clock by which the run was active; absent
    * before. */
   std::optional<WorkerTime> active_since;
+  /** @brief Reading of the worker's clock in the last reply that listed it. */
+  std::optional<WorkerTime> listed_at;
   /** @brief Its job was told that the worker survived its start. */
   bool has_survived_start = false;
 
@@ -215,6 +222,8 @@
   core::RunEndNumber acknowledging_end;
   /** @brief A poll is in flight. */
   bool is_poll_pending = false;
+  /** @brief The latest poll waits at the worker until a run ends. */
+  bool is_poll_waiting = false;
   /** @brief Sequence number of the latest poll. */
   std::uint64_t poll_sequence = 0;
   /** @brief All runs that it may have from earlier terms are known. */
--- a/src/crocusmast/scheduling/scheduler.cc
+++ b/src/crocusmast/scheduling/scheduler.cc
@@ -15,7 +15,9 @@
 using execution::Worker;
 
 Scheduler::Scheduler(const SchedulerPorts& ports)
-    : m_ports(ports), m_crashes([this](const core::JobId& id) {
+    : m_ports(ports),
+      m_run_monitor(ports.meter),
+      m_crashes([this](const core::JobId& id) {
         const ActiveJob* active = FindJob(id);
         return active == nullptr ? nullptr : &active->job;
       }) {}
@@ -180,8 +182,10 @@
   const auto age = std::clamp<core::Duration>(
       m_ports.clock.WallNow() - accepted.accepted_at, core::Duration::zero(),
       std::chrono::seconds(1));
-  const ActiveJob& active =
+  ActiveJob& active =
       Insert(job::Job::Create(accepted, nullptr, core::Attempt(0)), now - age);
+  m_run_monitor.HandleArrival(active.deadline <
+                              now + RemainingCriticalPath(active));
   m_demand.Add(active.pool, EstimateCoreSeconds(accepted), now);
 }
 
@@ -240,6 +244,7 @@
   m_next_sweep_at = now + kSweepInterval;
   ExpireWorkers(confirmed_at);
   FreezeLeasesOfSilentWorkers();
+  LogRunTimes();
   const core::WallTime wall = m_ports.clock.WallNow();
   for (const core::JobId& id : m_scheduled_jobs) {
     ActiveJob* active = FindJob(id);
@@ -335,6 +340,7 @@
                           worker->received_end == worker->recorded_end;
     const std::chrono::milliseconds wait =
         m_crashes.IsReserved(id) ? kStartProbation : kPollWait;
+    worker->is_poll_waiting = may_wait;
     command.max_wait = may_wait ? wait : std::chrono::milliseconds(0);
     // The lease of a worker that does not reply is not extended, so that its
     // runs are certain to end; neither is that of one that has not replied to
--- a/src/crocusmast/scheduling/scheduler_polls.cc
+++ b/src/crocusmast/scheduling/scheduler_polls.cc
@@ -105,6 +105,7 @@
     }
     worker.received_end = end.number;
     TrackFailures(worker, end.outcome);
+    MeasureRun(worker, end, reply);
     EndRun(worker, {end.task, end.attempt}, end.outcome, end.checkpoint);
     ends += (ends.empty() ? "" : " ") + Describe(end.task) + '#' +
             std::to_string(end.attempt.Count()) + '=' +
@@ -130,6 +131,41 @@
   }
 }
 
+void Scheduler::MeasureRun(Worker& worker,
+                           const execution::EndedRunReport& end,
+                           const execution::PollReply& reply) {
+  const AssignedRun* run = worker.Find({end.task, end.attempt});
+  if (run == nullptr || end.outcome != job::RunOutcome::kDone) {
+    return;
+  }
+  const std::optional<core::Duration> run_time =
+      EstimateRunTime(*run, reply.clock, worker.is_poll_waiting);
+  if (!run_time) {
+    return;
+  }
+  if (run->confirmed_at != core::TimePoint()) {
+    m_run_monitor.HandleEnd(*run, *run_time, m_ports.clock.Now());
+  }
+  const ActiveJob* active = FindJob(end.task.job);
+  if (active != nullptr && active->job.Find(end.task.key) != nullptr) {
+    m_run_time_estimator.Observe(active->job.Accepted().queue,
+                                 active->job.StepOf(end.task.key).estimate,
+                                 *run_time);
+  }
+}
+
+void Scheduler::LogRunTimes() {
+  std::vector<core::LogField> fields =
+      m_run_monitor.NextReport(m_ports.clock.Now());
+  if (fields.empty()) {
+    return;
+  }
+  fields.insert(fields.begin(), {"event", "run_time_ratios"});
+  fields.push_back({"ratios", m_run_time_estimator.Describe()});
+  Log(core::Severity::kInfo, "Run times of the last second.",
+      std::move(fields));
+}
+
 void Scheduler::TrackFailures(Worker& worker, job::RunOutcome outcome) {
   if (outcome == job::RunOutcome::kDone) {
     worker.failed_runs = 0;
@@ -161,10 +197,14 @@
     } else if (!run->is_confirmed) {
       run->is_confirmed = true;
       run->confirmed_at_poll = reply.sequence;
+      m_run_monitor.HandleConfirmation(*run, now);
     }
     if (run != nullptr && !run->active_since) {
       run->active_since = reply.clock;
     }
+    if (run != nullptr && reply.clock) {
+      run->listed_at = reply.clock;
+    }
     if (ActiveJob* active = FindJob(report.task.job); active != nullptr) {
       active->job.UpdateRun(report.task.key, report.attempt, report.percent,
                             report.checkpoint, now);
--- a/src/crocusmast/scheduling/scheduler_starts.cc
+++ b/src/crocusmast/scheduling/scheduler_starts.cc
@@ -17,6 +17,7 @@
   const core::TimePoint now = m_ports.clock.Now();
   const job::Step& step = active.job.StepOf(task.key);
   execution::AssignedRun assigned = MakeAssignedRun(step);
+  assigned.placed_at = now;
   // A successor must know that the job has started, in which pools, and on
   // which worker each long-running task may run.
   const core::PoolId& pool = worker.Record().pool;
@@ -124,6 +125,9 @@
     m_workers_to_retry.insert(worker.Record().id);
     return;
   }
+  if (run->IsUnsent()) {
+    m_run_monitor.HandleStart(*run, m_ports.clock.Now());
+  }
   run->is_command_pending = true;
   run->command_sent_at = m_ports.clock.Now();
   execution::StartCommand command;
