Start tasks of workers without a machine before their leases expire

Cause: a successor waits for the longest lease that a worker may hold (9,635 ms after a kill) unless the worker replies, and a leader waits for the lease of a worker that crashes in its own term. The platform's list of machines, which the balancer requests anyway, was not asked.

Change: MachineEvidence looks for the workers that may have runs in each list. A worker ends by it if a poll has failed or it is on no membership list, and if - its incarnation was known before the list was requested (MachineListReceived has the time of its request), since a worker may start again under its id; - the list is whole: the list of 350 machines has two pages, of which the second may lack a machine if one leaves in between, so a list of several pages counts only if it has all machines of an earlier one that it does not overlap; - no machine of its pool is listed as up without a worker; - the store has confirmed this leader after the list arrived, as for leases. The end is no proof of a crash and counts as one only once a later incarnation is seen, like an expired lease. The scheduler asks for a list 300 ms after the one at the start of a term and then once a second, in both cases only while a worker with runs is silent or one of the handover state is not reconciled.

--- a/src/crocusmast/execution/worker.cc
+++ b/src/crocusmast/execution/worker.cc
@@ -25,6 +25,7 @@
 
 void Worker::BeginIncarnation(WorkerRecord record, core::TimePoint now) {
   m_record = std::move(record);
+  m_joined_at = now;
   m_is_listed = true;
   m_clock = m_record.clock;
   m_clock_read_at = now;
--- a/src/crocusmast/execution/worker.h
+++ b/src/crocusmast/execution/worker.h
@@ -97,6 +97,8 @@
 
   /** @brief Returns the latest membership record. */
   const WorkerRecord& Record() const { return m_record; }
+  /** @brief Returns when its present incarnation became known. */
+  core::TimePoint JoinedAt() const { return m_joined_at; }
   /** @brief Tells whether the membership list contains the worker. */
   bool IsListed() const { return m_is_listed; }
 
@@ -236,6 +238,7 @@
   void BeginIncarnation(WorkerRecord record, core::TimePoint now);
 
   WorkerRecord m_record;
+  core::TimePoint m_joined_at;
   bool m_is_listed = true;
   /** @brief Latest reading of the worker's clock. */
   WorkerTime m_clock;
--- a/src/crocusmast/manager/job_manager.cc
+++ b/src/crocusmast/manager/job_manager.cc
@@ -122,6 +122,9 @@
     m_scheduler.SetFleetHandover(
         {m_upkeep.Progress(), m_balancer.PoolSizes(), std::nullopt});
   }
+  if (m_scheduler.NeedsMachineList(m_machine_port.ListRequestedAt())) {
+    m_machine_port.RequestMachineList();
+  }
 }
 
 template <typename Content>
@@ -157,6 +160,7 @@
 }
 
 void JobManager::On(upkeep::MachineListReceived&& list) {
+  m_scheduler.Handle(list);
   m_balancer.Handle(list);
   m_upkeep.Handle(std::move(list));
 }
--- a/src/crocusmast/scheduling/fwd.h
+++ b/src/crocusmast/scheduling/fwd.h
@@ -5,6 +5,7 @@
 
 class Committer;
 class InheritedWorkers;
+class MachineEvidence;
 class RunTimeEstimator;
 class Scheduler;
 
--- a/src/crocusmast/scheduling/inherited_workers.h
+++ b/src/crocusmast/scheduling/inherited_workers.h
@@ -16,7 +16,8 @@
  *
  * A worker leaves when it is reconciled: it replied to this leader, which
  * fences it against earlier ones and tells its runs; a later incarnation of it
- * has joined; or every lease that it may hold has expired.
+ * has joined; no machine has it any more; or every lease that it may hold has
+ * expired.
  */
 class InheritedWorkers {
  public:
--- /dev/null
+++ b/src/crocusmast/scheduling/machine_evidence.cc
@@ -0,0 +1,93 @@
+#include "crocusmast/scheduling/machine_evidence.h"
+
+#include <algorithm>
+
+namespace crocusmast::scheduling {
+
+using upkeep::Machine;
+using upkeep::MachineState;
+
+void MachineEvidence::Clear() {
+  m_absences.clear();
+  m_machines.clear();
+  m_received_at.reset();
+  m_has_second_list = false;
+}
+
+void MachineEvidence::Handle(const upkeep::MachineListReceived& list,
+                             const std::vector<KnownWorker>& workers,
+                             core::TimePoint now) {
+  if (!list.is_known || list.machines.empty()) {
+    return;
+  }
+  std::set<core::InstanceId> listed;
+  // The worker of such a machine may be any of its pool.
+  std::set<core::PoolId> uncertain_pools;
+  for (const Machine& machine : list.machines) {
+    if (!machine.worker.IsEmpty()) {
+      listed.insert(machine.worker);
+    } else if (machine.state == MachineState::kUp) {
+      uncertain_pools.insert(machine.pool);
+    }
+  }
+  const bool has_all_machines = HasAllMachines(list);
+  std::map<core::InstanceId, Absence> absences;
+  for (const KnownWorker& worker : workers) {
+    if (listed.count(worker.id) > 0) {
+      continue;
+    }
+    if (const auto earlier = m_absences.find(worker.id);
+        earlier != m_absences.end() &&
+        worker.known_since < earlier->second.requested_at) {
+      absences.insert(*earlier);
+    } else if (has_all_machines && worker.known_since < list.requested_at &&
+               uncertain_pools.count(worker.pool) == 0) {
+      absences[worker.id] = {list.requested_at, now};
+    }
+  }
+  m_absences = std::move(absences);
+  m_has_second_list = m_received_at.has_value();
+  m_received_at = now;
+  m_machines.clear();
+  for (const Machine& machine : list.machines) {
+    m_machines.insert(machine.id);
+  }
+}
+
+// If a machine leaves the platform between the requests for two pages, the
+// second page may start behind a machine that was on neither. The machine that
+// left is on the first page, but not in a list that is requested later.
+bool MachineEvidence::HasAllMachines(
+    const upkeep::MachineListReceived& list) const {
+  if (list.is_single_page) {
+    return true;
+  }
+  if (!m_received_at || list.requested_at < *m_received_at) {
+    return false;
+  }
+  std::set<core::MachineId> listed;
+  for (const Machine& machine : list.machines) {
+    listed.insert(machine.id);
+  }
+  return std::includes(listed.begin(), listed.end(), m_machines.begin(),
+                       m_machines.end());
+}
+
+bool MachineEvidence::HasEnded(const core::InstanceId& worker,
+                               core::TimePoint known_since,
+                               core::TimePoint confirmed_at) const {
+  const auto absence = m_absences.find(worker);
+  return absence != m_absences.end() &&
+         known_since < absence->second.requested_at &&
+         absence->second.received_at <= confirmed_at;
+}
+
+bool MachineEvidence::IsListDue(core::TimePoint last_request_at,
+                                core::TimePoint now) const {
+  const auto interval = m_received_at && !m_has_second_list
+                            ? kSecondMachineListDelay
+                            : kMachineListInterval;
+  return last_request_at + interval <= now;
+}
+
+}  // namespace crocusmast::scheduling
--- a/src/crocusmast/scheduling/scheduler.cc
+++ b/src/crocusmast/scheduling/scheduler.cc
@@ -110,6 +110,7 @@
   m_workers_by_pool.clear();
   m_workers.clear();
   m_inherited_workers = {};
+  m_machine_evidence.Clear();
   m_outdated_placements.clear();
   m_pools_to_place.clear();
   m_committer.Reset();
@@ -240,6 +241,7 @@
 void Scheduler::Sweep(core::TimePoint confirmed_at) {
   const core::TimePoint now = m_ports.clock.Now();
   m_next_sweep_at = now + kSweepInterval;
+  EndWorkersWithoutMachine(confirmed_at);
   ExpireWorkers(confirmed_at);
   FreezeLeasesOfSilentWorkers();
   const core::WallTime wall = m_ports.clock.WallNow();
--- a/src/crocusmast/scheduling/scheduler.h
+++ b/src/crocusmast/scheduling/scheduler.h
@@ -26,6 +26,7 @@
 #include "crocusmast/scheduling/committer.h"
 #include "crocusmast/scheduling/crash_attribution.h"
 #include "crocusmast/scheduling/inherited_workers.h"
+#include "crocusmast/scheduling/machine_evidence.h"
 #include "crocusmast/scheduling/messages.h"
 #include "crocusmast/scheduling/run_time_estimator.h"
 #include "crocusmast/scheduling/ticket_cache.h"
@@ -157,6 +158,13 @@
   void Handle(WorkerListReceived&& list);
   void Handle(WorkerUpdated&& update);
   void Handle(const WorkerRemoved& removal);
+  /** @brief Looks for workers whose machines are gone. */
+  void Handle(const upkeep::MachineListReceived& list);
+  /**
+   * @brief Tells whether a list of machines may show that a worker is gone.
+   * @param last_request_at When the last list was requested.
+   */
+  bool NeedsMachineList(core::TimePoint last_request_at) const;
 
   /** @brief Handles replies to commands, commits and ticket requests. */
   void HandleStartReply(const execution::WorkerCommandReply& reply);
@@ -242,7 +250,7 @@
   bool MayInterrupt(const ActiveJob& active, const job::TaskKey& key) const;
 
   /** @brief How the end of an incarnation became known. */
-  enum class IncarnationEnd { kReplaced, kLeaseExpired };
+  enum class IncarnationEnd { kReplaced, kLeaseExpired, kMachineGone };
 
   void EndIncarnation(execution::Worker& worker,
                       IncarnationEnd end,
@@ -275,6 +283,8 @@
                             const execution::RunKey& key,
                             const execution::WorkerCommandReply& reply);
 
+  core::TimePoint KnownSince(const execution::Worker& worker) const;
+  void EndWorkersWithoutMachine(core::TimePoint confirmed_at);
   void ExpireWorkers(core::TimePoint confirmed_at);
   void SendPolls();
   bool MayStartTasks() const;
@@ -350,6 +360,7 @@
   std::unordered_map<core::JobId, ActiveJob> m_jobs;
   std::map<core::InstanceId, std::unique_ptr<execution::Worker>> m_workers;
   InheritedWorkers m_inherited_workers;
+  MachineEvidence m_machine_evidence;
   /** @brief Jobs whose stored placements may be older than their runs, because
    * a leader that stores none has led since. */
   std::set<core::JobId> m_outdated_placements;
--- a/src/crocusmast/scheduling/scheduler_crashes.cc
+++ b/src/crocusmast/scheduling/scheduler_crashes.cc
@@ -27,6 +27,8 @@
   if (end == IncarnationEnd::kReplaced) {
     blame = m_crashes.FindBlame(worker, now);
   } else {
+    // Only a later incarnation proves a crash; the worker may be cut off, or
+    // its machine may have been stopped as planned.
     m_crashes.HandleLeaseExpiry(worker, now);
   }
   for (const RunKey& key : worker.Keys()) {
--- /dev/null
+++ b/src/crocusmast/scheduling/scheduler_machines.cc
@@ -0,0 +1,80 @@
+#include <algorithm>
+#include <vector>
+
+#include "crocusmast/scheduling/scheduler.h"
+
+// Workers that the platform's lists of machines show to be gone.
+
+namespace crocusmast::scheduling {
+namespace internal {
+
+constexpr char kNoMachine[] = "no machine has it any more";
+
+}  // namespace internal
+
+using execution::Worker;
+
+void Scheduler::Handle(const upkeep::MachineListReceived& list) {
+  if (!m_is_active) {
+    return;
+  }
+  std::vector<MachineEvidence::KnownWorker> workers;
+  for (const auto& [id, worker] : m_workers) {
+    if (!worker->is_reconciled || !worker->Runs().empty()) {
+      workers.push_back({id, worker->Record().pool, KnownSince(*worker)});
+    }
+  }
+  for (const auto& [id, inherited] : m_inherited_workers.All()) {
+    if (m_workers.count(id) == 0) {
+      workers.push_back({id, inherited.pool, m_term_began_at});
+    }
+  }
+  m_machine_evidence.Handle(list, workers, m_ports.clock.Now());
+}
+
+core::TimePoint Scheduler::KnownSince(const Worker& worker) const {
+  return m_inherited_workers.Find(worker.Record().id) != nullptr
+             ? m_term_began_at
+             : worker.JoinedAt();
+}
+
+bool Scheduler::NeedsMachineList(core::TimePoint last_request_at) const {
+  const core::TimePoint now = m_ports.clock.Now();
+  if (!m_is_active || now < m_term_began_at + kSecondMachineListDelay ||
+      !m_machine_evidence.IsListDue(last_request_at, now)) {
+    return false;
+  }
+  return !m_inherited_workers.All().empty() ||
+         std::any_of(m_workers.begin(), m_workers.end(), [](const auto& entry) {
+           return entry.second->failed_polls > 0 &&
+                  !entry.second->Runs().empty();
+         });
+}
+
+// Lists are evidence only up to confirmed_at: a later leader may have had a
+// reply of the worker, after which runs that this leader knows have ended.
+void Scheduler::EndWorkersWithoutMachine(core::TimePoint confirmed_at) {
+  for (const auto& [id, worker] : m_workers) {
+    const bool may_have_runs =
+        !worker->is_reconciled || !worker->Runs().empty();
+    // A reply may be on its way until a poll has failed.
+    if (may_have_runs && worker->failed_polls > 0 &&
+        m_machine_evidence.HasEnded(id, KnownSince(*worker), confirmed_at)) {
+      EndIncarnation(*worker, IncarnationEnd::kMachineGone,
+                     internal::kNoMachine);
+      worker->is_reconciled = true;
+    }
+  }
+  std::vector<core::InstanceId> gone;
+  for (const auto& [id, inherited] : m_inherited_workers.All()) {
+    if (m_workers.count(id) == 0 &&
+        m_machine_evidence.HasEnded(id, m_term_began_at, confirmed_at)) {
+      gone.push_back(id);
+    }
+  }
+  for (const core::InstanceId& id : gone) {
+    MarkReconciled(id, internal::kNoMachine);
+  }
+}
+
+}  // namespace crocusmast::scheduling
--- a/src/crocusmast/upkeep/cooldown_machine_port.h
+++ b/src/crocusmast/upkeep/cooldown_machine_port.h
@@ -64,7 +64,13 @@
    */
   std::vector<job::MachineCooldown> RemainingCooldowns() const;
 
-  void RequestMachineList() override { m_port.RequestMachineList(); }
+  /** @brief Returns when the list of machines was requested last. */
+  core::TimePoint ListRequestedAt() const { return m_list_requested_at; }
+
+  void RequestMachineList() override {
+    m_list_requested_at = m_clock.Now();
+    m_port.RequestMachineList();
+  }
   void Move(core::FencingToken token,
             const core::MachineId& machine,
             const core::PoolId& pool) override;
@@ -82,6 +88,7 @@
   const core::Clock& m_clock;
   const std::chrono::milliseconds m_cooldown;
   bool m_is_enabled = false;
+  core::TimePoint m_list_requested_at;
   /** @brief Time before which no machine may be commanded. */
   core::TimePoint m_all_allowed_from;
   /**
--- a/src/crocusmast/upkeep/machine_port.h
+++ b/src/crocusmast/upkeep/machine_port.h
@@ -6,6 +6,7 @@
 #include <string_view>
 #include <vector>
 
+#include "crocusmast/core/clock.h"
 #include "crocusmast/core/ids.h"
 #include "crocusmast/core/units.h"
 
@@ -87,6 +88,10 @@
   bool is_known = false;
   /** @brief All machines of the platform; empty if the call failed. */
   std::vector<Machine> machines;
+  /** @brief When the request was sent; the list is not older. */
+  core::TimePoint requested_at;
+  /** @brief The list came in one reply, so it shows one moment. */
+  bool is_single_page = false;
 };
 /** @brief Reply to a machine command. */
 struct MachineCommandReply {
--- a/test/platform/refused_call_test.cc
+++ b/test/platform/refused_call_test.cc
@@ -76,8 +76,8 @@
         platform::TicketClient::Create(*m_io, {}, m_mailbox, m_logger);
     tickets->RequestTickets({}, {});
     CPPUNIT_ASSERT(m_mailbox.TakeLoss());
-    const auto machines = platform::MachineClient::Create(*m_kv, {}, "instance",
-                                                          m_mailbox, m_logger);
+    const auto machines = platform::MachineClient::Create(
+        *m_kv, {}, "instance", m_mailbox, m_clock, m_logger);
     machines->RequestMachineList();
     CPPUNIT_ASSERT(m_mailbox.TakeLoss());
   }
--- a/test/platform/test_instance.h
+++ b/test/platform/test_instance.h
@@ -50,6 +50,7 @@
                                                    std::nullopt,
                                                    name,
                                                    m_thread.Ring(),
+                                                   m_clock,
                                                    logger)),
         m_tickets(platform::TicketClient::Create(*m_io,
                                                  std::nullopt,
