Place long-running tasks before finite ones of any priority

Its tasks must run however full the pool is, so long-running jobs now come before finite ones whatever their priority.

JobOrderTest::LongRunningJobsNeverExpire checks the first.

--- a/src/crocusmast/scheduling/job_order.h
+++ b/src/crocusmast/scheduling/job_order.h
@@ -29,6 +29,10 @@
  */
 inline constexpr std::uint64_t kExpiredSharePercent = 55;
 
+/** @brief Interval at which expired jobs are looked at again, since estimates
+ * of run times change. */
+inline constexpr std::chrono::seconds kExpiredReviewInterval{1};
+
 /** @brief What decides when the tasks of a waiting job are placed. */
 struct JobUrgency {
   /** @brief Priority of its queue; 0 is the highest. */
@@ -49,11 +53,13 @@
 /**
  * @brief Place of a job in the order in which tasks are placed.
  *
- * Jobs that can end in time come by deadline. Of the others the latest come
- * first: in a long backlog they are those that most likely end before they
- * expire. Started jobs come before those that have not started, so that wide
- * jobs, which need many tasks at once, end as often as narrow ones. Expired
- * jobs come last whatever their priority.
+ * Long-running jobs come first, whatever their priority, as their tasks must
+ * run however full the pool is. Of the finite ones, those that can end in time
+ * come by deadline. Of the others the most recently accepted come first: in a
+ * long backlog they are those that most likely end before they expire. Started
+ * jobs come before those that have not started, so that wide jobs, which need
+ * many tasks at once, end as often as narrow ones. Expired jobs come last
+ * whatever their priority.
  */
 struct JobRank {
   std::uint32_t priority = 0;
@@ -104,14 +110,11 @@
   }
 
  private:
-  std::tuple<bool, std::uint32_t, bool, Timeliness, bool, core::Duration> Key()
+  std::tuple<bool, bool, std::uint32_t, Timeliness, bool, core::Duration> Key()
       const {
-    return {timeliness == Timeliness::kExpired,
-            priority,
-            is_finite,
-            timeliness,
-            !is_started,
-            order};
+    return {is_finite,   timeliness == Timeliness::kExpired,
+            priority,    timeliness,
+            !is_started, order};
   }
 };
 
--- a/src/crocusmast/scheduling/scheduler.h
+++ b/src/crocusmast/scheduling/scheduler.h
@@ -298,7 +298,8 @@
                                   const job::TaskId& task,
                                   const job::Step& step,
                                   PlacementRound& round);
-  void ReserveWorker(const job::TaskId& task,
+  void ReserveWorker(const ActiveJob& active,
+                     const job::TaskId& task,
                      const job::Step& step,
                      PlacementRound& round);
   bool IsUsable(const execution::Worker& worker, core::TimePoint now) const;
--- a/src/crocusmast/scheduling/scheduler_placement.cc
+++ b/src/crocusmast/scheduling/scheduler_placement.cc
@@ -153,7 +153,7 @@
     const auto& [key, step] = ready[next];
     if (step == blocked_step) {
       if (step->is_long_running) {
-        ReserveWorker({active.job.Id(), key}, *step, round);
+        ReserveWorker(active, {active.job.Id(), key}, *step, round);
       }
       continue;
     }
@@ -173,7 +173,7 @@
       blocked_step = step;
       RequestTickets(active, task, *step);
       if (step->is_long_running) {
-        ReserveWorker(task, *step, round);
+        ReserveWorker(active, task, *step, round);
       }
       continue;
     }
--- a/src/crocusmast/scheduling/scheduler_selection.cc
+++ b/src/crocusmast/scheduling/scheduler_selection.cc
@@ -159,9 +159,14 @@
   return best;
 }
 
-void Scheduler::ReserveWorker(const job::TaskId& task,
+void Scheduler::ReserveWorker(const ActiveJob& active,
+                              const job::TaskId& task,
                               const job::Step& step,
                               PlacementRound& round) {
+  if (m_crashes.IsSuspect(task) && m_crashes.MustWait(task)) {
+    return;
+  }
+  const core::TimePoint now = m_ports.clock.Now();
   const std::size_t reserved = round.reserved.size();
   if (reserved > 0 &&
       round.usable.size() < (reserved + 1) * internal::kWorkersPerReservation) {
@@ -173,7 +178,11 @@
   for (const Worker* worker : round.usable) {
     const execution::WorkerRecord& record = worker->Record();
     const bool may_run =
-        round.reserved.count(worker) == 0 && !m_crashes.IsReserved(record.id) &&
+        round.reserved.count(worker) == 0 &&
+        (!active.needs_tickets ||
+         m_tickets.Find(StepId::Of(task), record.id, record.incarnation, now) !=
+             nullptr) &&
+        !m_crashes.IsReserved(record.id) &&
         (step.required_label.empty() || record.HasLabel(step.required_label)) &&
         (step.max_per_worker == 0 ||
          worker->CountTasksOfStep(task) < step.max_per_worker) &&
--- a/test/scheduling/job_order_test.cc
+++ b/test/scheduling/job_order_test.cc
@@ -129,6 +129,11 @@
         IsFirst(urgency, MakeUrgency(milliseconds(900), milliseconds(2000))));
     CPPUNIT_ASSERT(JobRank::Of(urgency, kNow).valid_until ==
                    core::TimePoint::max());
+    // A task that must run however full the pool is does not wait for finite
+    // jobs of a higher priority.
+    urgency.priority = 1;
+    CPPUNIT_ASSERT(
+        IsFirst(urgency, MakeUrgency(milliseconds(0), milliseconds(2000))));
   }
 
   // Issue 24: in a burst the largest jobs were served far less often than all.
