Rank occurrences by their due time, and look at expired jobs again

An occurrence of a scheduled job was ranked by the acceptance of its job, so each after the first few counted as expired; now by the due time of the oldest open one. The share that expired jobs may use is taken of all workers of the pool, as the job interface counts it, instead of those that accept tasks.

--- a/src/crocusmast/scheduling/job_order.h
+++ b/src/crocusmast/scheduling/job_order.h
@@ -1,6 +1,7 @@
 #ifndef CROCUSMAST_SCHEDULING_JOB_ORDER_H_
 #define CROCUSMAST_SCHEDULING_JOB_ORDER_H_
 
+#include <chrono>
 #include <cstdint>
 #include <tuple>
 
@@ -42,9 +43,9 @@
   /** @brief Some of its tasks have been started, so that work is lost to its
    * caller if the others are late. */
   bool is_started = false;
-  /** @brief When it was accepted. */
+  /** @brief When it was accepted, or its oldest open occurrence became due. */
   core::TimePoint accepted_at;
-  /** @brief Time after its acceptance in which it should end. */
+  /** @brief Time after that in which it should end. */
   core::Duration objective{};
   /** @brief Estimated length of its remaining critical path. */
   core::Duration remaining{};
@@ -97,6 +98,7 @@
     }
     rank.order = -urgency.accepted_at.time_since_epoch();
     rank.timeliness = Timeliness::kExpired;
+    rank.valid_until = now + kExpiredReviewInterval;
     if (now <= last_useful_start) {
       rank.timeliness = Timeliness::kLate;
       rank.valid_until = last_useful_start;
--- a/src/crocusmast/scheduling/placement_round.h
+++ b/src/crocusmast/scheduling/placement_round.h
@@ -24,7 +24,7 @@
   std::unordered_set<const execution::Worker*> reserved;
   /** @brief The most that a worker had free at the beginning, by component. */
   job::Resources max_free;
-  /** @brief Processor capacity of the usable workers. */
+  /** @brief Processor capacity of all workers of the pool. */
   core::MilliCores capacity;
   /** @brief What runs have of it. */
   core::MilliCores in_use;
--- a/src/crocusmast/scheduling/scheduler.h
+++ b/src/crocusmast/scheduling/scheduler.h
@@ -320,6 +320,7 @@
                      capacity::PoolLoad& load) const;
   static execution::AssignedRun MakeAssignedRun(const job::Step& step);
   core::Duration RemainingCriticalPath(const ActiveJob& active) const;
+  core::TimePoint OldestDueTime(const ActiveJob& active) const;
   JobRank RankOf(const ActiveJob& active) const;
 
   execution::CommandDestination DestinationOf(
--- a/src/crocusmast/scheduling/scheduler_placement.cc
+++ b/src/crocusmast/scheduling/scheduler_placement.cc
@@ -24,12 +24,25 @@
                                       job::CriticalPath(spec, is_pending));
 }
 
+core::TimePoint Scheduler::OldestDueTime(const ActiveJob& active) const {
+  const job::Schedule& schedule = active.job.Accepted().spec.schedule;
+  const auto& open = active.job.OpenOccurrences();
+  if (schedule.occurrence_count == 0 || open.empty()) {
+    return active.accepted_at;
+  }
+  const core::WallTime due =
+      schedule.first + open.begin()->first * schedule.interval;
+  return m_ports.clock.Now() -
+         std::max<core::Duration>(m_ports.clock.WallNow() - due,
+                                  core::Duration::zero());
+}
+
 JobRank Scheduler::RankOf(const ActiveJob& active) const {
   JobUrgency urgency;
   urgency.priority = active.priority;
   urgency.is_long_running = active.job.Accepted().spec.HasLongRunningSteps();
   urgency.is_started = active.job.State() == job::JobState::kRunning;
-  urgency.accepted_at = active.accepted_at;
+  urgency.accepted_at = std::max(active.accepted_at, OldestDueTime(active));
   urgency.objective = active.deadline - active.accepted_at;
   urgency.remaining = RemainingCriticalPath(active);
   return JobRank::Of(urgency, m_ports.clock.Now());
@@ -54,13 +67,13 @@
   const core::TimePoint now = m_ports.clock.Now();
   PlacementRound round;
   for (Worker* worker : m_workers_by_pool[pool]) {
+    const job::Resources free = worker->FreeResources();
+    const core::MilliCores capacity = worker->Record().capacity.processor;
+    round.capacity = round.capacity + capacity;
+    round.in_use = round.in_use + (capacity - free.processor);
     if (IsUsable(*worker, now)) {
       round.usable.push_back(worker);
-      const job::Resources free = worker->FreeResources();
       round.max_free = ComponentMax(round.max_free, free);
-      const core::MilliCores capacity = worker->Record().capacity.processor;
-      round.capacity = round.capacity + capacity;
-      round.in_use = round.in_use + (capacity - free.processor);
     }
   }
   return round;
@@ -178,7 +191,7 @@
       continue;
     }
     StartTask(active, *worker, task, active.job.NextAttempt(key));
-    round.in_use = round.in_use + step->resources.processor;
+    round.in_use = round.in_use + MakeAssignedRun(*step).resources.processor;
   }
   UpdateMinResources(active);
   active.may_have_ready_tasks = active.min_resources || is_waiting;
@@ -228,7 +241,7 @@
   }
   for (const auto& [worker, key] : reserved) {
     StartTask(active, *worker, key.task, attempt);
-    round.in_use = round.in_use + step.resources.processor;
+    round.in_use = round.in_use + MakeAssignedRun(step).resources.processor;
   }
   return true;
 }
--- a/test/scheduling/expired_job_test.cc
+++ b/test/scheduling/expired_job_test.cc
@@ -31,6 +31,7 @@
   CPPUNIT_TEST(ExpiredJobsLeaveCapacityToOthers);
   CPPUNIT_TEST(ExpiredJobsRunInAnIdlePool);
   CPPUNIT_TEST(ExpiredJobsNeedNoMachines);
+  CPPUNIT_TEST(OccurrenceIsInTimeWhenItIsDue);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -76,6 +77,23 @@
                          loads[0].waiting_expired);
   }
 
+  // Issue 24: an occurrence counted as expired because its job had been
+  // accepted long before it was due.
+  void OccurrenceIsInTimeWhenItIsDue() {
+    job::AcceptedJob job = MakeJob(JobId(kExpiredJobs), {MakeStep(1)});
+    job.accepted_at = m_fixture.clock.WallNow();
+    job.spec.schedule.occurrence_count = 2;
+    job.spec.schedule.first = m_fixture.clock.WallNow() + kLongAgo;
+    job.spec.schedule.interval = kLongAgo;
+    m_fixture.scheduler.AddJob(job);
+    m_fixture.clock.Advance(kLongAgo);
+    m_fixture.RunCycles();
+    const std::vector<capacity::PoolLoad> loads =
+        m_fixture.scheduler.PoolLoads();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, loads[0].waiting_in_time);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{kExpiredJobs}, loads[0].waiting_expired);
+  }
+
  private:
   void ListWorkers() {
     std::vector<execution::WorkerRecord> workers;
