Count the crash of a worker that no machine has against its tasks

A worker that no machine has any more has ended; unless it was leaving, it is treated like one that a later incarnation replaces.

DeadWorkerTest::CrashOfAWorkerWithoutMachineCountsAgainstItsTask covers it.

--- a/src/crocusmast/scheduling/scheduler_crashes.cc
+++ b/src/crocusmast/scheduling/scheduler_crashes.cc
@@ -24,12 +24,11 @@
          {"runs", std::to_string(worker.Runs().size())}});
   }
   Blame blame;
-  if (end == IncarnationEnd::kReplaced) {
-    blame = m_crashes.FindBlame(worker, now);
-  } else {
-    // Only a later incarnation proves a crash; the worker may be cut off, or
-    // its machine may have been stopped as planned.
+  if (end == IncarnationEnd::kLeaseExpired) {
+    // The worker may be cut off rather than crashed.
     m_crashes.HandleLeaseExpiry(worker, now);
+  } else {
+    blame = m_crashes.FindBlame(worker, now);
   }
   for (const RunKey& key : worker.Keys()) {
     const bool is_blamed = std::any_of(
--- a/test/scheduling/dead_worker_test.cc
+++ b/test/scheduling/dead_worker_test.cc
@@ -51,6 +51,7 @@
   CPPUNIT_TEST(FiniteTasksStartOnceAllOtherWorkersHaveReplied);
   CPPUNIT_TEST(TasksOfAWorkerThatFallsSilentStartOnceItsMachineIsDown);
   CPPUNIT_TEST(NewWorkerOnTheMachineShowsThatTheEarlierOneHasEnded);
+  CPPUNIT_TEST(CrashOfAWorkerWithoutMachineCountsAgainstItsTask);
   CPPUNIT_TEST(WorkerThatIsCutOffKeepsItsRuns);
   CPPUNIT_TEST(WorkerThatRepliesKeepsItsRuns);
   CPPUNIT_TEST(ListRequestedBeforeTheWorkerJoinedIsIgnored);
@@ -110,6 +111,18 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, Starts());
   }
 
+  // Issue 24: tasks that crash their workers were started on many more, because
+  // the end of a worker that no machine has did not count as a crash.
+  void CrashOfAWorkerWithoutMachineCountsAgainstItsTask() {
+    StartOnFirstWorker();
+    FailPollsOfFirstWorker();
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0},
+                         m_fixture.meter.Count(core::Counter::kWorkersCrashed));
+    ReceiveList(MachinesWithoutFirstWorker());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1},
+                         m_fixture.meter.Count(core::Counter::kWorkersCrashed));
+  }
+
   // Guards against a second run of a task: a worker that no leader can reach
   // goes on until its lease expires, and is listed.
   void WorkerThatIsCutOffKeepsItsRuns() {
