Measure the share of expired jobs without long-running tasks

The share is now taken of the processor time that long-running tasks leave, which a worker keeps up to date as runs are added and removed.

--- a/src/crocusmast/execution/worker.cc
+++ b/src/crocusmast/execution/worker.cc
@@ -34,6 +34,7 @@
   m_lease_expires_at = core::TimePoint();
   m_runs.clear();
   m_used = {};
+  m_used_by_long_running = {};
   m_whole_worker_runs = 0;
   recorded_end = {};
   received_end = {};
@@ -108,16 +109,8 @@
 }
 
 job::Resources Worker::FreeWithoutFiniteRuns() const {
-  if (m_whole_worker_runs > 0) {
-    return {};
-  }
-  job::Resources used;
-  for (const auto& [key, run] : m_runs) {
-    if (run.is_long_running) {
-      used = used + run.resources;
-    }
-  }
-  return m_record.capacity - used;
+  return m_whole_worker_runs > 0 ? job::Resources()
+                                 : m_record.capacity - m_used_by_long_running;
 }
 
 bool Worker::IsOverCapacity() const {
@@ -128,6 +121,9 @@
 void Worker::Add(const RunKey& key, const AssignedRun& run) {
   if (m_runs.emplace(key, run).second) {
     m_used = m_used + run.resources;
+    if (run.is_long_running) {
+      m_used_by_long_running = m_used_by_long_running + run.resources;
+    }
     m_whole_worker_runs += run.reserves_whole_worker ? 1 : 0;
   }
 }
@@ -143,6 +139,9 @@
     return false;
   }
   m_used = m_used - found->second.resources;
+  if (found->second.is_long_running) {
+    m_used_by_long_running = m_used_by_long_running - found->second.resources;
+  }
   m_whole_worker_runs -= found->second.reserves_whole_worker ? 1 : 0;
   m_runs.erase(found);
   return true;
--- a/src/crocusmast/execution/worker.h
+++ b/src/crocusmast/execution/worker.h
@@ -270,6 +270,8 @@
   /** @brief Resources that the assigned runs reserve, without those that
    * reserve the whole worker. */
   job::Resources m_used;
+  /** @brief The part of them that long-running runs reserve. */
+  job::Resources m_used_by_long_running;
   /** @brief Number of assigned runs that reserve the whole worker. */
   std::size_t m_whole_worker_runs = 0;
 };
--- a/src/crocusmast/scheduling/job_order.h
+++ b/src/crocusmast/scheduling/job_order.h
@@ -23,10 +23,10 @@
  * nothing; specified by the job interface. */
 inline constexpr int kExpiryFactor = 3;
 
-/** @brief Share of a pool's processor capacity up to which the tasks of expired
- * jobs are started, in per cent: above the half below which the job interface
- * wants waiting jobs started, and below the load at which a pool lends
- * machines.
+/** @brief Share of the processor capacity that long-running tasks leave up to
+ * which the tasks of expired jobs are started, in per cent: above the half
+ * below which the job interface wants waiting jobs started, and below the load
+ * at which a pool lends machines.
  */
 inline constexpr std::uint64_t kExpiredSharePercent = 55;
 
--- a/src/crocusmast/scheduling/placement_round.h
+++ b/src/crocusmast/scheduling/placement_round.h
@@ -24,18 +24,27 @@
   std::unordered_set<const execution::Worker*> reserved;
   /** @brief The most that a worker had free at the beginning, by component. */
   job::Resources max_free;
-  /** @brief Processor capacity of all workers of the pool. */
-  core::MilliCores capacity;
-  /** @brief What runs have of it. */
-  core::MilliCores in_use;
-  /** @brief The job whose tasks are placed has expired. */
-  bool is_expired = false;
+  /** @brief Processor capacity of all workers of the pool that long-running
+   * runs leave to finite ones. */
+  core::MilliCores finite_capacity;
+  /** @brief What finite runs have of it. */
+  core::MilliCores finite_in_use;
+  /** @brief The job that is being placed has expired. */
+  bool is_placing_expired = false;
   /** @brief Resources that no worker has free for a finite task. */
   std::vector<job::Resources> unavailable;
 
+  /** @brief Accounts for a run that was placed. */
+  void AddStarted(const execution::AssignedRun& run) {
+    if (!run.is_long_running) {
+      finite_in_use = finite_in_use + run.resources.processor;
+    }
+  }
+
   /** @brief Tells whether a task of an expired job may be started. */
   bool MayStartExpired() const {
-    return in_use.Count() * 100 < capacity.Count() * kExpiredSharePercent;
+    return finite_in_use.Count() * 100 <
+           finite_capacity.Count() * kExpiredSharePercent;
   }
 
   /** @brief Tells whether a task of a job may find a worker. */
--- a/src/crocusmast/scheduling/scheduler_placement.cc
+++ b/src/crocusmast/scheduling/scheduler_placement.cc
@@ -68,9 +68,9 @@
   PlacementRound round;
   for (Worker* worker : m_workers_by_pool[pool]) {
     const job::Resources free = worker->FreeResources();
-    const core::MilliCores capacity = worker->Record().capacity.processor;
-    round.capacity = round.capacity + capacity;
-    round.in_use = round.in_use + (capacity - free.processor);
+    const core::MilliCores capacity = worker->FreeWithoutFiniteRuns().processor;
+    round.finite_capacity = round.finite_capacity + capacity;
+    round.finite_in_use = round.finite_in_use + (capacity - free.processor);
     if (IsUsable(*worker, now)) {
       round.usable.push_back(worker);
       round.max_free = ComponentMax(round.max_free, free);
@@ -107,7 +107,7 @@
     if (!MayStartFiniteTasks(active) && entry.rank.is_finite) {
       continue;
     }
-    round.is_expired = entry.rank.timeliness == Timeliness::kExpired;
+    round.is_placing_expired = entry.rank.timeliness == Timeliness::kExpired;
     PlaceJob(active, round);
     if (!active.may_have_ready_tasks || job::IsFinal(active.job.State())) {
       waiting.Remove(active);
@@ -191,7 +191,7 @@
       continue;
     }
     StartTask(active, *worker, task, active.job.NextAttempt(key));
-    round.in_use = round.in_use + MakeAssignedRun(*step).resources.processor;
+    round.AddStarted(MakeAssignedRun(*step));
   }
   UpdateMinResources(active);
   active.may_have_ready_tasks = active.min_resources || is_waiting;
@@ -241,7 +241,7 @@
   }
   for (const auto& [worker, key] : reserved) {
     StartTask(active, *worker, key.task, attempt);
-    round.in_use = round.in_use + MakeAssignedRun(step).resources.processor;
+    round.AddStarted(MakeAssignedRun(step));
   }
   return true;
 }
