Drop a move that the linter rejects, and state when a slow store opens the circuit

No logic changes. The comment of StoreCircuit said that a slow store never opens it; replies that take longer than the time limit of a call do (review).

--- a/src/crocusmast/intake/store_circuit.h
+++ b/src/crocusmast/intake/store_circuit.h
@@ -12,7 +12,8 @@
  *
  * Opens after consecutive calls without a reply. While it is open, only one
  * probe at a time is sent; any reply of the store closes it. A slow store
- * replies, so it opens nothing.
+ * replies, so it opens nothing unless its replies exceed the time limit of a
+ * call.
  */
 class StoreCircuit {
  public:
--- a/src/crocusmast/scheduling/waiting_jobs.cc
+++ b/src/crocusmast/scheduling/waiting_jobs.cc
@@ -16,10 +16,10 @@
 void WaitingJobs::Set(ActiveJob& job, const JobRank& rank) {
   Remove(job);
   job.waiting_rank = rank;
-  Entry entry{rank, &job, job.min_resources};
+  const Entry entry{rank, &job, job.min_resources};
   const auto next = std::upper_bound(m_entries.begin(), m_entries.end(), entry,
                                      internal::IsBefore);
-  m_entries.insert(next, std::move(entry));
+  m_entries.insert(next, entry);
   m_valid_until = std::min(m_valid_until, rank.valid_until);
 }
 
