--- a/test/adapters/reset_connection_test.cc
+++ b/test/adapters/reset_connection_test.cc
@@ -67,18 +67,20 @@
   }
 
   CallResult CallOnce(const test::ScriptedTcpServer& server) {
-    core::BoundedRing<CallResult> results(1);
+    // The handler shares the ring, as it may still be in TryPush() when the
+    // result has been taken.
+    const auto results = std::make_shared<core::BoundedRing<CallResult>>(1);
     HttpCall call;
     call.address = {"127.0.0.1", server.Port()};
     call.method = "POST";
     call.path = "/call";
     call.timeout = std::chrono::milliseconds(900);
-    m_io->Post([&] {
-      m_client->Call(call, [&results](HttpReply&& reply) {
-        results.TryPush(CallResult(reply.result));
+    m_io->Post([this, call, results] {
+      m_client->Call(call, [results](HttpReply&& reply) {
+        results->TryPush(CallResult(reply.result));
       });
     });
-    const std::optional<CallResult> result = results.PopFor(kMaxTestTime);
+    const std::optional<CallResult> result = results->PopFor(kMaxTestTime);
     CPPUNIT_ASSERT(result);
     return *result;
   }
