Keep a run when the repeat of its start can't be sent

A repeat that was not sent says nothing of the command before: the run is kept, the start is repeated after 250 ms, and a poll or the end of the lease decides.

GivenUpStartTest has the two tests; both fail without the change (a stop is sent; no third start).

--- a/src/crocusmast/execution/worker.h
+++ b/src/crocusmast/execution/worker.h
@@ -37,6 +37,8 @@
   bool is_confirmed = false;
   /** @brief A start command got no reply and may still be executed. */
   bool has_unanswered_start = false;
+  /** @brief The last repeat of that command could not be sent. */
+  bool is_repeat_unsent = false;
   /** @brief The start command has not been sent, because a commit that a
    * successor needs to know of the run is not stored yet. */
   bool is_waiting_for_commit = false;
--- a/src/crocusmast/scheduling/scheduler.h
+++ b/src/crocusmast/scheduling/scheduler.h
@@ -64,8 +64,9 @@
 inline constexpr std::uint32_t kFailedRunsForBackoff{3};
 /** @brief How long such a worker gets no tasks, per consecutive failed run. */
 inline constexpr std::chrono::milliseconds kFailedRunBackoff{1500};
-/** @brief Delay before a stop command without a reply is sent again. */
-inline constexpr std::chrono::milliseconds kStopRetryDelay{250};
+/** @brief Delay before a stop command without a reply, or a start command that
+ * could not be sent again, is repeated. */
+inline constexpr std::chrono::milliseconds kCommandRetryDelay{250};
 /** @brief Age of the known store state from which on no task is started. A
  * cancellation takes effect within 3 s of its acknowledgement; the rest is for
  * the start command to reach the worker. */
--- a/src/crocusmast/scheduling/scheduler_runs.cc
+++ b/src/crocusmast/scheduling/scheduler_runs.cc
@@ -208,8 +208,19 @@
       break;
     case WorkerCallOutcome::kUnknown:
       run->has_unanswered_start = true;
+      run->is_repeat_unsent = false;
       m_workers_to_retry.insert(reply.worker);
       break;
+    case WorkerCallOutcome::kNotSent:
+      if (run->has_unanswered_start) {
+        // The worker can't be reached now. It may be running what it was told
+        // to start before: a poll tells, or its lease expires.
+        run->is_repeat_unsent = true;
+        m_workers_to_retry.insert(reply.worker);
+        break;
+      }
+      HandleStartRejection(*worker, key, reply);
+      break;
     default:
       HandleStartRejection(*worker, key, reply);
       break;
@@ -314,10 +325,12 @@
     if (!needs_retry || run->is_command_pending) {
       continue;
     }
+    if ((run->is_stopping || run->is_repeat_unsent) &&
+        now < run->command_sent_at + kCommandRetryDelay) {
+      continue;
+    }
     if (run->is_stopping) {
-      if (run->command_sent_at + kStopRetryDelay <= now) {
-        SendStop(worker, key);
-      }
+      SendStop(worker, key);
       continue;
     }
     const ActiveJob* active = FindJob(key.task.job);
--- a/test/scheduling/given_up_start_test.cc
+++ b/test/scheduling/given_up_start_test.cc
@@ -31,9 +31,44 @@
   CPPUNIT_TEST(UnansweredStartIsStoppedOnShrunkWorker);
   CPPUNIT_TEST(UnansweredStartIsStoppedWhenItsRepeatWasDeferred);
   CPPUNIT_TEST(UnansweredStartIsRepeatedOnWorkerWithRoom);
+  CPPUNIT_TEST(RunIsKeptWhenTheRepeatOfItsStartIsNotSent);
+  CPPUNIT_TEST(RepeatThatIsNotSentIsDelayed);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  // Issue 27, AVAIL: workers that could not be reached after a cut of their
+  // zone ran what they had been told to start. The repeat of the start could
+  // not be sent, which says nothing of the first one, and the runs were
+  // stopped.
+  void RunIsKeptWhenTheRepeatOfItsStartIsNotSent() {
+    Fixture fixture;
+    const execution::StartCommand start =
+        BeginWithUnansweredLongRunningStart(fixture);
+    fixture.RunCycles();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fixture.worker_port.starts.size());
+    fixture.ReplyToStart(start, WorkerCallOutcome::kNotSent);
+    fixture.ReplyToPoll({Fixture::ActiveRun(start)}, {});
+    fixture.clock.Advance(scheduling::kCommandRetryDelay);
+    fixture.RunCycles();
+    CPPUNIT_ASSERT(fixture.worker_port.stops.empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fixture.worker_port.starts.size());
+  }
+
+  void RepeatThatIsNotSentIsDelayed() {
+    Fixture fixture;
+    const execution::StartCommand start =
+        BeginWithUnansweredLongRunningStart(fixture);
+    fixture.RunCycles();
+    fixture.ReplyToStart(start, WorkerCallOutcome::kNotSent);
+    fixture.RunCycles();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fixture.worker_port.starts.size());
+    fixture.clock.Advance(scheduling::kCommandRetryDelay);
+    fixture.RunCycles();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, fixture.worker_port.starts.size());
+    CPPUNIT_ASSERT(fixture.worker_port.starts[2].attempt == start.attempt);
+    CPPUNIT_ASSERT(fixture.worker_port.stops.empty());
+  }
+
   // The other members of a gang must not wait for one whose start a worker
   // rejected, until they end as incomplete.
   void RejectedGangMemberStopsOtherMembers() {
@@ -209,6 +244,20 @@
   }
 
  private:
+  /** @brief Begins with one long-running task whose start got no reply. */
+  static execution::StartCommand BeginWithUnansweredLongRunningStart(
+      Fixture& fixture) {
+    Begin(fixture);
+    job::Step step = MakeStep(1, 500);
+    step.is_long_running = true;
+    step.max_unavailable = 0;
+    fixture.scheduler.AddJob(MakeJob(kJob, {step}));
+    fixture.RunCycles();
+    const execution::StartCommand start = fixture.worker_port.starts.at(0);
+    fixture.ReplyToStart(start, WorkerCallOutcome::kUnknown);
+    return start;
+  }
+
   static void Begin(Fixture& fixture) {
     fixture.BeginTerm();
     fixture.SetWorkers({MakeWorker("w-1")});
