Format JSON log lines without a JSON tree

The log thread of a leader shares its processor share with the decisions and wrote each record through a tree of nlohmann::json, with the date formatted anew. Lines are now built as text; strings with other than plain ASCII still go through the library, which escapes them and replaces what is no UTF-8. The fields keep their names; their order on a line is now that of the record. The gain was not measured by itself.

--- a/src/crocusmast/adapters/boost_logger.cc
+++ b/src/crocusmast/adapters/boost_logger.cc
@@ -7,13 +7,10 @@
 #include <boost/log/sources/logger.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <chrono>
-#include <cstdio>
-#include <ctime>
 #include <iostream>
-#include <nlohmann/json.hpp>
-#include <string>
 #include <utility>
 
+#include "crocusmast/adapters/log_format.h"
 #include "crocusmast/core/message_thread.h"
 
 namespace crocusmast::adapters {
@@ -31,43 +28,6 @@
   core::WallTime at;
 };
 
-std::string FormatTimestamp(core::WallTime now) {
-  const std::time_t seconds = std::chrono::system_clock::to_time_t(now);
-  const auto milliseconds =
-      std::chrono::duration_cast<std::chrono::milliseconds>(
-          now.time_since_epoch())
-          .count() %
-      1000;
-  std::tm utc{};
-  gmtime_r(&seconds, &utc);
-  char date[sizeof "2000-01-01T00:00:00"];
-  std::strftime(date, sizeof date, "%Y-%m-%dT%H:%M:%S", &utc);
-  char text[sizeof date + sizeof ".000Z"];
-  std::snprintf(text, sizeof text, "%s.%03dZ", date,
-                static_cast<int>(milliseconds));
-  return text;
-}
-
-std::string FormatText(const TimedRecord& timed) {
-  const core::LogRecord& record = timed.record;
-  return FormatTimestamp(timed.at) + " " +
-         std::string(core::SeverityName(record.severity)) + " [" +
-         std::string(core::ComponentPrefix(record.component)) + "] " +
-         record.message;
-}
-
-std::string FormatJson(const TimedRecord& timed) {
-  const core::LogRecord& record = timed.record;
-  nlohmann::json json{{"time", FormatTimestamp(timed.at)},
-                      {"severity", core::SeverityName(record.severity)},
-                      {"part", core::ComponentPrefix(record.component)},
-                      {"message", record.message}};
-  for (const core::LogField& field : record.fields) {
-    json[field.name] = field.value;
-  }
-  return json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
-}
-
 }  // namespace internal
 
 /** @brief The writer thread and its Boost.Log sink. */
@@ -97,11 +57,12 @@
 
   void WriteLine(const internal::TimedRecord& timed) {
     BOOST_LOG(source) << (format == LogFormat::kText
-                              ? internal::FormatText(timed)
-                              : internal::FormatJson(timed));
+                              ? formatter.FormatText(timed.record, timed.at)
+                              : formatter.FormatJson(timed.record, timed.at));
   }
 
   const LogFormat format;
+  LogFormatter formatter;
   std::uint64_t reported_drops = 0;
   core::SystemClock clock;
   boost::shared_ptr<internal::Frontend> frontend;
