Make the cost of a start independent of the size of the fleet

Cause: each event was followed by a pass over all workers (which are due for a poll), and each placement by a pass over all workers of the pool (what is free) and another one a task (best fit). A leader with 1,100 workers spent its share of a core on these passes.

A worker whose pool changes leaves the lists of its former pool, which it did not before.

--- a/src/crocusmast/scheduling/committer.h
+++ b/src/crocusmast/scheduling/committer.h
@@ -115,6 +115,9 @@
               const StoredCallback& on_stored,
               const RecordedCallback& on_recorded);
 
+  /** @brief Tells whether a commit has not been answered yet. */
+  bool IsInFlight() const { return m_is_in_flight; }
+
   /** @brief Tells whether progress or ended runs are not stored yet. */
   bool HasPending() const {
     return m_is_in_flight || !m_changed.empty() || !m_pending_ends.empty();
--- a/src/crocusmast/scheduling/placement_round.h
+++ b/src/crocusmast/scheduling/placement_round.h
@@ -7,6 +7,7 @@
 
 #include "crocusmast/execution/worker.h"
 #include "crocusmast/job/resources.h"
+#include "crocusmast/scheduling/free_capacity.h"
 #include "crocusmast/scheduling/scheduler.h"
 #include "crocusmast/scheduling/waiting_jobs.h"
 
@@ -17,34 +18,25 @@
  * fuller in a round.
  */
 struct Scheduler::PlacementRound {
-  /** @brief Workers that accept tasks. */
-  std::vector<execution::Worker*> usable;
+  explicit PlacementRound(const FreeCapacity& free)
+      : capacity(free), max_free(free.MaxFree()) {}
+
+  /** @brief What the workers of the pool have free. */
+  const FreeCapacity& capacity;
   /** @brief Workers that get no finite tasks, so that a long-running task that
    * fits nowhere gets one that becomes empty. */
   std::unordered_set<const execution::Worker*> reserved;
   /** @brief The most that a worker had free at the beginning, by component. */
   job::Resources max_free;
-  /** @brief Processor capacity of all workers of the pool that long-running
-   * runs leave to finite ones. */
-  core::MilliCores finite_capacity;
-  /** @brief What finite runs have of it. */
-  core::MilliCores finite_in_use;
   /** @brief The job that is being placed has expired. */
   bool is_placing_expired = false;
   /** @brief Resources that no worker has free for a finite task. */
   std::vector<job::Resources> unavailable;
 
-  /** @brief Accounts for a run that was placed. */
-  void AddStarted(const execution::AssignedRun& run) {
-    if (!run.is_long_running) {
-      finite_in_use = finite_in_use + run.resources.processor;
-    }
-  }
-
   /** @brief Tells whether a task of an expired job may be started. */
   bool MayStartExpired() const {
-    return finite_in_use.Count() * 100 <
-           finite_capacity.Count() * kExpiredSharePercent;
+    return capacity.FiniteInUse().Count() * 100 <
+           capacity.FiniteCapacity().Count() * kExpiredSharePercent;
   }
 
   /** @brief Tells whether a task of a job may find a worker. */
--- a/src/crocusmast/scheduling/scheduler.cc
+++ b/src/crocusmast/scheduling/scheduler.cc
@@ -108,6 +108,8 @@
   m_scheduled_jobs.clear();
   m_final_jobs.clear();
   m_workers_to_retry.clear();
+  m_workers_to_poll.clear();
+  m_is_handover_outdated = false;
   m_next_sweep_at = {};
   m_next_placement_at = {};
   m_ended_jobs.clear();
@@ -115,6 +117,7 @@
   m_crashes.Clear();
   m_demand.Clear();
   m_workers_by_pool.clear();
+  m_free_capacity.clear();
   m_workers.clear();
   m_inherited_workers = {};
   m_machine_evidence.Clear();
@@ -225,6 +228,7 @@
   }
   PlaceTasks();
   SendPolls();
+  CaptureHandover();
   const auto read = [this](const core::JobId& id) {
     ActiveJob* active = FindJob(id);
     return active == nullptr ? std::nullopt
@@ -237,15 +241,21 @@
   if (commit) {
     m_ports.store.Write(std::move(*commit));
   }
-  RemoveEndedJobs();
+  if (std::exchange(m_may_remove_jobs, false)) {
+    RemoveEndedJobs();
+  }
 }
 
 void Scheduler::Sweep(core::TimePoint confirmed_at) {
   const core::TimePoint now = m_ports.clock.Now();
   m_next_sweep_at = now + kSweepInterval;
+  m_may_poll_any = true;
+  m_may_remove_jobs = true;
   EndWorkersWithoutMachine(confirmed_at);
   ExpireWorkers(confirmed_at);
-  FreezeLeasesOfSilentWorkers();
+  if (m_may_have_silent_workers) {
+    FreezeLeasesOfSilentWorkers();
+  }
   LogRunTimes();
   const core::WallTime wall = m_ports.clock.WallNow();
   for (const core::JobId& id : m_scheduled_jobs) {
@@ -258,6 +268,7 @@
   RetryCommands();
   if (m_next_placement_at <= now) {
     m_next_placement_at = now + kPlacementRetryInterval;
+    UpdateAllCapacity();
     for (const auto& [pool, waiting] : m_waiting_jobs) {
       if (!waiting.Entries().empty()) {
         m_pools_to_place.insert(pool);
@@ -286,8 +297,10 @@
           worker->recorded_end = number;
           worker->next_poll_at =
               worker->Runs().empty() ? now + kAcknowledgeDelay : now;
+          m_workers_to_poll.insert(id);
         }
       });
+  m_may_remove_jobs = true;
   if (reply.outcome == job::StoreOutcome::kDone) {
     if (const auto handover = m_committer.TakeStoredHandover(); handover) {
       HandleHandoverStored(*handover);
@@ -323,42 +336,6 @@
   }
 }
 
-void Scheduler::SendPolls() {
-  const core::TimePoint now = m_ports.clock.Now();
-  for (const auto& [id, worker] : m_workers) {
-    const bool is_needed = !worker->is_reconciled || !worker->Runs().empty() ||
-                           worker->acknowledged_end < worker->recorded_end ||
-                           m_crashes.IsUncertain(id) ||
-                           (worker->failed_polls > 0 && worker->IsListed());
-    if (!is_needed || worker->is_poll_pending || now < worker->next_poll_at) {
-      continue;
-    }
-    execution::PollCommand command;
-    command.to = DestinationOf(*worker);
-    worker->poll_sequence = ++m_last_poll_sequence;
-    command.sequence = worker->poll_sequence;
-    command.recorded = worker->recorded_end;
-    const bool may_wait = worker->is_reconciled && !worker->Runs().empty() &&
-                          worker->received_end == worker->recorded_end;
-    const std::chrono::milliseconds wait =
-        m_crashes.IsReserved(id) ? kStartProbation : kPollWait;
-    worker->is_poll_waiting = may_wait;
-    command.max_wait = may_wait ? wait : std::chrono::milliseconds(0);
-    // The lease of a worker that does not reply is not extended, so that its
-    // runs are certain to end; neither is that of one that has not replied to
-    // this leader yet, whose runs count as ended when the inherited lease
-    // expires. Until the handover state of this term is stored, a successor
-    // would begin from the state of an earlier one, which has shorter leases.
-    if (worker->failed_polls == 0 && worker->is_reconciled &&
-        worker->is_recorded_in_store && !worker->is_lease_frozen) {
-      command.lease_until = worker->ExtendLease(kWorkerLeaseLength, now);
-    }
-    worker->is_poll_pending = true;
-    worker->acknowledging_end = worker->recorded_end;
-    m_ports.workers.PollStatus(std::move(command));
-  }
-}
-
 execution::CommandDestination Scheduler::DestinationOf(
     const Worker& worker) const {
   return {worker.Record().id, worker.Record().incarnation,
--- a/src/crocusmast/scheduling/scheduler.h
+++ b/src/crocusmast/scheduling/scheduler.h
@@ -26,61 +26,19 @@
 #include "crocusmast/scheduling/active_job.h"
 #include "crocusmast/scheduling/committer.h"
 #include "crocusmast/scheduling/crash_attribution.h"
+#include "crocusmast/scheduling/free_capacity.h"
 #include "crocusmast/scheduling/inherited_workers.h"
 #include "crocusmast/scheduling/machine_evidence.h"
 #include "crocusmast/scheduling/messages.h"
 #include "crocusmast/scheduling/run_monitor.h"
 #include "crocusmast/scheduling/run_time_estimator.h"
 #include "crocusmast/scheduling/ticket_cache.h"
+#include "crocusmast/scheduling/timing.h"
 #include "crocusmast/scheduling/waiting_jobs.h"
 #include "crocusmast/upkeep/worker_drain_port.h"
 
 namespace crocusmast::scheduling {
 
-/** @brief Length of the lease that each poll requests for a worker. Runs must
- * survive a failover: 2 s until the leader's lease expires, then the takeover.
- */
-inline constexpr std::chrono::milliseconds kWorkerLeaseLength{4500};
-/** @brief How long a poll waits for a run to end; well below
- * kWorkerLeaseLength. */
-inline constexpr std::chrono::milliseconds kPollWait{1000};
-/** @brief Delay before the next poll after one that failed. */
-inline constexpr std::chrono::milliseconds kPollRetryDelay{150};
-/** @brief How long a worker must be silent until the handover state says that
- * its lease is not extended; keeps short interruptions from causing writes. */
-inline constexpr std::chrono::milliseconds kLeaseFreezeDelay{2500};
-/** @brief That delay for a silent worker without runs, which is polled until it
- * may get tasks again. */
-inline constexpr std::chrono::milliseconds kIdlePollRetryDelay{2000};
-/** @brief Delay before a poll that only acknowledges ended runs. */
-inline constexpr std::chrono::milliseconds kAcknowledgeDelay{250};
-/** @brief Delay between polls while ended runs are not recorded yet. */
-inline constexpr std::chrono::milliseconds kUnrecordedPollDelay{300};
-/** @brief How long a worker that rejected a start or did not reply gets no
- * tasks. */
-inline constexpr std::chrono::milliseconds kWorkerBackoff{500};
-/** @brief Number of consecutive failed runs after which a worker gets no tasks
- * for some time. */
-inline constexpr std::uint32_t kFailedRunsForBackoff{3};
-/** @brief How long such a worker gets no tasks, per consecutive failed run. */
-inline constexpr std::chrono::milliseconds kFailedRunBackoff{1500};
-/** @brief Delay before a stop command without a reply, or a start command that
- * could not be sent again, is repeated. */
-inline constexpr std::chrono::milliseconds kCommandRetryDelay{250};
-/** @brief Age of the known store state from which on no task is started. A
- * cancellation takes effect within 3 s of its acknowledgement; the rest is for
- * the start command to reach the worker. */
-inline constexpr std::chrono::milliseconds kMaxStartViewAge{2500};
-/** @brief Interval of checks for expired leases, due occurrences and retries;
- * well below the shortest delay, kPollRetryDelay. */
-inline constexpr std::chrono::milliseconds kSweepInterval{25};
-/** @brief Interval of placement retries. The end of a worker's backoff raises
- * no event. */
-inline constexpr std::chrono::milliseconds kPlacementRetryInterval{250};
-/** @brief How long the final state of an ended job is kept; required by the job
- * interface. */
-inline constexpr std::chrono::seconds kEndedJobRetention{150};
-
 /** @brief Collaborators of the scheduler; all outlive it. */
 struct SchedulerPorts {
   execution::WorkerPort& workers;
@@ -219,13 +177,17 @@
   void Sweep(core::TimePoint confirmed_at);
   void ApplyQueue(ActiveJob& active, core::TimePoint accepted_at);
   void MarkReconciled(const core::InstanceId& id, const char* reason);
-  void StoreHandover();
+  void StoreHandover() { m_is_handover_outdated = true; }
+  void CaptureHandover();
   void FreezeLeasesOfSilentWorkers();
   std::chrono::milliseconds LongestLease() const;
   job::HandoverState MakeHandover(bool stays_active) const;
   void HandleHandoverStored(const job::HandoverState& handover);
   void MoveLongRunningTasks(execution::Worker& worker);
   bool MayInterrupt(const ActiveJob& active, const job::TaskKey& key) const;
+  static bool MayHaveMadeReady(const ActiveJob& active,
+                               const job::TaskKey& ended,
+                               job::RunOutcome outcome);
 
   /** @brief How the end of an incarnation became known. */
   enum class IncarnationEnd { kReplaced, kLeaseExpired, kMachineGone };
@@ -267,8 +229,10 @@
 
   core::TimePoint KnownSince(const execution::Worker& worker) const;
   void EndWorkersWithoutMachine(core::TimePoint confirmed_at);
+  void EndSilentWorkersWithoutMachine(core::TimePoint confirmed_at);
   void ExpireWorkers(core::TimePoint confirmed_at);
   void SendPolls();
+  void SendPollIfDue(execution::Worker& worker);
   bool MayStartTasks() const;
   void LogStartPermission();
   void RetryCommands();
@@ -285,7 +249,9 @@
   void RemoveEndedJobs();
 
   void PlaceTasks();
-  PlacementRound BeginRound(const core::PoolId& pool);
+  void UpdateCapacity(execution::Worker& worker);
+  void UpdateAllCapacity();
+  void MoveToPool(execution::Worker& worker, const core::PoolId& from);
   void PlaceTasksIn(const core::PoolId& pool);
   void PlaceJob(ActiveJob& active, PlacementRound& round);
   bool MayStartFiniteTasks(const ActiveJob& active) const;
@@ -354,11 +320,24 @@
    * because a leader that stores none has led since. */
   std::set<core::JobId> m_outdated_placements;
   std::map<core::PoolId, std::vector<execution::Worker*>> m_workers_by_pool;
+  /** @brief What these workers have free. */
+  std::map<core::PoolId, FreeCapacity> m_free_capacity;
   std::map<core::PoolId, WaitingJobs> m_waiting_jobs;
   /** @brief Jobs with scheduled occurrences. */
   std::set<core::JobId> m_scheduled_jobs;
   /** @brief Jobs in a final state that may still have active runs. */
   std::set<core::JobId> m_final_jobs;
+  /** @brief What the handover state describes has changed since it was captured
+   * for the store. */
+  bool m_is_handover_outdated = false;
+  /** @brief Jobs in a final state may have become removable. */
+  bool m_may_remove_jobs = false;
+  /** @brief Any worker may be due for a poll, not only m_workers_to_poll. */
+  bool m_may_poll_any = false;
+  /** @brief Polls of some workers may have failed since they replied last. */
+  bool m_may_have_silent_workers = false;
+  /** @brief Workers that events of this cycle may have made due for a poll. */
+  std::set<core::InstanceId> m_workers_to_poll;
   /** @brief Workers with commands that may have to be retried. */
   std::set<core::InstanceId> m_workers_to_retry;
   core::TimePoint m_next_sweep_at;
--- a/src/crocusmast/scheduling/scheduler_machines.cc
+++ b/src/crocusmast/scheduling/scheduler_machines.cc
@@ -51,13 +51,10 @@
          });
 }
 
-// Lists are evidence only up to confirmed_at: a later leader may have had a
-// reply of the worker, after which runs that this leader knows have ended.
-void Scheduler::EndWorkersWithoutMachine(core::TimePoint confirmed_at) {
+void Scheduler::EndSilentWorkersWithoutMachine(core::TimePoint confirmed_at) {
   for (const auto& [id, worker] : m_workers) {
     const bool may_have_runs =
         !worker->is_reconciled || !worker->Runs().empty();
-    // A reply may be on its way until a poll has failed.
     if (may_have_runs && worker->failed_polls > 0 &&
         m_machine_evidence.HasEnded(id, KnownSince(*worker), confirmed_at)) {
       EndIncarnation(*worker, IncarnationEnd::kMachineGone,
@@ -65,6 +62,15 @@
       worker->is_reconciled = true;
     }
   }
+}
+
+// Lists are evidence only up to confirmed_at: a later leader may have had a
+// reply of the worker, after which runs that this leader knows have ended.
+void Scheduler::EndWorkersWithoutMachine(core::TimePoint confirmed_at) {
+  // A reply may be on its way until a poll has failed.
+  if (m_may_have_silent_workers) {
+    EndSilentWorkersWithoutMachine(confirmed_at);
+  }
   std::vector<core::InstanceId> gone;
   for (const auto& [id, inherited] : m_inherited_workers.All()) {
     if (m_workers.count(id) == 0 &&
--- a/src/crocusmast/scheduling/scheduler_placement.cc
+++ b/src/crocusmast/scheduling/scheduler_placement.cc
@@ -63,22 +63,6 @@
   m_waiting_jobs[active.pool].Remove(active);
 }
 
-Scheduler::PlacementRound Scheduler::BeginRound(const core::PoolId& pool) {
-  const core::TimePoint now = m_ports.clock.Now();
-  PlacementRound round;
-  for (Worker* worker : m_workers_by_pool[pool]) {
-    const job::Resources free = worker->FreeResources();
-    const core::MilliCores capacity = worker->FreeWithoutFiniteRuns().processor;
-    round.finite_capacity = round.finite_capacity + capacity;
-    round.finite_in_use = round.finite_in_use + (capacity - free.processor);
-    if (IsUsable(*worker, now)) {
-      round.usable.push_back(worker);
-      round.max_free = ComponentMax(round.max_free, free);
-    }
-  }
-  return round;
-}
-
 void Scheduler::PlaceTasks() {
   if (m_pools_to_place.empty() || !MayStartTasks()) {
     return;
@@ -89,7 +73,7 @@
 }
 
 void Scheduler::PlaceTasksIn(const core::PoolId& pool) {
-  PlacementRound round = BeginRound(pool);
+  PlacementRound round(m_free_capacity[pool]);
   WaitingJobs& waiting = m_waiting_jobs[pool];
   waiting.Advance(m_ports.clock.Now(),
                   [this](const ActiveJob& job) { return RankOf(job); });
@@ -191,7 +175,6 @@
       continue;
     }
     StartTask(active, *worker, task, active.job.NextAttempt(key));
-    round.AddStarted(MakeAssignedRun(*step));
   }
   UpdateMinResources(active);
   active.may_have_ready_tasks = active.min_resources || is_waiting;
@@ -241,7 +224,6 @@
   }
   for (const auto& [worker, key] : reserved) {
     StartTask(active, *worker, key.task, attempt);
-    round.AddStarted(MakeAssignedRun(step));
   }
   return true;
 }
--- /dev/null
+++ b/src/crocusmast/scheduling/scheduler_poll_commands.cc
@@ -0,0 +1,65 @@
+#include <utility>
+
+#include "crocusmast/scheduling/scheduler.h"
+
+// Polls that are sent to workers.
+
+namespace crocusmast::scheduling {
+
+using execution::Worker;
+
+void Scheduler::SendPolls() {
+  const std::set<core::InstanceId> changed =
+      std::exchange(m_workers_to_poll, {});
+  if (std::exchange(m_may_poll_any, false)) {
+    for (const auto& [id, worker] : m_workers) {
+      SendPollIfDue(*worker);
+    }
+    return;
+  }
+  for (const core::InstanceId& id : changed) {
+    if (Worker* worker = FindWorker(id); worker != nullptr) {
+      SendPollIfDue(*worker);
+    }
+  }
+}
+
+void Scheduler::SendPollIfDue(Worker& worker) {
+  const core::TimePoint now = m_ports.clock.Now();
+  const core::InstanceId& id = worker.Record().id;
+  if (worker.is_poll_pending || now < worker.next_poll_at) {
+    return;
+  }
+  const bool is_needed = !worker.is_reconciled || !worker.Runs().empty() ||
+                         worker.acknowledged_end < worker.recorded_end ||
+                         (worker.failed_polls > 0 && worker.IsListed()) ||
+                         m_crashes.IsUncertain(id);
+  if (!is_needed) {
+    return;
+  }
+  execution::PollCommand command;
+  command.to = DestinationOf(worker);
+  worker.poll_sequence = ++m_last_poll_sequence;
+  command.sequence = worker.poll_sequence;
+  command.recorded = worker.recorded_end;
+  const bool may_wait = worker.is_reconciled && !worker.Runs().empty() &&
+                        worker.received_end == worker.recorded_end;
+  const std::chrono::milliseconds wait =
+      m_crashes.IsReserved(id) ? kStartProbation : kPollWait;
+  worker.is_poll_waiting = may_wait;
+  command.max_wait = may_wait ? wait : std::chrono::milliseconds(0);
+  // The lease of a worker that does not reply is not extended, so that its
+  // runs are certain to end; neither is that of one that has not replied to
+  // this leader yet, whose runs count as ended when the inherited lease
+  // expires. Until the handover state of this term is stored, a successor
+  // would begin from the state of an earlier one, which has shorter leases.
+  if (worker.failed_polls == 0 && worker.is_reconciled &&
+      worker.is_recorded_in_store && !worker.is_lease_frozen) {
+    command.lease_until = worker.ExtendLease(kWorkerLeaseLength, now);
+  }
+  worker.is_poll_pending = true;
+  worker.acknowledging_end = worker.recorded_end;
+  m_ports.workers.PollStatus(std::move(command));
+}
+
+}  // namespace crocusmast::scheduling
--- a/src/crocusmast/scheduling/scheduler_polls.cc
+++ b/src/crocusmast/scheduling/scheduler_polls.cc
@@ -35,6 +35,7 @@
   }
   const core::TimePoint now = m_ports.clock.Now();
   worker->is_poll_pending = false;
+  m_workers_to_poll.insert(reply.worker);
   if (reply.outcome == WorkerCallOutcome::kFenced) {
     m_was_fenced = true;
     return;
@@ -49,6 +50,7 @@
   }
   if (reply.outcome != WorkerCallOutcome::kDone) {
     ++worker->failed_polls;
+    m_may_have_silent_workers = true;
     const bool is_idle = worker->is_reconciled && worker->Runs().empty();
     worker->next_poll_at =
         now + (is_idle ? kIdlePollRetryDelay : kPollRetryDelay);
@@ -93,6 +95,7 @@
     worker->is_reconciled = true;
     MarkReconciled(reply.worker, "it replied to a poll");
   }
+  UpdateCapacity(*worker);
 }
 
 void Scheduler::ProcessEndedRuns(Worker& worker,
--- a/src/crocusmast/scheduling/scheduler_runs.cc
+++ b/src/crocusmast/scheduling/scheduler_runs.cc
@@ -19,6 +19,7 @@
   const bool was_stopped =
       assigned != nullptr && assigned->is_stop_acknowledged;
   worker.Remove(key);
+  UpdateCapacity(worker);
   m_crashes.EndProbation(worker.Record().id, key);
   m_pools_to_place.insert(worker.Record().pool);
   ActiveJob* active = FindJob(key.task.job);
@@ -27,7 +28,9 @@
   }
   const bool is_changed = active->job.EndRun(key.task.key, key.attempt, outcome,
                                              checkpoint, active->max_attempts);
-  MarkForPlacement(*active);
+  if (MayHaveMadeReady(*active, key.task.key, outcome)) {
+    MarkForPlacement(*active);
+  }
   if (!was_stopped) {
     ReportCancelSettled(*active);
   }
@@ -69,6 +72,18 @@
   }
 }
 
+bool Scheduler::MayHaveMadeReady(const ActiveJob& active,
+                                 const job::TaskKey& ended,
+                                 job::RunOutcome outcome) {
+  const auto occurrence = active.job.OpenOccurrences().find(ended.occurrence);
+  // The end of one of several tasks of a step lets no other task start.
+  return outcome != job::RunOutcome::kDone ||
+         job::IsFinal(active.job.State()) ||
+         occurrence == active.job.OpenOccurrences().end() ||
+         active.job.StepOf(ended).is_long_running ||
+         occurrence->second.steps[ended.step].IsDone();
+}
+
 void Scheduler::GiveUpRun(Worker& worker, const RunKey& key) {
   const AssignedRun* run = worker.Find(key);
   if (run == nullptr || run->is_stopping) {
--- a/src/crocusmast/scheduling/scheduler_selection.cc
+++ b/src/crocusmast/scheduling/scheduler_selection.cc
@@ -115,42 +115,43 @@
     return nullptr;
   }
   Worker* best = nullptr;
-  bool is_best_on_preferred_rack = false;
   bool has_room = false;
-  for (Worker* worker : round.usable) {
-    if (!worker->CanFit(need) ||
+  // Best fit keeps whole workers free for large tasks, for maintenance and for
+  // release.
+  for (auto next = round.capacity.FirstWith(need.processor);
+       next != round.capacity.Accepting().end(); ++next) {
+    Worker* worker = next->worker;
+    if (!worker->CanFit(need) || !IsUsable(*worker, now) ||
         (!step.is_long_running && round.reserved.count(worker) > 0)) {
       continue;
     }
     has_room = true;
     const execution::WorkerRecord& record = worker->Record();
-    const bool is_usable = !m_crashes.IsReserved(record.id) &&
-                           (!active.needs_tickets ||
-                            m_tickets.Find(StepId::Of(task), record.id,
-                                           record.incarnation, now) != nullptr);
-    if (!is_usable ||
-        (!step.required_label.empty() &&
-         !record.HasLabel(step.required_label)) ||
-        (step.max_per_worker > 0 &&
-         worker->CountTasksOfStep(task) >= step.max_per_worker)) {
+    const bool may_run =
+        !m_crashes.IsReserved(record.id) &&
+        (!active.needs_tickets ||
+         m_tickets.Find(StepId::Of(task), record.id, record.incarnation, now) !=
+             nullptr) &&
+        (step.required_label.empty() || record.HasLabel(step.required_label)) &&
+        (step.max_per_worker == 0 ||
+         worker->CountTasksOfStep(task) < step.max_per_worker);
+    if (!may_run) {
       continue;
     }
-    const bool is_on_preferred_rack =
-        !step.preferred_rack.empty() && record.Rack() == step.preferred_rack;
-    // Best fit keeps whole workers free for large tasks, for maintenance and
-    // for release.
-    const bool is_better_fit =
-        best == nullptr ||
-        (is_on_preferred_rack && !is_best_on_preferred_rack) ||
-        (is_on_preferred_rack == is_best_on_preferred_rack &&
-         worker->FreeResources().processor < best->FreeResources().processor);
-    const bool is_better =
-        is_suspect && best != nullptr
-            ? CrashAttribution::IsBetterForSuspect(*worker, *best)
-            : is_better_fit;
-    if (is_better) {
+    if (is_suspect) {
+      if (best == nullptr ||
+          CrashAttribution::IsBetterForSuspect(*worker, *best)) {
+        best = worker;
+      }
+      continue;
+    }
+    const bool is_preferred =
+        step.preferred_rack.empty() || record.Rack() == step.preferred_rack;
+    if (best == nullptr || is_preferred) {
       best = worker;
-      is_best_on_preferred_rack = is_on_preferred_rack;
+    }
+    if (is_preferred) {
+      break;
     }
   }
   if (!has_room && !step.is_long_running) {
@@ -168,17 +169,18 @@
   }
   const core::TimePoint now = m_ports.clock.Now();
   const std::size_t reserved = round.reserved.size();
-  if (reserved > 0 &&
-      round.usable.size() < (reserved + 1) * internal::kWorkersPerReservation) {
+  if (reserved > 0 && round.capacity.Accepting().size() <
+                          (reserved + 1) * internal::kWorkersPerReservation) {
     return;
   }
   const job::Resources need = MakeAssignedRun(step).resources;
   const Worker* best = nullptr;
   double least_shortfall = 0;
-  for (const Worker* worker : round.usable) {
+  for (const FreeCapacity::Entry& entry : round.capacity.Accepting()) {
+    const Worker* worker = entry.worker;
     const execution::WorkerRecord& record = worker->Record();
     const bool may_run =
-        round.reserved.count(worker) == 0 &&
+        IsUsable(*worker, now) && round.reserved.count(worker) == 0 &&
         (!active.needs_tickets ||
          m_tickets.Find(StepId::Of(task), record.id, record.incarnation, now) !=
              nullptr) &&
--- a/src/crocusmast/scheduling/scheduler_starts.cc
+++ b/src/crocusmast/scheduling/scheduler_starts.cc
@@ -29,6 +29,8 @@
   if (worker.received_end == worker.recorded_end) {
     worker.next_poll_at = std::min(worker.next_poll_at, now);
   }
+  UpdateCapacity(worker);
+  m_workers_to_poll.insert(worker.Record().id);
   if (active.job.State() == job::JobState::kQueued || step.is_long_running ||
       is_new_pool || active.job.CrashCount(task.key) > 0) {
     m_committer.MarkChanged(task.job);
--- a/src/crocusmast/scheduling/scheduler_workers.cc
+++ b/src/crocusmast/scheduling/scheduler_workers.cc
@@ -44,11 +44,15 @@
     m_workers_by_pool[pool].push_back(known);
   } else if (known->Record().incarnation < update.worker.incarnation) {
     EndIncarnation(*known, IncarnationEnd::kReplaced, "it has restarted");
+    const core::PoolId before = known->Record().pool;
     known->Update(std::move(update.worker), now);
+    MoveToPool(*known, before);
     is_new_incarnation = true;
   } else {
     const bool was_draining = known->Record().is_draining;
+    const core::PoolId before = known->Record().pool;
     known->Update(std::move(update.worker), now);
+    MoveToPool(*known, before);
     if (!was_draining && known->Record().is_draining) {
       Log(core::Severity::kInfo, "Worker " + id.Text() + " is draining.",
           {{"event", "worker_leaving"}, {"worker", id.Text()}});
@@ -56,6 +60,8 @@
     GiveUpUnsentRunsOverCapacity(*known);
   }
   m_pools_to_place.insert(pool);
+  m_workers_to_poll.insert(id);
+  UpdateCapacity(*known);
   if (!is_new_incarnation) {
     return;
   }
@@ -70,11 +76,38 @@
   if (known->is_reconciled) {
     MarkReconciled(id, "a later incarnation has joined");
   }
+  UpdateCapacity(*known);
   if (m_has_worker_list) {
     StoreHandover();
   }
 }
 
+void Scheduler::MoveToPool(Worker& worker, const core::PoolId& from) {
+  const core::PoolId& to = worker.Record().pool;
+  if (from == to) {
+    return;
+  }
+  m_free_capacity[from].Remove(worker);
+  std::vector<Worker*>& before = m_workers_by_pool[from];
+  before.erase(std::remove(before.begin(), before.end(), &worker),
+               before.end());
+  m_workers_by_pool[to].push_back(&worker);
+}
+
+void Scheduler::UpdateCapacity(Worker& worker) {
+  m_free_capacity[worker.Record().pool].Update(
+      worker, IsUsable(worker, m_ports.clock.Now()));
+}
+
+void Scheduler::UpdateAllCapacity() {
+  for (const auto& [id, worker] : m_workers) {
+    UpdateCapacity(*worker);
+  }
+  for (auto& [pool, capacity] : m_free_capacity) {
+    capacity.TightenMaxFree();
+  }
+}
+
 void Scheduler::Handle(const WorkerRemoved& removal) {
   Worker* worker = FindWorker(removal.worker);
   if (worker != nullptr && worker->IsListed()) {
@@ -148,11 +181,17 @@
   return MakeHandover(false);
 }
 
-void Scheduler::StoreHandover() {
-  m_committer.SetHandover(MakeHandover(true));
+void Scheduler::CaptureHandover() {
+  // It describes every worker, so it is captured once for each commit, however
+  // many events have changed it.
+  if (m_is_handover_outdated && !m_committer.IsInFlight()) {
+    m_is_handover_outdated = false;
+    m_committer.SetHandover(MakeHandover(true));
+  }
 }
 
 void Scheduler::HandleHandoverStored(const job::HandoverState& handover) {
+  m_may_poll_any = true;
   m_has_stored_handover = m_has_stored_handover || !handover.workers.empty();
   for (const job::LeasedWorker& stored : handover.workers) {
     Worker* worker = FindWorker(stored.worker);
@@ -166,6 +205,7 @@
     if (may_thaw || !worker->is_recorded_in_store) {
       worker->is_lease_frozen = worker->is_lease_frozen && !may_thaw;
       worker->is_recorded_in_store = true;
+      UpdateCapacity(*worker);
       m_pools_to_place.insert(stored.pool);
     }
   }
@@ -219,11 +259,15 @@
     }
     if (worker != nullptr) {
       worker->is_reconciled = true;
+      UpdateCapacity(*worker);
     }
     MarkReconciled(id, "all leases it may have held have expired");
   }
+  m_may_have_silent_workers = false;
   for (auto next = m_workers.begin(); next != m_workers.end();) {
     Worker& worker = *next->second;
+    m_may_have_silent_workers =
+        m_may_have_silent_workers || worker.failed_polls > 0;
     if (!worker.Runs().empty() && worker.HasLeaseExpired(confirmed_at)) {
       EndIncarnation(worker, IncarnationEnd::kLeaseExpired,
                      "its lease has expired");
@@ -236,6 +280,7 @@
       ++next;
       continue;
     }
+    m_free_capacity[worker.Record().pool].Remove(worker);
     std::vector<Worker*>& pool = m_workers_by_pool[worker.Record().pool];
     pool.erase(std::remove(pool.begin(), pool.end(), &worker), pool.end());
     next = m_workers.erase(next);
