Count machines by what their workers have when pools borrow

Cause: the cores of a machine were taken as the pool's ready cores over its machines that are up, so that a pool whose workers were still joining (after moves, in a wave) seemed to have tiny machines and borrowed many times what it lacked; machines that are down counted as on their way.

Change: a machine counts as the mean of its pool's ready workers, those that are neither ready nor down count as arriving, those that are down as missing. BalancerTest has both patterns; both tests fail before (3 and 0 machines borrowed, where 0 and 2 are right).

--- a/src/crocusmast/capacity/balancer.cc
+++ b/src/crocusmast/capacity/balancer.cc
@@ -134,14 +134,14 @@
     const core::PoolId pool = load.pool;
     views[pool].load = std::move(load);
   }
-  std::map<core::PoolId, std::size_t> up_count;
+  // A machine that is down does not come back in time for the work that waits.
+  std::map<core::PoolId, std::size_t> down_count;
   for (const auto& [id, machine] : m_machines) {
     const auto move = m_moves.find(id);
     const core::PoolId& pool =
         move == m_moves.end() ? machine.pool : move->second.to;
     ++views[pool].machines;
-    up_count[machine.pool] +=
-        move == m_moves.end() && machine.state == MachineState::kUp ? 1 : 0;
+    down_count[pool] += machine.state == MachineState::kDown ? 1 : 0;
   }
   for (auto& entry : views) {
     const core::PoolId& pool = entry.first;
@@ -149,18 +149,20 @@
     const PoolLoad& load = view.load;
     view.load.pool = pool;
     view.machine_cores =
-        up_count[pool] > 0 && load.capacity_cores > 0
-            ? load.capacity_cores / static_cast<double>(up_count[pool])
+        load.ready_workers > 0
+            ? load.capacity_cores / static_cast<double>(load.ready_workers)
             : kDefaultMachineCores;
     const double backlog_cores =
         load.waiting_core_seconds / kToleratedBacklogSeconds;
-    const auto machines_not_up = static_cast<double>(
-        view.machines - std::min(view.machines, up_count[pool]));
+    // Those in a move or in maintenance, and those whose worker is joining.
+    const std::size_t others = load.ready_workers + down_count[pool];
+    const auto arriving_machines =
+        static_cast<double>(view.machines - std::min(view.machines, others));
     const auto deficit = [&](double arriving_cores) {
       const double needed_cores =
           backlog_cores + std::max(load.running_cores, arriving_cores);
       return (needed_cores - load.capacity_cores) / view.machine_cores -
-             machines_not_up;
+             arriving_machines;
     };
     view.deficit = deficit(load.arriving_cores);
     view.steady_deficit = deficit(load.steady_cores);
--- a/src/crocusmast/capacity/pool_load.h
+++ b/src/crocusmast/capacity/pool_load.h
@@ -16,6 +16,8 @@
   bool is_standby = false;
   /** @brief Cores of its workers that accept work. */
   double capacity_cores = 0;
+  /** @brief Number of these workers. */
+  std::size_t ready_workers = 0;
   /** @brief Cores in use by running work. */
   double running_cores = 0;
   /** @brief Cores that recent arrivals will keep busy. */
--- a/src/crocusmast/scheduling/scheduler_upkeep.cc
+++ b/src/crocusmast/scheduling/scheduler_upkeep.cc
@@ -145,6 +145,7 @@
     }
     const core::MilliCores capacity = worker->Record().capacity.processor;
     load->second.capacity_cores += internal::ToCores(capacity);
+    ++load->second.ready_workers;
     load->second.running_cores +=
         internal::ToCores(capacity) -
         internal::ToCores(worker->FreeResources().processor);
--- a/test/capacity/balancer_test.cc
+++ b/test/capacity/balancer_test.cc
@@ -40,6 +40,7 @@
     }
     shop_load.pool = kShopPool;
     shop_load.capacity_cores = 64;
+    shop_load.ready_workers = 4;
     standby_load.pool = kStandbyPool;
     standby_load.is_standby = true;
   }
@@ -71,6 +72,7 @@
     Machine& machine = machines[id];
     machine.pool = pool;
     shop_load.capacity_cores += pool == kShopPool ? 16 : -16;
+    shop_load.ready_workers += pool == kShopPool ? 1 : -1;
     machine.worker = pool == kStandbyPool
                          ? core::InstanceId()
                          : MakeId<core::InstanceId>("new-" + id.Text());
@@ -89,6 +91,8 @@
   CPPUNIT_TEST_SUITE(BalancerTest);
   CPPUNIT_TEST(SpikeBorrowsFromStandby);
   CPPUNIT_TEST(ShortBacklogBorrowsNothing);
+  CPPUNIT_TEST(WorkersThatAreJoiningAreCountedAsWholeMachines);
+  CPPUNIT_TEST(MachinesThatAreDownAreReplaced);
   CPPUNIT_TEST(IdleMachinesAboveBaselineAreReturned);
   CPPUNIT_TEST(BusyAndReservedMachinesAreNotMoved);
   CPPUNIT_TEST(UnansweredMoveIsRequestedAgain);
@@ -122,6 +126,33 @@
     CPPUNIT_ASSERT(m_fleet.moves.empty());
   }
 
+  // Issue 29: while most workers of a pool were joining, after moves or in a wave,
+  // its machines seemed small, so that it took many times what it lacked.
+  void WorkersThatAreJoiningAreCountedAsWholeMachines() {
+    m_fleet.shop_load.capacity_cores = 16;
+    m_fleet.shop_load.ready_workers = 1;
+    m_fleet.shop_load.running_cores = 16;
+    m_fleet.shop_load.waiting_cores = 90;
+    m_fleet.shop_load.waiting_core_seconds = 90;
+    RunFor(std::chrono::seconds(5));
+    CPPUNIT_ASSERT(m_fleet.moves.empty());
+  }
+
+  // A machine that is down isn't back in time for the work that waits.
+  void MachinesThatAreDownAreReplaced() {
+    for (int index = 1; index < 4; ++index) {
+      m_fleet.machines[MakeId<core::MachineId>("m-" + std::to_string(index))]
+          .state = MachineState::kDown;
+    }
+    m_fleet.shop_load.capacity_cores = 16;
+    m_fleet.shop_load.ready_workers = 1;
+    m_fleet.shop_load.running_cores = 16;
+    m_fleet.shop_load.waiting_cores = 60;
+    m_fleet.shop_load.waiting_core_seconds = 60;
+    RunFor(std::chrono::seconds(5));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_fleet.moves.size());
+  }
+
   void IdleMachinesAboveBaselineAreReturned() {
     SpikeBorrowsFromStandby();
     m_fleet.shop_load.running_cores = 2;
