--- a/test/platform/codec_test.cc
+++ b/test/platform/codec_test.cc
@@ -72,6 +72,7 @@
   CPPUNIT_TEST(DecodesMachinesAndWaves);
   CPPUNIT_TEST(JobKeysRoundTrip);
   CPPUNIT_TEST(DecodersReturnErrorsForDamagedInput);
+  CPPUNIT_TEST(RejectionWithoutAReadableReasonIsUnknown);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -291,6 +292,20 @@
     }
   }
 
+  // The decoder of command replies runs on the network thread, where nothing
+  // catches: a reason of another type ended the whole process.
+  void RejectionWithoutAReadableReasonIsUnknown() {
+    for (const char* body :
+         {"{\"reason\":7}", "{\"reason\":null}", "{\"reason\":[\"room\"]}",
+          "{\"reason\":{}}", "[\"room\"]", "7", "", "{",
+          "{\"clock_ms\":\"x\",\"reason\":\"other\"}"}) {
+      const WorkerReply reply = DecodeCommandReply(409, body);
+      CPPUNIT_ASSERT_MESSAGE(
+          body, reply.outcome == execution::WorkerCallOutcome::kUnknown);
+      CPPUNIT_ASSERT_MESSAGE(body, !reply.clock);
+    }
+  }
+
   // Guards against crashes and uncaught exceptions: for any input a decoder
   // returns a value or an error.
   // Truncates valid input and overwrites up to two bytes. A decoder must return
