Count workers that can't be reached as missing when pools borrow

Change: PoolLoad counts such workers, and the balancer takes them as missing. BalancerTest has the pattern; the field is new, so the test was not seen to fail. Suites capacity (9), scheduling (167), upkeep (12) and manager (21) pass.

--- a/src/crocusmast/capacity/balancer.cc
+++ b/src/crocusmast/capacity/balancer.cc
@@ -155,7 +155,8 @@
     const double backlog_cores =
         load.waiting_core_seconds / kToleratedBacklogSeconds;
     // Those in a move or in maintenance, and those whose worker is joining.
-    const std::size_t others = load.ready_workers + down_count[pool];
+    const std::size_t others =
+        load.ready_workers + load.unavailable_workers + down_count[pool];
     const auto arriving_machines =
         static_cast<double>(view.machines - std::min(view.machines, others));
     const auto deficit = [&](double arriving_cores) {
--- a/src/crocusmast/capacity/pool_load.h
+++ b/src/crocusmast/capacity/pool_load.h
@@ -18,6 +18,9 @@
   double capacity_cores = 0;
   /** @brief Number of these workers. */
   std::size_t ready_workers = 0;
+  /** @brief Workers that can't be reached or fail what they run; when they get
+   * work again is not known. */
+  std::size_t unavailable_workers = 0;
   /** @brief Cores in use by running work. */
   double running_cores = 0;
   /** @brief Cores that recent arrivals will keep busy. */
--- a/src/crocusmast/scheduling/scheduler_upkeep.cc
+++ b/src/crocusmast/scheduling/scheduler_upkeep.cc
@@ -140,7 +140,14 @@
   }
   for (const auto& [id, worker] : m_workers) {
     const auto load = loads.find(worker->Record().pool);
-    if (load == loads.end() || !IsUsable(*worker, now)) {
+    if (load == loads.end()) {
+      continue;
+    }
+    if (!IsUsable(*worker, now)) {
+      const bool is_unavailable = worker->failed_polls > 0 ||
+                                  worker->is_lease_frozen ||
+                                  now < worker->backoff_until;
+      load->second.unavailable_workers += is_unavailable ? 1 : 0;
       continue;
     }
     const core::MilliCores capacity = worker->Record().capacity.processor;
--- a/test/capacity/balancer_test.cc
+++ b/test/capacity/balancer_test.cc
@@ -93,6 +93,7 @@
   CPPUNIT_TEST(ShortBacklogBorrowsNothing);
   CPPUNIT_TEST(WorkersThatAreJoiningAreCountedAsWholeMachines);
   CPPUNIT_TEST(MachinesThatAreDownAreReplaced);
+  CPPUNIT_TEST(WorkersThatCannotBeReachedAreReplaced);
   CPPUNIT_TEST(IdleMachinesAboveBaselineAreReturned);
   CPPUNIT_TEST(BusyAndReservedMachinesAreNotMoved);
   CPPUNIT_TEST(UnansweredMoveIsRequestedAgain);
@@ -126,8 +127,8 @@
     CPPUNIT_ASSERT(m_fleet.moves.empty());
   }
 
-  // Issue 29: while most workers of a pool were joining, after moves or in a wave,
-  // its machines seemed small, so that it took many times what it lacked.
+  // Issue 29: while most workers of a pool were joining, after moves or in a
+  // wave, its machines seemed small, so that it took many times what it lacked.
   void WorkersThatAreJoiningAreCountedAsWholeMachines() {
     m_fleet.shop_load.capacity_cores = 16;
     m_fleet.shop_load.ready_workers = 1;
@@ -153,6 +154,18 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_fleet.moves.size());
   }
 
+  // The same for one that is up, but whose worker is cut off or fails its runs.
+  void WorkersThatCannotBeReachedAreReplaced() {
+    m_fleet.shop_load.capacity_cores = 16;
+    m_fleet.shop_load.ready_workers = 1;
+    m_fleet.shop_load.unavailable_workers = 3;
+    m_fleet.shop_load.running_cores = 16;
+    m_fleet.shop_load.waiting_cores = 60;
+    m_fleet.shop_load.waiting_core_seconds = 60;
+    RunFor(std::chrono::seconds(5));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_fleet.moves.size());
+  }
+
   void IdleMachinesAboveBaselineAreReturned() {
     SpikeBorrowsFromStandby();
     m_fleet.shop_load.running_cores = 2;
