Add a review case: jobs given up after unrelated worker crashes

A job is shown as failed once two workers have crashed within 250 ms of the start of one of its tasks, though no run of it ended as failed.

--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -73,13 +73,18 @@
         self.active = {}   # task -> {(worker, born, attempt)}
         self.starts = 0
         self.twice = 0
+        self._ends = {}    # job -> ends of its runs
+
+    def ends_of(self, job):
+        """Returns how the runs of a job have ended, without those done."""
+        return ["%s#%d %s" % end for end in self._ends.get(job, [])
+                if end[2] != "done"]
 
     def start(self, task, worker, attempt, token):
         self.starts += 1
         beside = self.active.setdefault(task, set())
-        self._record.write("run-start of %s attempt %d, token %d: begins on %s "
-                           "born %d" % (task, attempt, token, worker.id,
-                                        worker.born))
+        self._record.write("%s attempt %d, token %d, begins on %s born %d" % (
+            task, attempt, token, worker.id, worker.born))
         if beside:
             self.twice += 1
             self._record.violation(
@@ -89,6 +94,8 @@
 
     def end(self, task, worker, attempt, how):
         self.active.get(task, set()).discard((worker.id, worker.born, attempt))
+        self._ends.setdefault(task.split(".")[0], []).append(
+            (task, attempt, how))
         self._record.write("%s attempt %d ends on %s born %d: %s" % (
             task, attempt, worker.id, worker.born, how))
 
@@ -110,10 +117,12 @@
         self._socket = None
         self._connections = []
         self._fillers = []
+        self._address = None
 
     async def open(self):
         """Opens the port; it stays the same for all lives of the worker."""
         self._socket = socket.socket()
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self._socket.bind(("127.0.0.1", 0))
         self._socket.listen(512)
         self._socket.setblocking(False)
@@ -160,6 +169,30 @@
             filler.connect_ex(self._socket.getsockname())
             self._fillers.append(filler)
 
+    def crash(self):
+        """The worker's process ends; its port refuses connections."""
+        self.worker.crash()
+        asyncio.get_running_loop().remove_reader(self._socket)
+        host, port = self._socket.getsockname()
+        self._socket.close()
+        self._address = (host, port)
+        self._abort_connections()
+
+    def restart(self, worker_id):
+        """The next life of the worker, at the same address."""
+        self._socket = socket.socket()
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._socket.bind(self._address)
+        self._socket.listen(512)
+        self._socket.setblocking(False)
+        asyncio.get_running_loop().add_reader(self._socket, self._accept)
+        self.worker = Worker(self, worker_id)
+
+    def _abort_connections(self):
+        for connection in self._connections:
+            connection._transport.abort()
+        self._connections.clear()
+
     def heal(self):
         """Ends the cut; connections from before it are reset."""
         for filler in self._fillers:
@@ -170,9 +203,7 @@
             except OSError:
                 break
             accepted.close()
-        for connection in self._connections:
-            connection._transport.abort()
-        self._connections.clear()
+        self._abort_connections()
         self.is_cut = False
         self._socket.listen(512)
         asyncio.get_running_loop().add_reader(self._socket, self._accept)
@@ -250,10 +281,13 @@
             return self._reply(409, reason="fence")
         self._token = body.get("fencing_token", 0)
         name = request.path.split("/")[2]
-        if name == "run-start":
-            return self._start(body)
-        if name == "run-stop":
-            return self._stop(body)
+        if name in ("run-start", "run-stop"):
+            reply = (self._start if name == "run-start" else self._stop)(body)
+            self.machine.deployment.record.write(
+                "%s of %s attempt %d at %s: %d %s" % (
+                    name, body["task"], body["attempt"], self.id, reply.status,
+                    json.loads(reply.body).get("reason", "")))
+            return reply
         if name == "hold":
             return await self._hold(body)
         return self._reply()
