--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -445,6 +445,18 @@
         if self.process and self.process.returncode is None:
             os.kill(self.process.pid, number)
 
+    def memory_mb(self):
+        """Returns the resident memory of the process."""
+        if self.process is None or self.process.returncode is not None:
+            return 0
+        try:
+            with open("/proc/%d/status" % self.process.pid,
+                      encoding="ascii") as status:
+                return max(int(line.split()[1]) // 1024 for line in status
+                           if line.startswith("VmRSS"))
+        except (OSError, ValueError):
+            return 0
+
     async def kill(self):
         if self.process and self.process.returncode is None:
             self.process.kill()
@@ -468,6 +480,7 @@
         self._folder = tempfile.mkdtemp(prefix="crocusmast-review-")
         self._last_seen = {}
         self._background = []
+        self.memory_kills = 0
         self.store_fault = None  # async (instance, request) -> Reply
 
     async def start(self):
@@ -533,6 +546,21 @@
                     self.record.write("%s leads with token %d" % (
                         instance.name, item["revision"]))
 
+    async def limit_memory(self, limit_mb=260, pause_s=1.0):
+        """Kills a process that exceeds memory_mb, and starts it again."""
+        while True:
+            await asyncio.sleep(0.1)
+            for instance in self.instances:
+                used = instance.memory_mb()
+                if used > limit_mb:
+                    self.record.write("%s uses %d MB and is killed" % (
+                        instance.name, used))
+                    self.memory_kills += 1
+                    await instance.kill()
+                    asyncio.get_running_loop().call_later(
+                        pause_s, lambda instance=instance:
+                        asyncio.ensure_future(instance.start()))
+
     # The store's view of workers.
 
     def register(self, worker, entry):
