--- a/review/2/case.py
+++ b/review/2/case.py
@@ -9,12 +9,12 @@
 
 from deployment import Worker, main  # noqa: E402
 
-ROUNDS = 10
+ROUNDS = 14
 CUT_S = 3.0       # SYSTEM: node_cut of workers, at most 5.5 s
 REBORN_S = 1.0    # from the cut to the start of the worker's next life
-CALM_S = 4.5
+CALM_S = 2.7
 BURST_S = 1.0
-BURST_JOBS = 14
+BURST_JOBS = 16
 
 
 async def load(deployment):
