--- a/review/common/deployment.py
+++ b/review/deployment.py
@@ -17,7 +17,7 @@
 import tempfile
 import time
 
-ROOT = pathlib.Path(__file__).resolve().parents[2]
+ROOT = pathlib.Path(__file__).resolve().parents[1]
 sys.path.insert(0, str(ROOT / "test" / "soak"))
 
 from http_server import Reply, _Connection, serve  # noqa: E402
