Stop late starts on the next incarnation of a worker

The next incarnation began the run and replied 200. The next poll showed the new incarnation, and every run of the worker ended as lost, so that the task was placed on another worker 0.6 s after it had begun on this one.

The end of an incarnation is no evidence of a run whose start may still be executed, and the reply to a start does not tell which incarnation sent it; only that to a poll does. Such runs are now kept and stopped on the later incarnation, which rejects the start after it has confirmed the stop; a poll sent after that ends the run. An unreachable later incarnation is waited for no longer than for the longest lease it can have granted. Runs that a poll of the earlier incarnation listed, with no start open, end at once as before, so a sound task waits for one more exchange with a worker that replies, and not for a lease.

Related paths: a successor polls a later incarnation before it takes the worker as reconciled; a restarted worker is polled before it is used; a start is not repeated while polls of its worker fail; a clock reading below an earlier one in the reply to a command is ignored.

NewIncarnationRestartsTasksAtOnce and TaskRestartsOnceItsWorkerHasRestarted get the polls that the conclusion needs, and check that nothing starts before.

--- a/src/crocusmast/execution/worker.cc
+++ b/src/crocusmast/execution/worker.cc
@@ -4,21 +4,11 @@
 #include <utility>
 
 namespace crocusmast::execution {
-namespace internal {
-
-/**
- * @brief Returns the real time that a slow worker clock may take to advance.
- *
- * One per cent is added, because a clock that is 2 per cent slow takes 1 / 0.98
- * of the time, which is more than 1.02.
- * @param time The time that passes on the worker's clock.
- */
+
 core::Duration WithClockDrift(core::Duration time) {
   return time * (100 + kMaxClockDriftPercent + 1) / 100;
 }
 
-}  // namespace internal
-
 Worker::Worker(WorkerRecord record, core::TimePoint now) {
   BeginIncarnation(std::move(record), now);
 }
@@ -83,6 +73,12 @@
   m_alive_at = std::max(m_alive_at, clock);
 }
 
+void Worker::AdvanceClock(WorkerTime clock, core::TimePoint now) {
+  if (!(clock < std::max(m_alive_at, m_record.clock))) {
+    UpdateClock(clock, now);
+  }
+}
+
 WorkerTime Worker::ExtendLease(std::chrono::milliseconds length,
                                core::TimePoint now) {
   const auto since = std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -93,7 +89,7 @@
   }
   // The worker's clock showed at least m_clock when it was read.
   const core::TimePoint expires_at =
-      m_clock_read_at + internal::WithClockDrift(m_lease_until - m_clock);
+      m_clock_read_at + WithClockDrift(m_lease_until - m_clock);
   m_lease_expires_at = std::max(m_lease_expires_at, expires_at);
   return m_lease_until;
 }
@@ -147,6 +143,12 @@
   return true;
 }
 
+bool Worker::HasLateStarts() const {
+  return std::any_of(m_runs.begin(), m_runs.end(), [](const auto& entry) {
+    return entry.second.may_start_late;
+  });
+}
+
 std::vector<RunKey> Worker::Keys() const {
   std::vector<RunKey> keys;
   keys.reserve(m_runs.size());
--- a/src/crocusmast/execution/worker.h
+++ b/src/crocusmast/execution/worker.h
@@ -23,6 +23,15 @@
  */
 inline constexpr int kMaxClockDriftPercent = 2;
 
+/**
+ * @brief Returns the real time that a slow worker clock may take to advance.
+ *
+ * One per cent is added, because a clock that is 2 per cent slow takes 1 / 0.98
+ * of the time, which is more than 1.02.
+ * @param time The time that passes on the worker's clock.
+ */
+core::Duration WithClockDrift(core::Duration time);
+
 /** @brief A run that is assigned to a worker and may be active there. */
 struct AssignedRun {
   /** @brief Resources it reserves; best-effort runs reserve no processor. */
@@ -35,6 +44,11 @@
   bool reserves_whole_worker = false;
   /** @brief The worker has confirmed the run. */
   bool is_confirmed = false;
+  /** @brief A reply to a poll has listed it. Other than a reply to a start
+   * command, such a reply tells which incarnation sent it. */
+  bool is_listed = false;
+  /** @brief A start command is in flight. */
+  bool has_start_in_flight = false;
   /** @brief A start command got no reply and may still be executed. */
   bool has_unanswered_start = false;
   /** @brief The last repeat of that command could not be sent. */
@@ -53,6 +67,9 @@
   bool has_unanswered_cpu_share = false;
   /** @brief The worker has accepted the stop command. */
   bool is_stop_acknowledged = false;
+  /** @brief An earlier incarnation of the worker was told to start it, and this
+   * one may execute the command too. */
+  bool may_start_late = false;
   /** @brief When it was placed; unset for a run that an earlier leader started.
    */
   core::TimePoint placed_at;
@@ -77,6 +94,13 @@
   bool IsUnsent() const {
     return !is_confirmed && command_sent_at == core::TimePoint();
   }
+
+  /** @brief Tells whether a later incarnation of the worker may run it: a start
+   * command was executed by it, or may still be. */
+  bool MayStartOnLaterIncarnation() const {
+    return !IsUnsent() &&
+           (has_start_in_flight || has_unanswered_start || !is_listed);
+  }
 };
 
 /** @brief Identifies one run of a task. */
@@ -148,6 +172,15 @@
     m_lease_expires_at = std::max(m_lease_expires_at, until);
   }
 
+  /**
+   * @brief Updates the clock by a reply that may have been overtaken, or sent
+   * by a later incarnation, whose clock starts anew: a reading below an earlier
+   * one is ignored.
+   * @param clock The clock reading in the worker's reply.
+   * @param now The current time.
+   */
+  void AdvanceClock(WorkerTime clock, core::TimePoint now);
+
   /** @brief Returns the highest reading of the worker's clock in a reply. */
   WorkerTime AliveAt() const { return m_alive_at; }
 
@@ -207,6 +240,10 @@
   /** @brief Returns the assigned runs, which may be active. */
   const std::map<RunKey, AssignedRun>& Runs() const { return m_runs; }
 
+  /** @brief Tells whether a run may start that an earlier incarnation was told
+   * to start. */
+  bool HasLateStarts() const;
+
   /** @brief Returns a copy of the keys of the assigned runs. */
   std::vector<RunKey> Keys() const;
 
--- a/src/crocusmast/manager/job_manager.cc
+++ b/src/crocusmast/manager/job_manager.cc
@@ -305,7 +305,8 @@
     m_scheduler.BeginTerm({token,
                            leadership::kSchedulingLease.renew_deadline -
                                leadership::kSchedulingLease.duration,
-                           m_elector.VacantSince(m_stored_handover.revision)},
+                           m_elector.VacantSince(m_stored_handover.revision),
+                           m_settings.max_worker_lease},
                           m_job_catalog, m_stored_handover);
     m_machine_port.BeginTerm(
         m_stored_handover.handover.fleet.machine_cooldowns);
--- a/src/crocusmast/manager/job_manager.h
+++ b/src/crocusmast/manager/job_manager.h
@@ -65,6 +65,8 @@
    * machine.
    */
   std::chrono::milliseconds machine_command_cooldown{};
+  /** @brief The longest lease that a worker grants. */
+  std::chrono::milliseconds max_worker_lease{6000};
 };
 
 /**
--- a/src/crocusmast/scheduling/inherited_workers.cc
+++ b/src/crocusmast/scheduling/inherited_workers.cc
@@ -22,15 +22,8 @@
   return found == m_workers.end() ? nullptr : &found->second;
 }
 
-bool InheritedWorkers::MayHaveRuns(const core::InstanceId& id,
-                                   core::Incarnation incarnation) const {
-  const Worker* worker = Find(id);
-  return worker != nullptr && !(worker->incarnation < incarnation);
-}
-
 bool InheritedWorkers::MayStillRun(const job::TaskPlacement& placement) const {
-  const Worker* worker = Find(placement.worker);
-  return worker != nullptr && !(placement.incarnation < worker->incarnation);
+  return Find(placement.worker) != nullptr;
 }
 
 bool InheritedWorkers::IsPoolReconciled(const core::PoolId& pool) const {
--- a/src/crocusmast/scheduling/inherited_workers.h
+++ b/src/crocusmast/scheduling/inherited_workers.h
@@ -15,9 +15,10 @@
  * @brief Workers that may still have runs of an earlier leader.
  *
  * A worker leaves when it is reconciled: it replied to this leader, which
- * fences it against earlier ones and tells its runs; a later incarnation of it
- * has joined; no machine has it any more; or every lease that it may hold has
- * expired.
+ * fences it against earlier ones and tells its runs; no machine has it any
+ * more; or every lease that it may hold has expired. That a later incarnation
+ * of it has joined is no reason: a start command that an earlier leader sent
+ * may still be executed by it.
  */
 class InheritedWorkers {
  public:
@@ -47,19 +48,10 @@
    */
   const Worker* Find(const core::InstanceId& id) const;
 
-  /**
-   * @brief Tells whether an incarnation of a worker may have runs of an earlier
-   * leader.
-   * @param id The worker.
-   * @param incarnation The incarnation that has joined.
-   */
-  bool MayHaveRuns(const core::InstanceId& id,
-                   core::Incarnation incarnation) const;
-
   /**
    * @brief Tells whether a run that an earlier leader placed may be active and
    * is not known yet.
-   * @param placement The worker and its incarnation.
+   * @param placement The worker, in whichever incarnation.
    */
   bool MayStillRun(const job::TaskPlacement& placement) const;
 
--- a/src/crocusmast/scheduling/scheduler.cc
+++ b/src/crocusmast/scheduling/scheduler.cc
@@ -115,6 +115,7 @@
   m_ended_jobs.clear();
   m_tickets.Clear();
   m_crashes.Clear();
+  m_unanswered_starts.Clear();
   m_demand.Clear();
   m_workers_by_pool.clear();
   m_free_capacity.clear();
--- a/src/crocusmast/scheduling/scheduler.h
+++ b/src/crocusmast/scheduling/scheduler.h
@@ -34,6 +34,7 @@
 #include "crocusmast/scheduling/run_time_estimator.h"
 #include "crocusmast/scheduling/ticket_cache.h"
 #include "crocusmast/scheduling/timing.h"
+#include "crocusmast/scheduling/unanswered_starts.h"
 #include "crocusmast/scheduling/waiting_jobs.h"
 #include "crocusmast/upkeep/worker_drain_port.h"
 
@@ -58,6 +59,8 @@
   /** @brief When the claim of the previous leader was known to be removed, no
    * earlier than its handover state was stored; empty if unknown. */
   std::optional<core::TimePoint> vacant_since{};
+  /** @brief The longest lease that a worker grants. */
+  std::chrono::milliseconds max_worker_lease{6000};
 };
 
 /**
@@ -190,12 +193,26 @@
                                job::RunOutcome outcome);
 
   /** @brief How the end of an incarnation became known. */
-  enum class IncarnationEnd { kReplaced, kLeaseExpired, kMachineGone };
+  enum class IncarnationEnd {
+    /** A later incarnation of the worker exists. */
+    kReplaced,
+    kLeaseExpired,
+    kMachineGone,
+    /** Another worker has its address. */
+    kAddressTaken
+  };
 
   void EndIncarnation(execution::Worker& worker,
                       IncarnationEnd end,
                       const char* reason);
-  void HandleOtherIncarnation(execution::Worker& worker);
+  void HandleOtherWorker(execution::Worker& worker);
+  void HandleOtherIncarnation(execution::Worker& worker,
+                              core::Incarnation replying);
+  void BeginIncarnation(execution::Worker& worker,
+                        execution::WorkerRecord record,
+                        const char* reason);
+  std::map<execution::RunKey, execution::AssignedRun> RunsToStopOn(
+      const execution::Worker& replaced) const;
   void SettleCrash(const core::InstanceId& worker, core::Incarnation seen);
   void CountCrashes(const core::InstanceId& worker, const Blame& blame);
   void MarkStartSurvived(execution::Worker& worker,
@@ -352,6 +369,7 @@
   capacity::DemandEstimator m_demand;
   TicketCache m_tickets;
   CrashAttribution m_crashes;
+  UnansweredStarts m_unanswered_starts;
   job::FleetHandover m_fleet_handover;
   /** @brief Placements of the current job for the log, each in the form
    * TASK#ATTEMPT@WORKER/FREE, where FREE is the processor time that is left on
--- a/src/crocusmast/scheduling/scheduler_crashes.cc
+++ b/src/crocusmast/scheduling/scheduler_crashes.cc
@@ -31,6 +31,10 @@
     blame = m_crashes.FindBlame(worker, now);
   }
   for (const RunKey& key : worker.Keys()) {
+    if (end == IncarnationEnd::kReplaced &&
+        worker.Find(key)->MayStartOnLaterIncarnation()) {
+      continue;
+    }
     const bool is_blamed = std::any_of(
         blame.runs.begin(), blame.runs.end(), [&key](const RunKey& run) {
           return run.task == key.task && run.attempt == key.attempt;
@@ -40,15 +44,91 @@
            "");
   }
   CountCrashes(id, blame);
-  MarkReconciled(id, reason);
+  if (end != IncarnationEnd::kReplaced) {
+    MarkReconciled(id, reason);
+  }
 }
 
-void Scheduler::HandleOtherIncarnation(Worker& worker) {
-  const core::Incarnation polled = worker.Record().incarnation;
-  EndIncarnation(worker, IncarnationEnd::kReplaced,
-                 "another incarnation replied at its address");
+void Scheduler::HandleOtherWorker(Worker& worker) {
+  const core::Incarnation known = worker.Record().incarnation;
+  EndIncarnation(worker, IncarnationEnd::kAddressTaken,
+                 "another worker replied at its address");
   worker.MarkUnlisted();
-  SettleCrash(worker.Record().id, polled + core::Incarnation(1));
+  SettleCrash(worker.Record().id, known + core::Incarnation(1));
+}
+
+void Scheduler::HandleOtherIncarnation(Worker& worker,
+                                       core::Incarnation replying) {
+  if (replying < worker.Record().incarnation) {
+    HandleOtherWorker(worker);
+    return;
+  }
+  execution::WorkerRecord record = worker.Record();
+  record.incarnation = replying;
+  record.clock = {};
+  BeginIncarnation(worker, std::move(record),
+                   "a later incarnation replied at its address");
+  // Its capacity is not known until its own record arrives.
+  worker.MarkUnlisted();
+  UpdateCapacity(worker);
+}
+
+// A start command whose reply is missing, or may have come from the later
+// incarnation, may be executed by that one. The run is kept until the later
+// incarnation has confirmed a stop, after which it rejects such a command.
+void Scheduler::BeginIncarnation(Worker& worker,
+                                 execution::WorkerRecord record,
+                                 const char* reason) {
+  const core::TimePoint now = m_ports.clock.Now();
+  const core::InstanceId id = record.id;
+  const core::Incarnation incarnation = record.incarnation;
+  EndIncarnation(worker, IncarnationEnd::kReplaced, reason);
+  const std::map<RunKey, execution::AssignedRun> runs = RunsToStopOn(worker);
+  worker.Update(std::move(record), now);
+  SettleCrash(id, incarnation);
+  if (!runs.empty()) {
+    Log(core::Severity::kWarning,
+        "Stopping " + std::to_string(runs.size()) +
+            " runs that may have started on the later incarnation of worker " +
+            id.Text() + ".",
+        {{"event", "late_starts_stopped"},
+         {"worker", id.Text()},
+         {"incarnation", std::to_string(incarnation.Count())},
+         {"runs", std::to_string(runs.size())}});
+    worker.AssumeLeaseUntil(now +
+                            execution::WithClockDrift(m_term.max_worker_lease));
+  }
+  for (const auto& [key, run] : runs) {
+    worker.Add(key, run);
+    SendStop(worker, key);
+  }
+  if (m_has_worker_list) {
+    StoreHandover();
+  }
+}
+
+std::map<RunKey, execution::AssignedRun> Scheduler::RunsToStopOn(
+    const Worker& replaced) const {
+  std::map<RunKey, execution::AssignedRun> runs;
+  const auto add = [this, &runs](const RunKey& key) {
+    const auto job = m_jobs.find(key.task.job);
+    execution::AssignedRun run;
+    run.reserves_whole_worker = true;
+    if (job != m_jobs.end() && job->second.job.Find(key.task.key) != nullptr) {
+      run = MakeAssignedRun(job->second.job.StepOf(key.task.key));
+    }
+    run.has_unanswered_start = true;
+    run.may_start_late = true;
+    runs.emplace(key, std::move(run));
+  };
+  for (const auto& [key, run] : replaced.Runs()) {
+    add(key);
+  }
+  for (const RunKey& key :
+       m_unanswered_starts.Find(replaced.Record().id, m_ports.clock.Now())) {
+    add(key);
+  }
+  return runs;
 }
 
 void Scheduler::SettleCrash(const core::InstanceId& worker,
--- a/src/crocusmast/scheduling/scheduler_poll_commands.cc
+++ b/src/crocusmast/scheduling/scheduler_poll_commands.cc
@@ -43,7 +43,8 @@
   command.sequence = worker.poll_sequence;
   command.recorded = worker.recorded_end;
   const bool may_wait = worker.is_reconciled && !worker.Runs().empty() &&
-                        worker.received_end == worker.recorded_end;
+                        worker.received_end == worker.recorded_end &&
+                        !worker.HasLateStarts();
   const std::chrono::milliseconds wait =
       m_crashes.IsReserved(id) ? kStartProbation : kPollWait;
   worker.is_poll_waiting = may_wait;
--- a/src/crocusmast/scheduling/scheduler_polls.cc
+++ b/src/crocusmast/scheduling/scheduler_polls.cc
@@ -40,12 +40,13 @@
     m_was_fenced = true;
     return;
   }
-  const bool is_other_incarnation =
-      reply.outcome == WorkerCallOutcome::kIncarnationMismatch ||
-      (reply.replying_incarnation &&
-       *reply.replying_incarnation != reply.incarnation);
-  if (is_other_incarnation) {
-    HandleOtherIncarnation(*worker);
+  if (reply.outcome == WorkerCallOutcome::kIncarnationMismatch) {
+    HandleOtherWorker(*worker);
+    return;
+  }
+  if (reply.replying_incarnation &&
+      *reply.replying_incarnation != reply.incarnation) {
+    HandleOtherIncarnation(*worker, *reply.replying_incarnation);
     return;
   }
   if (reply.outcome != WorkerCallOutcome::kDone) {
@@ -94,6 +95,10 @@
   if (!worker->is_reconciled) {
     worker->is_reconciled = true;
     MarkReconciled(reply.worker, "it replied to a poll");
+    m_pools_to_place.insert(worker->Record().pool);
+  }
+  if (worker->HasLateStarts()) {
+    worker->next_poll_at = now + kLateStartPollDelay;
   }
   UpdateCapacity(*worker);
 }
@@ -202,6 +207,9 @@
       run->confirmed_at_poll = reply.sequence;
       m_run_monitor.HandleConfirmation(*run, now);
     }
+    if (run != nullptr) {
+      run->is_listed = true;
+    }
     if (run != nullptr && !run->active_since) {
       run->active_since = reply.clock;
     }
@@ -232,6 +240,7 @@
     run.reserves_whole_worker = true;
   }
   run.is_confirmed = true;
+  run.is_listed = true;
   run.confirmed_at_poll = worker.poll_sequence;
   run.command_sent_at = m_ports.clock.Now();
   run.active_since = worker.AliveAt();
--- a/src/crocusmast/scheduling/scheduler_runs.cc
+++ b/src/crocusmast/scheduling/scheduler_runs.cc
@@ -189,18 +189,22 @@
 
 void Scheduler::HandleStartReply(const execution::WorkerCommandReply& reply) {
   Worker* worker = FindWorker(reply.worker);
+  const RunKey key{reply.task, reply.attempt};
+  if (m_is_active && reply.outcome == WorkerCallOutcome::kUnknown) {
+    m_unanswered_starts.Add(reply.worker, key, m_ports.clock.Now());
+  }
   if (!m_is_active || worker == nullptr ||
       worker->Record().incarnation != reply.incarnation) {
     return;
   }
   if (reply.clock) {
-    worker->UpdateClock(*reply.clock, m_ports.clock.Now());
+    worker->AdvanceClock(*reply.clock, m_ports.clock.Now());
   }
-  const RunKey key{reply.task, reply.attempt};
   AssignedRun* run = worker->Find(key);
   if (run == nullptr) {
     return;
   }
+  run->has_start_in_flight = false;
   if (!run->is_stopping) {
     run->is_command_pending = false;
   }
@@ -219,7 +223,7 @@
       m_was_fenced = true;
       break;
     case WorkerCallOutcome::kIncarnationMismatch:
-      HandleOtherIncarnation(*worker);
+      HandleOtherWorker(*worker);
       break;
     case WorkerCallOutcome::kUnknown:
       run->has_unanswered_start = true;
@@ -277,11 +281,11 @@
     return;
   }
   if (reply.clock) {
-    worker->UpdateClock(*reply.clock, m_ports.clock.Now());
+    worker->AdvanceClock(*reply.clock, m_ports.clock.Now());
   }
   AssignedRun* run = worker->Find({reply.task, reply.attempt});
   if (reply.outcome == WorkerCallOutcome::kIncarnationMismatch) {
-    HandleOtherIncarnation(*worker);
+    HandleOtherWorker(*worker);
     return;
   }
   m_was_fenced = m_was_fenced || reply.outcome == WorkerCallOutcome::kFenced;
@@ -344,6 +348,11 @@
         now < run->command_sent_at + kCommandRetryDelay) {
       continue;
     }
+    // A worker that does not reply may be restarting.
+    if (!run->is_stopping && run->has_unanswered_start &&
+        worker.failed_polls > 0) {
+      continue;
+    }
     if (run->is_stopping) {
       SendStop(worker, key);
       continue;
--- a/src/crocusmast/scheduling/scheduler_starts.cc
+++ b/src/crocusmast/scheduling/scheduler_starts.cc
@@ -131,6 +131,7 @@
     m_run_monitor.HandleStart(*run, m_ports.clock.Now());
   }
   run->is_command_pending = true;
+  run->has_start_in_flight = true;
   run->command_sent_at = m_ports.clock.Now();
   execution::StartCommand command;
   command.to = DestinationOf(worker);
--- a/src/crocusmast/scheduling/scheduler_workers.cc
+++ b/src/crocusmast/scheduling/scheduler_workers.cc
@@ -35,7 +35,8 @@
   const core::InstanceId id = update.worker.id;
   const core::PoolId pool = update.worker.pool;
   Worker* known = FindWorker(id);
-  bool is_new_incarnation = known == nullptr;
+  const bool is_new_worker = known == nullptr;
+  bool is_new_incarnation = is_new_worker;
   if (known == nullptr) {
     known = m_workers
                 .emplace(
@@ -43,9 +44,8 @@
                 .first->second.get();
     m_workers_by_pool[pool].push_back(known);
   } else if (known->Record().incarnation < update.worker.incarnation) {
-    EndIncarnation(*known, IncarnationEnd::kReplaced, "it has restarted");
     const core::PoolId before = known->Record().pool;
-    known->Update(std::move(update.worker), now);
+    BeginIncarnation(*known, std::move(update.worker), "it has restarted");
     MoveToPool(*known, before);
     is_new_incarnation = true;
   } else {
@@ -65,17 +65,18 @@
   if (!is_new_incarnation) {
     return;
   }
-  SettleCrash(id, known->Record().incarnation);
+  if (is_new_worker) {
+    SettleCrash(id, known->Record().incarnation);
+  }
   Log(core::Severity::kInfo, "Worker " + id.Text() + " has joined.",
       {{"event", "worker_joined"},
        {"worker", id.Text()},
        {"pool", pool.Text()},
        {"incarnation", std::to_string(known->Record().incarnation.Count())}});
+  // A later incarnation than the known one may run what that one was told to
+  // start, by this leader or by an earlier one: it is polled before it is used.
   known->is_reconciled =
-      !m_inherited_workers.MayHaveRuns(id, known->Record().incarnation);
-  if (known->is_reconciled) {
-    MarkReconciled(id, "a later incarnation has joined");
-  }
+      is_new_worker && m_inherited_workers.Find(id) == nullptr;
   UpdateCapacity(*known);
   if (m_has_worker_list) {
     StoreHandover();
--- a/test/scheduling/long_running_placement_test.cc
+++ b/test/scheduling/long_running_placement_test.cc
@@ -134,6 +134,9 @@
     const core::InstanceId gone = predecessor.starts[1].to.worker;
     fixture.SetWorkers({MakeWorker(restarted.Text(), 2)});
     fixture.RunCycles();
+    CPPUNIT_ASSERT(fixture.worker_port.starts.empty());
+    fixture.ReplyToPoll({}, {});
+    fixture.RunCycles();
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.worker_port.starts.size());
     CPPUNIT_ASSERT(fixture.worker_port.starts[0].task ==
                    predecessor.starts[0].task);
--- a/test/scheduling/scheduler_recovery_test.cc
+++ b/test/scheduling/scheduler_recovery_test.cc
@@ -182,8 +182,13 @@
     fixture.RunCycles();
     fixture.ReplyToStart(fixture.worker_port.starts[0],
                          WorkerCallOutcome::kDone);
+    fixture.ReplyToPoll({Fixture::ActiveRun(fixture.worker_port.starts[0])},
+                        {});
     fixture.scheduler.Handle(scheduling::WorkerUpdated{MakeWorker("w-1", 2)});
     fixture.RunCycles();
+    fixture.ReplyToPoll({}, {});
+    fixture.RunCycles();
+    CPPUNIT_ASSERT(fixture.worker_port.stops.empty());
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fixture.worker_port.starts.size());
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{2},
                          fixture.worker_port.starts[1].to.incarnation.Count());
