Conclude nothing from a list that leaves out ended runs

Cause: a worker lists at most 500 ended runs in a reply. A new leader took the first reply for complete, marked the worker as reconciled and placed the tasks of the other runs; within a term, a run in neither list was counted as lost. A reply now tells whether it lists all ends. Until it does, no run is lost for its absence, and the worker is neither reconciled, also past the inherited lease while it replies, nor idle. Its lease is extended meanwhile and the next ends are requested as soon as the first are stored, so that tasks wait for the lists only.

--- a/src/crocusmast/execution/commands.h
+++ b/src/crocusmast/execution/commands.h
@@ -145,8 +145,12 @@
   std::optional<WorkerTime> clock;
   /** @brief All runs that are active on the worker. */
   std::vector<RunReport> running;
-  /** @brief Ended runs that are not acknowledged yet. */
+  /** @brief Ended runs that are not acknowledged yet, in the order of their
+   * numbers. */
   std::vector<EndedRunReport> ended;
+  /** @brief No ended run was left out; otherwise a run in neither list may have
+   * ended. */
+  bool lists_all_ends = true;
 };
 
 }  // namespace crocusmast::execution
--- a/src/crocusmast/execution/worker.cc
+++ b/src/crocusmast/execution/worker.cc
@@ -34,6 +34,7 @@
   best_effort_share = core::Percent(100);
   is_poll_pending = false;
   ++poll_sequence;
+  has_unlisted_ends = false;
   is_reconciled = false;
   is_recorded_in_store = false;
   backoff_until = {};
--- a/src/crocusmast/execution/worker.h
+++ b/src/crocusmast/execution/worker.h
@@ -267,6 +267,8 @@
   bool is_poll_waiting = false;
   /** @brief Sequence number of the latest poll. */
   std::uint64_t poll_sequence = 0;
+  /** @brief Its last reply left out ended runs. */
+  bool has_unlisted_ends = false;
   /** @brief All runs that it may have from earlier terms are known. */
   bool is_reconciled = false;
   /** @brief Earliest time of the next poll. */
--- a/src/crocusmast/scheduling/scheduler.cc
+++ b/src/crocusmast/scheduling/scheduler.cc
@@ -296,8 +296,9 @@
         if (worker != nullptr && worker->recorded_end < number &&
             !(worker->received_end < number)) {
           worker->recorded_end = number;
-          worker->next_poll_at =
-              worker->Runs().empty() ? now + kAcknowledgeDelay : now;
+          const bool is_urgent =
+              !worker->Runs().empty() || worker->has_unlisted_ends;
+          worker->next_poll_at = is_urgent ? now : now + kAcknowledgeDelay;
           m_workers_to_poll.insert(id);
         }
       });
--- a/src/crocusmast/scheduling/scheduler_poll_commands.cc
+++ b/src/crocusmast/scheduling/scheduler_poll_commands.cc
@@ -32,6 +32,7 @@
   }
   const bool is_needed = !worker.is_reconciled || !worker.Runs().empty() ||
                          worker.acknowledged_end < worker.recorded_end ||
+                         worker.has_unlisted_ends ||
                          (worker.failed_polls > 0 && worker.IsListed()) ||
                          m_crashes.IsUncertain(id);
   if (!is_needed) {
@@ -54,8 +55,9 @@
   // this leader yet, whose runs count as ended when the inherited lease
   // expires. Until the handover state of this term is stored, a successor
   // would begin from the state of an earlier one, which has shorter leases.
-  if (worker.failed_polls == 0 && worker.is_reconciled &&
-      worker.is_recorded_in_store && !worker.is_lease_frozen) {
+  const bool has_replied = worker.is_reconciled || worker.has_unlisted_ends;
+  if (worker.failed_polls == 0 && has_replied && worker.is_recorded_in_store &&
+      !worker.is_lease_frozen) {
     command.lease_until = worker.ExtendLease(kWorkerLeaseLength, now);
   }
   worker.is_poll_pending = true;
--- a/src/crocusmast/scheduling/scheduler_polls.cc
+++ b/src/crocusmast/scheduling/scheduler_polls.cc
@@ -79,6 +79,7 @@
   }
   worker->acknowledged_end = worker->acknowledging_end;
   worker->next_poll_at = now;
+  worker->has_unlisted_ends = !reply.lists_all_ends;
   if (reply.clock) {
     worker->UpdateClock(*reply.clock, now);
   }
@@ -90,9 +91,12 @@
   }
   ProcessEndedRuns(*worker, reply);
   ProcessRunningRuns(*worker, reply);
-  EndUnreportedRuns(*worker, reply);
+  // Nothing follows from a run's absence in a list that is not complete.
+  if (reply.lists_all_ends) {
+    EndUnreportedRuns(*worker, reply);
+  }
   ThrottleBestEffortRuns(*worker, reply);
-  if (!worker->is_reconciled) {
+  if (!worker->is_reconciled && reply.lists_all_ends) {
     worker->is_reconciled = true;
     MarkReconciled(reply.worker, "it replied to a poll");
     m_pools_to_place.insert(worker->Record().pool);
--- a/src/crocusmast/scheduling/scheduler_upkeep.cc
+++ b/src/crocusmast/scheduling/scheduler_upkeep.cc
@@ -42,7 +42,8 @@
   const auto worker = m_workers.find(id);
   const bool may_have_runs =
       m_inherited_workers.Find(id) != nullptr ||
-      (worker != m_workers.end() && !worker->second->Runs().empty());
+      (worker != m_workers.end() &&
+       (!worker->second->Runs().empty() || worker->second->has_unlisted_ends));
   return !may_have_runs;
 }
 
--- a/src/crocusmast/scheduling/scheduler_workers.cc
+++ b/src/crocusmast/scheduling/scheduler_workers.cc
@@ -254,6 +254,13 @@
     const bool may_reply = worker == nullptr
                                ? !m_has_worker_list
                                : worker->IsListed() && !worker->failed_polls;
+    // The rest of its ends follows in its next replies.
+    const bool is_replying =
+        worker != nullptr && worker->has_unlisted_ends &&
+        (worker->failed_polls == 0 || !worker->HasLeaseExpired(confirmed_at));
+    if (is_replying) {
+      continue;
+    }
     if (may_reply &&
         confirmed_at < m_inherited_workers.Find(id)->leased_until + vacancy) {
       continue;
--- a/test/platform/codec_test.cc
+++ b/test/platform/codec_test.cc
@@ -51,6 +51,16 @@
     R"("created":412,"lease":77120},)"
     R"({"key":"my/old","revision":413,"deleted":true}],"at_rev":413})";
 
+std::string MakeBodyWithEnds(int count) {
+  std::string ends;
+  for (int number = 1; number <= count; ++number) {
+    ends += (ends.empty() ? "[" : ",[") + std::to_string(number) +
+            R"(,"5c0e7a21d94b36f8.0.1.)" + std::to_string(number) +
+            R"(",1,"done",""])";
+  }
+  return R"({"clock_ms":1,"born":1,"running":[],"ended":[)" + ends + "]}";
+}
+
 template <typename T>
 bool IsError(const core::Result<T>& result) {
   return !result;
@@ -64,6 +74,7 @@
   CPPUNIT_TEST(TaskIdsRoundTrip);
   CPPUNIT_TEST(DecodesWorkerEntries);
   CPPUNIT_TEST(DecodesPollReply);
+  CPPUNIT_TEST(FullListOfEndsIsNotComplete);
   CPPUNIT_TEST(EncodesCommands);
   CPPUNIT_TEST(DecodesCallOutcomes);
   CPPUNIT_TEST(DecodesConfiguration);
@@ -170,6 +181,17 @@
                          reply.replying_incarnation->Count());
   }
 
+  // Issue 36, TWICE: a run that such a list leaves out may have ended.
+  void FullListOfEndsIsNotComplete() {
+    execution::PollReply reply;
+    CPPUNIT_ASSERT(
+        !IsError(DecodePollReply(200, MakeBodyWithEnds(499), reply)));
+    CPPUNIT_ASSERT(reply.lists_all_ends);
+    execution::PollReply full;
+    CPPUNIT_ASSERT(!IsError(DecodePollReply(200, MakeBodyWithEnds(500), full)));
+    CPPUNIT_ASSERT(!full.lists_all_ends);
+  }
+
   void EncodesCommands() {
     execution::StartCommand start_command;
     start_command.to.token = core::FencingToken(7);
