Store a relisted worker before it gets tasks

A worker without runs that left the membership list and came back before the next check of all workers, within 25 ms, kept the mark that the stored handover state lists it, although the state that was stored meanwhile may have left it out. A successor would then not wait for its runs and start them a second time. It is now stored again first.

RelistedWorkerTest fails on: the task starts while the handover state that was stored last lists no worker.

--- a/src/crocusmast/scheduling/scheduler_workers.cc
+++ b/src/crocusmast/scheduling/scheduler_workers.cc
@@ -50,6 +50,7 @@
     is_new_incarnation = true;
   } else {
     const bool was_draining = known->Record().is_draining;
+    const bool was_listed = known->IsListed();
     const core::PoolId before = known->Record().pool;
     known->Update(std::move(update.worker), now);
     MoveToPool(*known, before);
@@ -58,6 +59,13 @@
           {{"event", "worker_leaving"}, {"worker", id.Text()}});
     }
     GiveUpUnsentRunsOverCapacity(*known);
+    if (!was_listed && known->Runs().empty()) {
+      // The handover state may have left it out meanwhile.
+      known->is_recorded_in_store = false;
+      if (m_has_worker_list) {
+        StoreHandover();
+      }
+    }
   }
   m_pools_to_place.insert(pool);
   m_workers_to_poll.insert(id);
