Take no joining worker for one whose machine is gone

A worker gets tasks as soon as its entry has arrived. If one poll of it then failed, and the list of machines still showed its machine as moving or in maintenance without a worker, its runs were ended at once and started elsewhere.

While a machine moves or is in maintenance, absence from a list now counts only for workers that an earlier list has shown or that an earlier leader knew; others wait for their lease. Workers of machines that are down are ended at once as before.

--- a/src/crocusmast/scheduling/scheduler_machines.cc
+++ b/src/crocusmast/scheduling/scheduler_machines.cc
@@ -21,12 +21,13 @@
   std::vector<MachineEvidence::KnownWorker> workers;
   for (const auto& [id, worker] : m_workers) {
     if (!worker->is_reconciled || !worker->Runs().empty()) {
-      workers.push_back({id, worker->Record().pool, KnownSince(*worker)});
+      workers.push_back({id, worker->Record().pool, KnownSince(*worker),
+                         m_inherited_workers.Find(id) != nullptr});
     }
   }
   for (const auto& [id, inherited] : m_inherited_workers.All()) {
     if (m_workers.count(id) == 0) {
-      workers.push_back({id, inherited.pool, m_term_began_at});
+      workers.push_back({id, inherited.pool, m_term_began_at, true});
     }
   }
   m_machine_evidence.Handle(list, workers, m_ports.clock.Now());
