--- a/src/crocusmast/scheduling/scheduler_crashes.cc
+++ b/src/crocusmast/scheduling/scheduler_crashes.cc
@@ -59,6 +59,8 @@
 
 void Scheduler::HandleOtherIncarnation(Worker& worker,
                                        core::Incarnation replying) {
+  // The known record is of a later incarnation, so there is no later one to
+  // expect commands to reach.
   if (replying < worker.Record().incarnation) {
     HandleOtherWorker(worker);
     return;
