--- a/src/crocusmast/scheduling/scheduler_crashes.cc
+++ b/src/crocusmast/scheduling/scheduler_crashes.cc
@@ -121,7 +121,7 @@
     }
     run.has_unanswered_start = true;
     run.may_start_late = true;
-    runs.emplace(key, std::move(run));
+    runs.emplace(key, run);
   };
   for (const auto& [key, run] : replaced.Runs()) {
     add(key);
