--- a/src/crocusmast/scheduling/machine_evidence.cc
+++ b/src/crocusmast/scheduling/machine_evidence.cc
@@ -9,7 +9,6 @@
 
 void MachineEvidence::Clear() {
   m_absences.clear();
-  m_listed_workers.clear();
   m_machines.clear();
   m_received_at.reset();
   m_has_second_list = false;
@@ -24,14 +23,11 @@
   std::set<core::InstanceId> listed;
   // The worker of such a machine may be any of its pool.
   std::set<core::PoolId> uncertain_pools;
-  bool may_be_joining = false;
   for (const Machine& machine : list.machines) {
     if (!machine.worker.IsEmpty()) {
       listed.insert(machine.worker);
     } else if (machine.state == MachineState::kUp) {
       uncertain_pools.insert(machine.pool);
-    } else if (machine.state != MachineState::kDown) {
-      may_be_joining = true;
     }
   }
   const bool has_all_machines = HasAllMachines(list);
@@ -40,25 +36,16 @@
     if (listed.count(worker.id) > 0) {
       continue;
     }
-    const bool is_established =
-        worker.is_inherited || m_listed_workers.count(worker.id) > 0;
     if (const auto earlier = m_absences.find(worker.id);
         earlier != m_absences.end() &&
         worker.known_since < earlier->second.requested_at) {
       absences.insert(*earlier);
-    } else if (has_all_machines && (is_established || !may_be_joining) &&
-               worker.known_since < list.requested_at &&
+    } else if (has_all_machines && worker.known_since < list.requested_at &&
                uncertain_pools.count(worker.pool) == 0) {
       absences[worker.id] = {list.requested_at, now};
     }
   }
   m_absences = std::move(absences);
-  for (const KnownWorker& worker : workers) {
-    if (m_listed_workers.count(worker.id) > 0) {
-      listed.insert(worker.id);
-    }
-  }
-  m_listed_workers = std::move(listed);
   m_has_second_list = m_received_at.has_value();
   m_received_at = now;
   m_machines.clear();
--- a/src/crocusmast/scheduling/machine_evidence.h
+++ b/src/crocusmast/scheduling/machine_evidence.h
@@ -24,9 +24,7 @@
  * A machine that is up is listed with its worker, also while the worker can't
  * be reached. So an incarnation that was known before the request for a list,
  * and that no machine of the list has, has ended: its machine is down, moving,
- * in maintenance or gone, or has another worker. A worker that has just joined
- * may be known before its machine is listed with it, so while any machine moves
- * or is in maintenance, the worker must have been listed before.
+ * in maintenance or gone, or has another worker.
  */
 class MachineEvidence {
  public:
@@ -36,8 +34,6 @@
     core::PoolId pool;
     /** @brief When its incarnation became known. */
     core::TimePoint known_since;
-    /** @brief An earlier leader knew it, so that it has not just joined. */
-    bool is_inherited = false;
   };
 
   /** @brief Discards all state at the end of a leadership term. */
@@ -80,8 +76,6 @@
   bool HasAllMachines(const upkeep::MachineListReceived& list) const;
 
   std::map<core::InstanceId, Absence> m_absences;
-  /** @brief Workers that a list has shown on their machines. */
-  std::set<core::InstanceId> m_listed_workers;
   /** @brief Machines of the last list. */
   std::set<core::MachineId> m_machines;
   /** @brief When the last list arrived; empty before the first one. */
--- a/src/crocusmast/scheduling/scheduler_machines.cc
+++ b/src/crocusmast/scheduling/scheduler_machines.cc
@@ -21,13 +21,12 @@
   std::vector<MachineEvidence::KnownWorker> workers;
   for (const auto& [id, worker] : m_workers) {
     if (!worker->is_reconciled || !worker->Runs().empty()) {
-      workers.push_back({id, worker->Record().pool, KnownSince(*worker),
-                         m_inherited_workers.Find(id) != nullptr});
+      workers.push_back({id, worker->Record().pool, KnownSince(*worker)});
     }
   }
   for (const auto& [id, inherited] : m_inherited_workers.All()) {
     if (m_workers.count(id) == 0) {
-      workers.push_back({id, inherited.pool, m_term_began_at, true});
+      workers.push_back({id, inherited.pool, m_term_began_at});
     }
   }
   m_machine_evidence.Handle(list, workers, m_ports.clock.Now());
