Log how the time of jobs is divided, and machines on their way

The leader now logs the phases of the jobs of each queue once a second (job_phases). pool_loads adds the ready workers of a pool, the machines on their way to it, and how many machines it lacks by the peak and by the steady rate of arrivals, on which the balancer decides. No decision changes.

--- a/src/crocusmast/capacity/balancer.cc
+++ b/src/crocusmast/capacity/balancer.cc
@@ -154,16 +154,14 @@
             : kDefaultMachineCores;
     const double backlog_cores =
         load.waiting_core_seconds / kToleratedBacklogSeconds;
-    // Those in a move or in maintenance, and those whose worker is joining.
     const std::size_t others =
         load.ready_workers + load.unavailable_workers + down_count[pool];
-    const auto arriving_machines =
-        static_cast<double>(view.machines - std::min(view.machines, others));
+    view.arriving_machines = view.machines - std::min(view.machines, others);
     const auto deficit = [&](double arriving_cores) {
       const double needed_cores =
           backlog_cores + std::max(load.running_cores, arriving_cores);
       return (needed_cores - load.capacity_cores) / view.machine_cores -
-             arriving_machines;
+             static_cast<double>(view.arriving_machines);
     };
     view.deficit = deficit(load.arriving_cores);
     view.steady_deficit = deficit(load.steady_cores);
@@ -223,20 +221,24 @@
   std::vector<core::LogField> fields{{"event", "pool_loads"}};
   for (const auto& [pool, view] : views) {
     const PoolLoad& load = view.load;
-    fields.push_back({pool.Text(), std::to_string(view.machines) + " " +
-                                       std::to_string(view.idle.size()) + " " +
-                                       rounded(load.capacity_cores) + " " +
-                                       rounded(load.running_cores) + " " +
-                                       rounded(load.waiting_cores) + " " +
-                                       rounded(load.arriving_cores) + " " +
-                                       std::to_string(load.waiting_in_time) +
-                                       " " + std::to_string(load.waiting_late) +
-                                       " " +
-                                       std::to_string(load.waiting_expired)});
+    fields.push_back(
+        {pool.Text(),
+         std::to_string(view.machines) + " " +
+             std::to_string(view.idle.size()) + " " +
+             rounded(load.capacity_cores) + " " + rounded(load.running_cores) +
+             " " + rounded(load.waiting_cores) + " " +
+             rounded(load.arriving_cores) + " " +
+             std::to_string(load.waiting_in_time) + " " +
+             std::to_string(load.waiting_late) + " " +
+             std::to_string(load.waiting_expired) + " " +
+             std::to_string(load.ready_workers) + " " +
+             std::to_string(view.arriving_machines) + " " +
+             rounded(view.deficit) + " " + rounded(view.steady_deficit)});
   }
   Log("Pool loads, as: machines, idle machines, cores, cores in use, cores "
       "needed by waiting tasks, cores needed by recent arrivals, waiting jobs "
-      "in time, late and expired.",
+      "in time, late and expired, ready workers, arriving machines, missing "
+      "machines by the peak and by the steady arrival rate.",
       std::move(fields));
 }
 
--- a/src/crocusmast/capacity/balancer.h
+++ b/src/crocusmast/capacity/balancer.h
@@ -147,6 +147,9 @@
     PoolLoad load;
     /** @brief Machines in the pool or moving to it. */
     std::size_t machines = 0;
+    /** @brief Of these, those in a move or in maintenance, and those whose
+     * worker is joining. */
+    std::size_t arriving_machines = 0;
     /** @brief Cores of one machine of the pool. */
     double machine_cores = 0;
     /**
--- a/src/crocusmast/scheduling/active_job.h
+++ b/src/crocusmast/scheduling/active_job.h
@@ -13,6 +13,17 @@
 
 namespace crocusmast::scheduling {
 
+/** @brief When a job reached its phases in this term; empty if it has not. */
+struct JobTimes {
+  /** @brief When the scheduler learned of it; empty for a job of an earlier
+   * term. */
+  core::TimePoint seen_at;
+  core::TimePoint first_placed_at;
+  core::TimePoint last_placed_at;
+  /** @brief When the last of its runs was known to have ended. */
+  core::TimePoint ended_at;
+};
+
 /** @brief A job with its scheduling state. */
 struct ActiveJob {
   explicit ActiveJob(job::Job created) : job(std::move(created)) {}
@@ -27,6 +38,8 @@
   core::TimePoint accepted_at;
   /** @brief When it has to end to meet its queue's objective. */
   core::TimePoint deadline;
+  /** @brief When it reached its phases. */
+  JobTimes times;
   /** @brief When this leader handled its cancellation; empty before. */
   std::optional<core::TimePoint> cancelled_at;
   /** @brief An earlier leader may have started tasks that are not known yet.
--- a/src/crocusmast/scheduling/fwd.h
+++ b/src/crocusmast/scheduling/fwd.h
@@ -5,6 +5,7 @@
 
 class Committer;
 class InheritedWorkers;
+class JobMonitor;
 class MachineEvidence;
 class RunMonitor;
 class RunTimeEstimator;
--- a/src/crocusmast/scheduling/scheduler.cc
+++ b/src/crocusmast/scheduling/scheduler.cc
@@ -117,6 +117,7 @@
   m_crashes.Clear();
   m_unanswered_starts.Clear();
   m_demand.Clear();
+  m_job_monitor.Clear();
   m_workers_by_pool.clear();
   m_free_capacity.clear();
   m_workers.clear();
@@ -189,6 +190,7 @@
       std::chrono::seconds(1));
   ActiveJob& active =
       Insert(job::Job::Create(accepted, nullptr, core::Attempt(0)), now - age);
+  active.times.seen_at = now;
   m_run_monitor.HandleArrival(active.deadline <
                               now + RemainingCriticalPath(active));
   m_demand.Add(active.pool, EstimateCoreSeconds(accepted), now);
@@ -258,6 +260,7 @@
     FreezeLeasesOfSilentWorkers();
   }
   LogRunTimes();
+  LogJobPhases();
   const core::WallTime wall = m_ports.clock.WallNow();
   for (const core::JobId& id : m_scheduled_jobs) {
     ActiveJob* active = FindJob(id);
--- a/src/crocusmast/scheduling/scheduler.h
+++ b/src/crocusmast/scheduling/scheduler.h
@@ -28,6 +28,7 @@
 #include "crocusmast/scheduling/crash_attribution.h"
 #include "crocusmast/scheduling/free_capacity.h"
 #include "crocusmast/scheduling/inherited_workers.h"
+#include "crocusmast/scheduling/job_monitor.h"
 #include "crocusmast/scheduling/machine_evidence.h"
 #include "crocusmast/scheduling/messages.h"
 #include "crocusmast/scheduling/run_monitor.h"
@@ -232,6 +233,7 @@
                   const execution::EndedRunReport& end,
                   const execution::PollReply& reply);
   void LogRunTimes();
+  void LogJobPhases();
   void ProcessRunningRuns(execution::Worker& worker,
                           const execution::PollReply& reply);
   void AdoptRun(execution::Worker& worker, const execution::RunReport& report);
@@ -366,6 +368,7 @@
   Committer m_committer;
   RunTimeEstimator m_run_time_estimator;
   RunMonitor m_run_monitor;
+  JobMonitor m_job_monitor;
   capacity::DemandEstimator m_demand;
   TicketCache m_tickets;
   CrashAttribution m_crashes;
--- a/src/crocusmast/scheduling/scheduler_polls.cc
+++ b/src/crocusmast/scheduling/scheduler_polls.cc
@@ -178,6 +178,15 @@
       std::move(fields));
 }
 
+void Scheduler::LogJobPhases() {
+  for (std::vector<core::LogField>& fields :
+       m_job_monitor.NextReports(m_ports.clock.Now())) {
+    fields.insert(fields.begin(), {"event", "job_phases"});
+    Log(core::Severity::kInfo, "Phases of the jobs that ended last.",
+        std::move(fields));
+  }
+}
+
 void Scheduler::TrackFailures(Worker& worker, job::RunOutcome outcome) {
   if (outcome == job::RunOutcome::kDone) {
     worker.failed_runs = 0;
--- a/src/crocusmast/scheduling/scheduler_starts.cc
+++ b/src/crocusmast/scheduling/scheduler_starts.cc
@@ -18,6 +18,10 @@
   const job::Step& step = active.job.StepOf(task.key);
   execution::AssignedRun assigned = MakeAssignedRun(step);
   assigned.placed_at = now;
+  if (active.times.first_placed_at == core::TimePoint()) {
+    active.times.first_placed_at = now;
+  }
+  active.times.last_placed_at = now;
   // A successor must know that the job has started, in which pools, and on
   // which worker each long-running task may run.
   const core::PoolId& pool = worker.Record().pool;
@@ -50,6 +54,10 @@
 }
 
 void Scheduler::HandleProgressStored(ActiveJob& active, job::JobState state) {
+  if (state == job::JobState::kSucceeded) {
+    m_job_monitor.HandleEndStored(active, m_ports.clock.Now());
+    active.times = {};
+  }
   const bool is_first_start = state == job::JobState::kRunning &&
                               !std::exchange(active.is_start_recorded, true);
   if (m_outdated_placements.erase(active.job.Id()) > 0 &&
