--- a/test/scheduling/start_cost_test.cc
+++ b/test/scheduling/start_cost_test.cc
@@ -24,7 +24,9 @@
 
 /** @brief Returns the processor time of a start under a steady load. */
 nanoseconds CostOfStart(std::uint32_t workers) {
-  test::StartLoad load(workers);
+  test::StartLoad::Settings settings;
+  settings.workers = workers;
+  test::StartLoad load(settings);
   load.Run(kWarmUp);
   nanoseconds cheapest = nanoseconds::max();
   for (int interval = 0; interval < kIntervals; ++interval) {
--- a/test/scheduling/start_load.h
+++ b/test/scheduling/start_load.h
@@ -28,13 +28,23 @@
   static constexpr std::uint64_t kTaskProcessor = 2200;
   static constexpr std::uint32_t kTasksPerJob = 8;
   static constexpr std::chrono::milliseconds kRunTime{800};
-  /** @brief Starts a second, which need 3,520 cores. */
-  static constexpr std::uint32_t kStartRate = 2000;
 
-  explicit StartLoad(std::uint32_t workers) {
+  /** @brief What differs between loads. */
+  struct Settings {
+    std::uint32_t workers = 0;
+    /** @brief Starts a second; 2,000 need 3,520 cores. */
+    std::uint32_t start_rate = 2000;
+    /** @brief Time from a commit to its reply. */
+    std::chrono::milliseconds commit_reply_delay{8};
+    /** @brief The tasks of a job run for kRunTime and up to this much more or
+     * less, so that they end one after the other. */
+    std::chrono::milliseconds run_time_spread{0};
+  };
+
+  explicit StartLoad(const Settings& settings) : m_settings(settings) {
     m_fixture.BeginTerm();
     std::vector<execution::WorkerRecord> records;
-    for (std::uint32_t index = 0; index < workers; ++index) {
+    for (std::uint32_t index = 0; index < settings.workers; ++index) {
       records.push_back(
           MakeWorker("w-" + std::to_string(index), 1, kWorkerProcessor));
     }
@@ -48,7 +58,7 @@
     while (m_fixture.clock.Now() < until) {
       m_fixture.ReceiveStoreState();
       if (m_next_job_at <= m_fixture.clock.Now()) {
-        m_next_job_at = m_fixture.clock.Now() + kJobInterval;
+        m_next_job_at = m_fixture.clock.Now() + JobInterval();
         AddJob();
       } else if (!m_events.empty() &&
                  m_events.top().at <= m_fixture.clock.Now()) {
@@ -65,6 +75,11 @@
   }
 
   std::uint64_t Starts() const { return m_starts; }
+  /** @brief Times from the arrival of a job to its first start command, in the
+   * order of the starts. */
+  const std::vector<core::Duration>& StartWaits() const {
+    return m_start_waits;
+  }
   /** @brief Processor time of the scheduler so far. */
   std::chrono::nanoseconds Spent() const { return m_spent; }
 
@@ -95,10 +110,17 @@
     bool is_polled = false;
   };
 
-  static constexpr core::Duration kJobInterval =
-      core::Duration(std::chrono::seconds(kTasksPerJob)) / kStartRate;
+  core::Duration JobInterval() const {
+    return core::Duration(std::chrono::seconds(kTasksPerJob)) /
+           m_settings.start_rate;
+  }
+  core::Duration RunTimeOf(const execution::StartCommand& start) const {
+    return kRunTime + m_settings.run_time_spread *
+                          (2 * static_cast<int>(start.task.key.index) -
+                           static_cast<int>(kTasksPerJob)) /
+                          static_cast<int>(kTasksPerJob);
+  }
   static constexpr std::chrono::milliseconds kReplyDelay{2};
-  static constexpr std::chrono::milliseconds kCommitReplyDelay{8};
 
   static std::chrono::nanoseconds ProcessorTime() {
     std::timespec time{};
@@ -121,6 +143,7 @@
     const job::AcceptedJob added =
         MakeJob(std::string(16 - digits.size(), '0') + digits,
                 {MakeStep(kTasksPerJob, kTaskProcessor)});
+    m_arrivals.emplace(added.id, m_fixture.clock.Now());
     Measure([&] { m_fixture.scheduler.AddJob(added); });
   }
 
@@ -132,6 +155,11 @@
     RecordingWorkerPort& port = m_fixture.worker_port;
     for (execution::StartCommand& start : port.starts) {
       ++m_starts;
+      if (const auto arrival = m_arrivals.find(start.task.job);
+          arrival != m_arrivals.end()) {
+        m_start_waits.push_back(m_fixture.clock.Now() - arrival->second);
+        m_arrivals.erase(arrival);
+      }
       m_sent_starts.push_back(std::move(start));
       Schedule(kReplyDelay, Kind::kStartReply, m_sent_starts.size() - 1);
     }
@@ -150,7 +178,7 @@
     for (; m_fixture.replied_commits + m_pending_commits <
            m_fixture.store.commits.size();
          ++m_pending_commits) {
-      Schedule(kCommitReplyDelay, Kind::kCommitReply, 0);
+      Schedule(m_settings.commit_reply_delay, Kind::kCommitReply, 0);
     }
   }
 
@@ -159,9 +187,10 @@
       case Kind::kStartReply: {
         const execution::StartCommand& start = m_sent_starts[event.index];
         SimulatedWorker& worker = m_simulated[start.to.worker];
-        worker.runs.push_back({start, m_fixture.clock.Now() + kRunTime});
+        const core::Duration run_time = RunTimeOf(start);
+        worker.runs.push_back({start, m_fixture.clock.Now() + run_time});
         if (worker.is_polled) {
-          Schedule(kRunTime, Kind::kPollReply, worker.poll);
+          Schedule(run_time, Kind::kPollReply, worker.poll);
         }
         Measure([&] {
           m_fixture.ReplyToStart(start, execution::WorkerCallOutcome::kDone);
@@ -241,7 +270,11 @@
     }
   }
 
+  const Settings m_settings;
   SchedulerFixture m_fixture;
+  /** @brief Arrivals of the jobs without a start command. */
+  std::map<core::JobId, core::TimePoint> m_arrivals;
+  std::vector<core::Duration> m_start_waits;
   core::TimePoint m_next_job_at;
   std::uint64_t m_jobs = 0;
   std::uint64_t m_starts = 0;
