--- a/src/crocusmast/scheduling/committer.cc
+++ b/src/crocusmast/scheduling/committer.cc
@@ -14,8 +14,8 @@
   m_is_in_flight = false;
   m_last_commit = last_commit;
   m_next_at = {};
-  m_queues = {};
-  m_changes.clear();
+  m_changed.clear();
+  m_positions.clear();
   m_in_flight.clear();
   m_pending_ends.clear();
   m_handover.reset();
@@ -23,22 +23,10 @@
   m_stored_handover.reset();
 }
 
-void Committer::MarkChanged(const core::JobId& id, ChangePriority priority) {
-  const auto found = m_changes.find(id);
-  const Position position =
-      found == m_changes.end() ? ++m_last_position : found->second.position;
-  Enqueue(id, {position, priority});
-}
-
-void Committer::Enqueue(const core::JobId& id, const Change& change) {
-  const auto [found, is_new] = m_changes.try_emplace(id, change);
-  Change& queued = found->second;
-  if (!is_new) {
-    QueueOf(queued.priority).erase(queued.position);
-    queued.position = std::min(queued.position, change.position);
-    queued.priority = std::min(queued.priority, change.priority);
+void Committer::MarkChanged(const core::JobId& id) {
+  if (m_positions.emplace(id, m_last_position + 1).second) {
+    m_changed.emplace_back(++m_last_position, id);
   }
-  QueueOf(queued.priority).emplace(queued.position, id);
 }
 
 void Committer::AddRunEnds(const core::InstanceId& worker,
@@ -58,7 +46,7 @@
                                                  core::TimePoint now,
                                                  const ProgressReader& read) {
   const bool is_empty =
-      m_changes.empty() && m_pending_ends.empty() && !m_handover;
+      m_changed.empty() && m_pending_ends.empty() && !m_handover;
   if (m_is_in_flight || is_empty || now < m_next_at) {
     return std::nullopt;
   }
@@ -67,30 +55,19 @@
   commit.token = token;
   commit.expected_last_commit = m_last_commit;
   std::size_t entries = 0;
-  const auto take = [&](ChangeQueue& queue, std::size_t max_entries) {
-    while (!queue.empty() && entries + kFinalJobEntries <= max_entries) {
-      const core::JobId id = queue.begin()->second;
-      const Change change = m_changes.at(id);
-      queue.erase(queue.begin());
-      m_changes.erase(id);
-      if (std::optional<job::ProgressWrite> write = read(id); write) {
-        entries += job::IsFinal(write->progress.state) ? kFinalJobEntries
-                                                       : kProgressEntries;
-        m_in_flight.emplace(id, InFlightJob{change, write->progress.state});
-        commit.progress.push_back(std::move(*write));
-      }
+  while (!m_changed.empty() &&
+         entries + kFinalJobEntries <= kMaxCommitEntries) {
+    const auto [position, id] = std::move(m_changed.front());
+    m_changed.pop_front();
+    m_positions.erase(id);
+    if (std::optional<job::ProgressWrite> write = read(id); write) {
+      entries += job::IsFinal(write->progress.state) ? kFinalJobEntries
+                                                     : kProgressEntries;
+      m_in_flight.emplace(id, InFlightJob{position, write->progress.state});
+      commit.progress.push_back(std::move(*write));
     }
-  };
-  std::size_t limit =
-      kMaxCommitEntries - (m_queues.size() - 1) * kReservedEntries;
-  for (ChangeQueue& queue : m_queues) {
-    take(queue, limit);
-    limit += kReservedEntries;
   }
-  for (ChangeQueue& queue : m_queues) {
-    take(queue, kMaxCommitEntries);
-  }
-  m_is_full = !m_changes.empty();
+  m_is_full = !m_changed.empty();
   m_in_flight_handover = std::exchange(m_handover, std::nullopt);
   commit.handover = m_in_flight_handover;
   m_is_in_flight = true;
@@ -135,7 +112,8 @@
 }
 
 void Committer::ReportRecordedEnds(const RecordedCallback& on_recorded) {
-  const Position last_stored = LastStoredPosition();
+  const Position last_stored =
+      m_changed.empty() ? m_last_position : m_changed.front().first - 1;
   while (!m_pending_ends.empty() &&
          m_pending_ends.front().position <= last_stored) {
     on_recorded(m_pending_ends.front().worker, m_pending_ends.front().last_end);
@@ -143,21 +121,20 @@
   }
 }
 
-Committer::Position Committer::LastStoredPosition() const {
-  Position last_stored = m_last_position;
-  for (const ChangeQueue& queue : m_queues) {
-    if (!queue.empty()) {
-      last_stored = std::min(last_stored, queue.begin()->first - 1);
-    }
-  }
-  return last_stored;
-}
-
 void Committer::RequeueInFlight() {
+  std::vector<std::pair<Position, core::JobId>> jobs;
   for (const auto& [id, job] : m_in_flight) {
     // A job that changed again keeps the position of its first change.
-    Enqueue(id, job.change);
+    m_positions[id] = job.position;
+    jobs.emplace_back(job.position, id);
   }
+  m_changed.erase(std::remove_if(m_changed.begin(), m_changed.end(),
+                                 [this](const auto& change) {
+                                   return m_in_flight.count(change.second) > 0;
+                                 }),
+                  m_changed.end());
+  std::sort(jobs.begin(), jobs.end());
+  m_changed.insert(m_changed.begin(), jobs.begin(), jobs.end());
   m_in_flight.clear();
   if (!m_handover) {
     m_handover = std::move(m_in_flight_handover);
--- a/src/crocusmast/scheduling/committer.h
+++ b/src/crocusmast/scheduling/committer.h
@@ -1,12 +1,10 @@
 #ifndef CROCUSMAST_SCHEDULING_COMMITTER_H_
 #define CROCUSMAST_SCHEDULING_COMMITTER_H_
 
-#include <array>
 #include <chrono>
 #include <cstdint>
 #include <deque>
 #include <functional>
-#include <map>
 #include <optional>
 #include <unordered_map>
 #include <utility>
@@ -30,12 +28,6 @@
 /** @brief Entries that a job in a final state uses: the write of its end and
  * the deletion of two records. */
 inline constexpr std::size_t kFinalJobEntries = 3;
-/**
- * @brief Entries of a full commit that changes of each priority leave to those
- * of each lower one, so that jobs end and ended runs are acknowledged however
- * many jobs start.
- */
-inline constexpr std::size_t kReservedEntries = kMaxCommitEntries / 4;
 /** @brief Delay after a commit, so that changes are batched. */
 inline constexpr std::chrono::milliseconds kCommitDelay{15};
 /** @brief Delay after a commit of at least kBusyCommitJobs jobs. More ended
@@ -47,25 +39,12 @@
 /** @brief Delay before a commit that failed or got no reply is retried. */
 inline constexpr std::chrono::milliseconds kCommitRetryDelay{100};
 
-/** @brief What waits until a change is stored; the first is stored first. */
-enum class ChangePriority : std::size_t {
-  /** @brief Start commands, whose tasks keep their resources meanwhile. */
-  kStart,
-  /** @brief A caller, for the final state of a job. */
-  kFinalState,
-  /** @brief A worker, for the acknowledgement of ended runs. */
-  kProgress,
-  kCount
-};
-
 /**
  * @brief Stores the progress of jobs, and tracks which run ends are recorded.
  *
  * At most one commit is in flight. A commit without a reply may still take
  * effect later. Each commit is conditional on the revision of the previous one,
- * so that a delayed commit can't overwrite a newer one. Where changes do not
- * fit into one commit, they come by priority, and of equal ones the oldest
- * first.
+ * so that a delayed commit can't overwrite a newer one.
  */
 class Committer {
  public:
@@ -86,11 +65,8 @@
   /**
    * @brief Marks a job's progress as changed, to be stored.
    * @param id The job.
-   * @param priority When the change is stored; a job with several changes gets
-   * the highest one.
    */
-  void MarkChanged(const core::JobId& id,
-                   ChangePriority priority = ChangePriority::kProgress);
+  void MarkChanged(const core::JobId& id);
 
   /**
    * @brief Registers ended runs of a worker, which count as recorded once all
@@ -144,27 +120,20 @@
 
   /** @brief Tells whether progress or ended runs are not stored yet. */
   bool HasPending() const {
-    return m_is_in_flight || !m_changes.empty() || !m_pending_ends.empty();
+    return m_is_in_flight || !m_changed.empty() || !m_pending_ends.empty();
   }
 
   /** @brief Tells whether a job has changes that are not stored yet. */
   bool IsChanged(const core::JobId& id) const {
-    return m_changes.count(id) > 0 || m_in_flight.count(id) > 0;
+    return m_positions.count(id) > 0 || m_in_flight.count(id) > 0;
   }
 
  private:
   /** @brief Position of a change in arrival order. */
   using Position = std::uint64_t;
-  /** @brief A change that is not stored yet. */
-  struct Change {
-    Position position = 0;
-    ChangePriority priority = ChangePriority::kProgress;
-  };
-  /** @brief Changed jobs, the oldest change first. */
-  using ChangeQueue = std::map<Position, core::JobId>;
   /** @brief A job of the commit in flight. */
   struct InFlightJob {
-    Change change;
+    Position position = 0;
     job::JobState state = job::JobState::kQueued;
   };
   /** @brief Ended runs that are recorded once the changes up to a position are
@@ -175,11 +144,6 @@
     core::RunEndNumber last_end;
   };
 
-  ChangeQueue& QueueOf(ChangePriority priority) {
-    return m_queues[static_cast<std::size_t>(priority)];
-  }
-  void Enqueue(const core::JobId& id, const Change& change);
-  Position LastStoredPosition() const;
   void RequeueInFlight();
   std::chrono::milliseconds DelayAfterCommit() const;
   void ReportRecordedEnds(const RecordedCallback& on_recorded);
@@ -194,11 +158,10 @@
   /** @brief Earliest time of the next commit. */
   core::TimePoint m_next_at;
   Position m_last_position = 0;
-  /** @brief A queue for each priority. */
-  std::array<ChangeQueue, static_cast<std::size_t>(ChangePriority::kCount)>
-      m_queues;
-  /** @brief The change of each job in one of the queues. */
-  std::unordered_map<core::JobId, Change> m_changes;
+  /** @brief Changed jobs, oldest change first. */
+  std::deque<std::pair<Position, core::JobId>> m_changed;
+  /** @brief Position of each job in m_changed. */
+  std::unordered_map<core::JobId, Position> m_positions;
   /** @brief Jobs of the commit in flight. */
   std::unordered_map<core::JobId, InFlightJob> m_in_flight;
   std::deque<PendingEnds> m_pending_ends;
--- a/src/crocusmast/scheduling/scheduler.cc
+++ b/src/crocusmast/scheduling/scheduler.cc
@@ -204,7 +204,7 @@
   active->job.Cancel();
   StopWaiting(*active);
   active->cancelled_at = m_ports.clock.Now();
-  m_committer.MarkChanged(id, ChangePriority::kFinalState);
+  m_committer.MarkChanged(id);
   m_final_jobs.insert(id);
   Log(core::Severity::kInfo, "Job " + id.Text() + " was cancelled.",
       {{"event", "job_cancelled"},
--- a/src/crocusmast/scheduling/scheduler_crashes.cc
+++ b/src/crocusmast/scheduling/scheduler_crashes.cc
@@ -224,7 +224,6 @@
   const std::string state(job::JobStateName(active.job.State()));
   if (m_final_jobs.insert(active.job.Id()).second) {
     active.times.ended_at = m_ports.clock.Now();
-    m_committer.MarkChanged(active.job.Id(), ChangePriority::kFinalState);
     Log(core::Severity::kInfo,
         "Job " + active.job.Id().Text() + " ended: " + state + ".",
         {{"event", "job_ended"},
--- a/src/crocusmast/scheduling/scheduler_starts.cc
+++ b/src/crocusmast/scheduling/scheduler_starts.cc
@@ -37,9 +37,7 @@
   m_workers_to_poll.insert(worker.Record().id);
   if (active.job.State() == job::JobState::kQueued || step.is_long_running ||
       is_new_pool || active.job.CrashCount(task.key) > 0) {
-    m_committer.MarkChanged(task.job, assigned.is_waiting_for_commit
-                                          ? ChangePriority::kStart
-                                          : ChangePriority::kProgress);
+    m_committer.MarkChanged(task.job);
   }
   job::Run run;
   run.worker = worker.Record().id;
