Model a fleet whose pools are asked in turns

The balancer was tested with one pool and loads that the test sets. The model plays pools whose demand comes in turns, beyond what their own machines can do, with the real balancer, demand estimate, run time estimate and job order in virtual time, and counts jobs served in time, seconds of machines and moves, also of machines that ran nothing since their last move.

--- /dev/null
+++ b/test/capacity/fleet_model.h
@@ -0,0 +1,515 @@
+#ifndef TEST_CAPACITY_FLEET_MODEL_H_
+#define TEST_CAPACITY_FLEET_MODEL_H_
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <cstddef>
+#include <deque>
+#include <map>
+#include <ostream>
+#include <random>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "crocusmast/capacity/balancer.h"
+#include "crocusmast/capacity/demand_estimator.h"
+#include "crocusmast/scheduling/job_order.h"
+#include "crocusmast/scheduling/run_time_estimator.h"
+#include "crocusmast/upkeep/cooldown_machine_port.h"
+#include "test/support/factories.h"
+#include "test/support/fake_clock.h"
+#include "test/support/mocks.h"
+
+namespace test {
+
+namespace capacity = crocusmast::capacity;
+namespace core = crocusmast::core;
+namespace scheduling = crocusmast::scheduling;
+namespace upkeep = crocusmast::upkeep;
+
+/** @brief A pool and its jobs. */
+struct PoolTraffic {
+  std::size_t machines = 0;
+  /** @brief Mean over the turns of all pools. */
+  double jobs_per_second = 0;
+  double mean_steps = 0;
+  /** @brief Cores of one of the eight tasks that a step has on average. */
+  double mean_cores = 0;
+  double mean_run_seconds = 0;
+  /** @brief Standard deviation of the logarithm of estimated to actual run
+   * times. */
+  double estimate_error = 0;
+};
+
+/** @brief How a fleet served its jobs. */
+struct FleetResult {
+  /** @brief Share of the jobs of each pool that ended in time. */
+  std::vector<double> served;
+  /** @brief Seconds of machines in pools that are not standby. */
+  double machine_seconds = 0;
+  double moves = 0;
+  /** @brief Moves of machines that have run nothing since their last move. */
+  double unused_moves = 0;
+
+  double LeastServed() const {
+    return *std::min_element(served.begin(), served.end());
+  }
+
+  friend std::ostream& operator<<(std::ostream& out,
+                                  const FleetResult& result) {
+    out << "served";
+    for (const double share : result.served) {
+      out << ' ' << share;
+    }
+    return out << ", machine seconds " << result.machine_seconds << ", moves "
+               << result.moves << ", unused moves " << result.unused_moves;
+  }
+};
+
+/**
+ * @brief Pools whose demand comes in turns, with the balancer between them, in
+ * virtual time.
+ *
+ * In its turn a pool is asked for four times its mean demand, which is more
+ * than its own machines can do, and for a twentieth of it otherwise. Tasks are
+ * placed without delay, in the order of scheduling::JobRank, each on the
+ * machine that it fits on best.
+ */
+class FleetModel final : public upkeep::MachinePort,
+                         public upkeep::WorkerDrainPort,
+                         public capacity::PoolLoadSource {
+ public:
+  /**
+   * @brief Returns the mean of several plays.
+   * @param seeds Number of plays.
+   * @param traffic The pools.
+   * @param standby_machines Machines that are off at the beginning.
+   */
+  static FleetResult Mean(unsigned seeds,
+                          const std::vector<PoolTraffic>& traffic,
+                          std::size_t standby_machines) {
+    FleetResult mean;
+    mean.served.resize(traffic.size());
+    for (unsigned seed = 1; seed <= seeds; ++seed) {
+      const FleetResult result =
+          FleetModel(seed, traffic, standby_machines).Play();
+      for (std::size_t pool = 0; pool < traffic.size(); ++pool) {
+        mean.served[pool] += result.served[pool] / seeds;
+      }
+      mean.machine_seconds += result.machine_seconds / seeds;
+      mean.moves += result.moves / seeds;
+      mean.unused_moves += result.unused_moves / seeds;
+    }
+    return mean;
+  }
+
+  void RequestMachineList() override { m_is_list_requested = true; }
+  void Move(core::FencingToken,
+            const core::MachineId& id,
+            const core::PoolId& pool) override {
+    m_commands.push_back(id);
+    Machine& machine = m_machines[m_machine_index.at(id)];
+    ++m_result.moves;
+    m_result.unused_moves += machine.has_moved && !machine.has_run ? 1 : 0;
+    machine.has_moved = true;
+    machine.has_run = false;
+    machine.pool = static_cast<std::size_t>(
+        std::find(m_pools.begin(), m_pools.end(), pool) - m_pools.begin());
+    machine.up_at = Seconds() + kMoveSeconds;
+    machine.ready_at = machine.up_at + kJoinSeconds;
+    machine.is_drained = false;
+    ++machine.generation;
+  }
+  void TakeDown(core::FencingToken,
+                const core::MachineId&,
+                core::WaveNumber) override {}
+  void WriteWaveStatus(core::FencingToken, core::WaveNumber, bool) override {}
+  upkeep::WorkerUsage UsageOf(const core::InstanceId&) const override {
+    return {};
+  }
+  void DrainWorker(const core::InstanceId& worker) override {
+    m_machines[m_worker_index.at(worker)].is_drained = true;
+  }
+  bool IsConfirmedIdle(const core::InstanceId& worker) const override {
+    return m_machines[m_worker_index.at(worker)].runs == 0;
+  }
+
+  std::vector<capacity::PoolLoad> PoolLoads() const override {
+    std::vector<capacity::PoolLoad> loads(m_pools.size());
+    for (std::size_t pool = 0; pool < m_pools.size(); ++pool) {
+      loads[pool].pool = m_pools[pool];
+      loads[pool].is_standby = IsStandby(pool);
+      const auto rates = m_demand.RatesOf(m_pools[pool], m_clock.Now());
+      loads[pool].arriving_cores = rates.peak;
+      loads[pool].steady_cores = rates.steady;
+    }
+    for (const Machine& machine : m_machines) {
+      if (IsReady(machine)) {
+        capacity::PoolLoad& load = loads[machine.pool];
+        load.capacity_cores += kMachineCores;
+        ++load.ready_workers;
+        load.running_cores += kMachineCores - machine.free_cores;
+      }
+    }
+    for (std::size_t pool = 0; pool < m_waiting.size(); ++pool) {
+      for (const std::size_t index : m_waiting[pool]) {
+        AddWaitingJob(m_jobs[index], loads[pool]);
+      }
+    }
+    return loads;
+  }
+
+ private:
+  static constexpr double kMachineCores = 16;
+  static constexpr double kMoveSeconds = 1.5;
+  /** @brief From the time a machine is up until its worker is known. */
+  static constexpr double kJoinSeconds = 0.8;
+  static constexpr double kTurnSeconds = 5;
+  static constexpr double kTurnFactor = 4;
+  static constexpr double kRestFactor = 0.05;
+  static constexpr double kTrafficSeconds = 41;
+  static constexpr double kPlaySeconds = 55;
+  static constexpr std::chrono::milliseconds kTick{20};
+
+  struct Job {
+    std::size_t pool = 0;
+    double arrival = 0;
+    std::size_t steps = 0;
+    std::size_t width = 0;
+    double cores = 0;
+    double run_seconds = 0;
+    double estimate_seconds = 0;
+    /** @brief What the leader takes for the objective. */
+    double expected_objective = 0;
+    std::size_t step = 0;
+    std::size_t ready = 0;
+    std::size_t running = 0;
+    bool is_started = false;
+
+    double ObjectiveFor(double step_seconds) const {
+      constexpr double kSlackSeconds = 0.6;
+      constexpr double kSlackFactor = 1.6;
+      return kSlackSeconds +
+             kSlackFactor * static_cast<double>(steps) * step_seconds;
+    }
+  };
+  struct Machine {
+    core::MachineId id;
+    std::size_t pool = 0;
+    std::size_t generation = 0;
+    double free_cores = kMachineCores;
+    std::size_t runs = 0;
+    bool is_drained = false;
+    bool has_moved = false;
+    bool has_run = false;
+    double up_at = 0;
+    double ready_at = 0;
+  };
+  struct Run {
+    std::size_t job = 0;
+    std::size_t machine = 0;
+    double seconds = 0;
+  };
+
+  FleetModel(unsigned seed,
+             std::vector<PoolTraffic> traffic,
+             std::size_t standby_machines)
+      : m_random(seed), m_traffic(std::move(traffic)) {
+    for (std::size_t pool = 0; pool < m_traffic.size(); ++pool) {
+      m_pools.push_back(MakeId<core::PoolId>("pool-" + std::to_string(pool)));
+      AddMachines(pool, m_traffic[pool].machines);
+    }
+    m_pools.push_back(MakeId<core::PoolId>("standby"));
+    AddMachines(m_traffic.size(), standby_machines);
+    m_waiting.resize(m_traffic.size());
+    m_job_count.resize(m_traffic.size());
+    m_result.served.resize(m_traffic.size());
+    m_began_at = m_clock.Now();
+    m_machine_port.BeginTerm(std::vector<crocusmast::job::MachineCooldown>());
+    m_machine_port.EnableCommands();
+    m_balancer.BeginTerm(core::FencingToken(1), {});
+  }
+
+  FleetResult Play() {
+    while (Seconds() < kPlaySeconds) {
+      EndRuns();
+      AddArrivals();
+      for (std::size_t pool = 0; pool < m_traffic.size(); ++pool) {
+        PlaceTasks(pool);
+      }
+      m_balancer.RunCycle(true, [](const core::MachineId&) { return false; });
+      AnswerBalancer();
+      for (const Machine& machine : m_machines) {
+        m_result.machine_seconds += IsStandby(machine.pool) ? 0 : TickSeconds();
+      }
+      m_clock.Advance(kTick);
+    }
+    for (std::size_t pool = 0; pool < m_traffic.size(); ++pool) {
+      m_result.served[pool] /= static_cast<double>(m_job_count[pool]);
+    }
+    return m_result;
+  }
+
+  static double TickSeconds() {
+    return std::chrono::duration<double>(kTick).count();
+  }
+  double Seconds() const {
+    return std::chrono::duration<double>(m_clock.Now() - m_began_at).count();
+  }
+  static core::Duration ToDuration(double seconds) {
+    return std::chrono::duration_cast<core::Duration>(
+        std::chrono::duration<double>(seconds));
+  }
+  double Uniform(double from, double to) {
+    return std::uniform_real_distribution<double>(from, to)(m_random);
+  }
+  /** @brief Draws a positive figure with a given mean and relative spread. */
+  double Draw(double mean, double spread) {
+    return std::lognormal_distribution<double>(
+        std::log(mean) - spread * spread / 2, spread)(m_random);
+  }
+  bool IsStandby(std::size_t pool) const { return pool == m_traffic.size(); }
+  bool IsReady(const Machine& machine) const {
+    return !IsStandby(machine.pool) && !machine.is_drained &&
+           machine.ready_at <= Seconds();
+  }
+
+  void AddMachines(std::size_t pool, std::size_t count) {
+    for (std::size_t index = 0; index < count; ++index) {
+      Machine machine;
+      machine.id =
+          MakeId<core::MachineId>("m-" + std::to_string(m_machines.size()));
+      machine.pool = pool;
+      m_machine_index.emplace(machine.id, m_machines.size());
+      m_machines.push_back(std::move(machine));
+    }
+  }
+
+  void AddArrivals() {
+    const auto turn = static_cast<std::size_t>(Seconds() / kTurnSeconds);
+    for (std::size_t pool = 0; pool < m_traffic.size(); ++pool) {
+      const bool has_turn = turn % m_traffic.size() == pool;
+      const double rate = m_traffic[pool].jobs_per_second *
+                          (has_turn ? kTurnFactor : kRestFactor);
+      const std::size_t arrivals = Seconds() < kTrafficSeconds
+                                       ? std::poisson_distribution<std::size_t>(
+                                             rate * TickSeconds())(m_random)
+                                       : 0;
+      for (std::size_t index = 0; index < arrivals; ++index) {
+        AddJob(pool);
+      }
+    }
+  }
+
+  void AddJob(std::size_t pool) {
+    constexpr double kMeanWidth = 8;
+    const PoolTraffic& traffic = m_traffic[pool];
+    Job job;
+    job.pool = pool;
+    job.arrival = Seconds();
+    const double whole = std::floor(traffic.mean_steps);
+    job.steps = static_cast<std::size_t>(whole) +
+                (Uniform(0, 1) < traffic.mean_steps - whole ? 1 : 0);
+    job.width = std::clamp<std::size_t>(
+        static_cast<std::size_t>(Draw(kMeanWidth, 0.6)), 1, 32);
+    job.cores = std::min(kMachineCores, Draw(traffic.mean_cores, 0.45));
+    job.run_seconds = Draw(traffic.mean_run_seconds, 0.5);
+    job.estimate_seconds =
+        job.run_seconds *
+        std::exp(std::normal_distribution<double>(
+            0, std::max(traffic.estimate_error, 1e-9))(m_random));
+    job.expected_objective = job.ObjectiveFor(job.estimate_seconds);
+    job.ready = job.width;
+    m_demand.Add(m_pools[pool],
+                 static_cast<double>(job.steps * job.width) * job.cores *
+                     ExpectedSeconds(job),
+                 m_clock.Now());
+    ++m_job_count[pool];
+    m_waiting[pool].push_back(m_jobs.size());
+    m_jobs.push_back(job);
+  }
+
+  core::QueueId QueueOf(const Job& job) const {
+    return MakeId<core::QueueId>(m_pools[job.pool].Text());
+  }
+  double ExpectedSeconds(const Job& job) const {
+    return std::chrono::duration<double>(
+               m_estimator.Correct(QueueOf(job),
+                                   ToDuration(job.estimate_seconds)))
+        .count();
+  }
+
+  scheduling::JobRank RankOf(const Job& job) const {
+    scheduling::JobUrgency urgency;
+    urgency.is_started = job.is_started;
+    urgency.accepted_at = m_began_at + ToDuration(job.arrival);
+    urgency.objective = ToDuration(job.expected_objective);
+    urgency.remaining =
+        ToDuration(static_cast<double>(job.steps - job.step) * job.run_seconds);
+    return scheduling::JobRank::Of(urgency, m_clock.Now());
+  }
+
+  void AddWaitingJob(const Job& job, capacity::PoolLoad& load) const {
+    switch (RankOf(job).timeliness) {
+      case scheduling::Timeliness::kInTime:
+        ++load.waiting_in_time;
+        break;
+      case scheduling::Timeliness::kLate:
+        ++load.waiting_late;
+        break;
+      case scheduling::Timeliness::kExpired:
+        ++load.waiting_expired;
+        return;
+    }
+    const double cores = static_cast<double>(job.ready) * job.cores;
+    load.waiting_cores += cores;
+    load.waiting_core_seconds += cores * ExpectedSeconds(job);
+  }
+
+  void PlaceTasks(std::size_t pool) {
+    std::vector<std::pair<scheduling::JobRank, std::size_t>> order;
+    for (const std::size_t index : m_waiting[pool]) {
+      order.emplace_back(RankOf(m_jobs[index]), index);
+    }
+    std::stable_sort(order.begin(), order.end(),
+                     [](const auto& left, const auto& right) {
+                       return left.first < right.first;
+                     });
+    std::multimap<double, std::size_t> free;
+    double capacity_cores = 0;
+    double free_cores = 0;
+    for (std::size_t index = 0; index < m_machines.size(); ++index) {
+      const Machine& machine = m_machines[index];
+      if (machine.pool == pool && IsReady(machine)) {
+        free.emplace(machine.free_cores, index);
+        capacity_cores += kMachineCores;
+        free_cores += machine.free_cores;
+      }
+    }
+    for (const auto& [rank, index] : order) {
+      Job& job = m_jobs[index];
+      while (job.ready > 0) {
+        const auto best = free.lower_bound(job.cores);
+        const bool may_start =
+            rank.timeliness != scheduling::Timeliness::kExpired ||
+            (capacity_cores - free_cores) * 100 <
+                capacity_cores * scheduling::kExpiredSharePercent;
+        if (best == free.end() || !may_start) {
+          break;
+        }
+        const std::size_t machine = best->second;
+        free.erase(best);
+        Start(index, machine);
+        free_cores -= job.cores;
+        free.emplace(m_machines[machine].free_cores, machine);
+      }
+    }
+    std::vector<std::size_t>& waiting = m_waiting[pool];
+    waiting.erase(std::remove_if(waiting.begin(), waiting.end(),
+                                 [this](std::size_t index) {
+                                   return m_jobs[index].ready == 0;
+                                 }),
+                  waiting.end());
+  }
+
+  void Start(std::size_t job_index, std::size_t machine_index) {
+    Job& job = m_jobs[job_index];
+    Machine& machine = m_machines[machine_index];
+    --job.ready;
+    ++job.running;
+    job.is_started = true;
+    machine.free_cores -= job.cores;
+    ++machine.runs;
+    machine.has_run = true;
+    const double seconds = job.run_seconds * Uniform(0.85, 1.15);
+    m_runs.emplace(Seconds() + seconds, Run{job_index, machine_index, seconds});
+  }
+
+  void EndRuns() {
+    while (!m_runs.empty() && m_runs.begin()->first <= Seconds()) {
+      const Run run = m_runs.begin()->second;
+      m_runs.erase(m_runs.begin());
+      Job& job = m_jobs[run.job];
+      Machine& machine = m_machines[run.machine];
+      m_estimator.Observe(QueueOf(job), ToDuration(job.estimate_seconds),
+                          ToDuration(run.seconds));
+      machine.free_cores += job.cores;
+      if (--machine.runs == 0) {
+        machine.free_cores = kMachineCores;
+      }
+      if (--job.running > 0 || job.ready > 0) {
+        continue;
+      }
+      if (++job.step < job.steps) {
+        job.ready = job.width;
+        m_waiting[job.pool].push_back(run.job);
+      } else if (Seconds() <= job.arrival + job.ObjectiveFor(job.run_seconds)) {
+        m_result.served[job.pool] += 1;
+      }
+    }
+  }
+
+  void AnswerBalancer() {
+    if (std::exchange(m_is_list_requested, false)) {
+      upkeep::MachineListReceived list;
+      list.is_known = true;
+      for (std::size_t index = 0; index < m_machines.size(); ++index) {
+        list.machines.push_back(Describe(index));
+      }
+      m_balancer.Handle(list);
+    }
+    for (const core::MachineId& id : std::exchange(m_commands, {})) {
+      m_balancer.Handle(upkeep::MachineCommandReply{
+          id, upkeep::MachineCommandOutcome::kDone});
+    }
+  }
+
+  upkeep::Machine Describe(std::size_t index) {
+    const Machine& machine = m_machines[index];
+    upkeep::Machine listed;
+    listed.id = machine.id;
+    listed.pool = m_pools[machine.pool];
+    const bool is_up = machine.up_at <= Seconds();
+    listed.state =
+        is_up ? upkeep::MachineState::kUp : upkeep::MachineState::kMoving;
+    if (is_up && !IsStandby(machine.pool)) {
+      listed.worker =
+          MakeId<core::InstanceId>("w-" + std::to_string(index) + "-" +
+                                   std::to_string(machine.generation));
+      m_worker_index[listed.worker] = index;
+    }
+    return listed;
+  }
+
+  std::mt19937 m_random;
+  FakeClock m_clock;
+  core::TimePoint m_began_at;
+  NullLogger m_logger;
+  std::vector<PoolTraffic> m_traffic;
+  /** @brief The pools of m_traffic, then the standby pool. */
+  std::vector<core::PoolId> m_pools;
+  std::vector<Machine> m_machines;
+  std::map<core::MachineId, std::size_t> m_machine_index;
+  std::map<core::InstanceId, std::size_t> m_worker_index;
+  std::deque<Job> m_jobs;
+  /** @brief Jobs of each pool that have tasks to be placed. */
+  std::vector<std::vector<std::size_t>> m_waiting;
+  /** @brief Active runs by the time of their end. */
+  std::multimap<double, Run> m_runs;
+  std::vector<std::size_t> m_job_count;
+  capacity::DemandEstimator m_demand;
+  scheduling::RunTimeEstimator m_estimator;
+  bool m_is_list_requested = false;
+  std::vector<core::MachineId> m_commands;
+  FleetResult m_result;
+  upkeep::CooldownMachinePort m_machine_port{*this, m_clock,
+                                             std::chrono::milliseconds(0)};
+  capacity::Balancer m_balancer{
+      {m_machine_port, *this, *this, m_clock, m_logger}};
+};
+
+}  // namespace test
+
+#endif  // TEST_CAPACITY_FLEET_MODEL_H_
