--- a/test/capacity/fleet_model.h
+++ b/test/capacity/fleet_model.h
@@ -72,7 +72,7 @@
  * @brief Pools whose demand comes in turns, with the balancer between them, in
  * virtual time.
  *
- * In its turn a pool is asked for four times its mean demand, which is more
+ * In its turn a pool is asked for a multiple of its mean demand, which is more
  * than its own machines can do, and for a twentieth of it otherwise. Tasks are
  * placed without delay, in the order of scheduling::JobRank, each on the
  * machine that it fits on best.
@@ -81,21 +81,27 @@
                          public upkeep::WorkerDrainPort,
                          public capacity::PoolLoadSource {
  public:
+  struct Settings {
+    std::vector<PoolTraffic> pools;
+    /** @brief Machines that are off at the beginning. */
+    std::size_t standby_machines = 0;
+    /** @brief Demand of a pool in its turn, in multiples of the mean. */
+    double turn_factor = 4;
+    /** @brief Whether machines change their pools. */
+    bool has_balancer = true;
+  };
+
   /**
    * @brief Returns the mean of several plays.
    * @param seeds Number of plays.
-   * @param traffic The pools.
-   * @param standby_machines Machines that are off at the beginning.
+   * @param settings The fleet.
    */
-  static FleetResult Mean(unsigned seeds,
-                          const std::vector<PoolTraffic>& traffic,
-                          std::size_t standby_machines) {
+  static FleetResult Mean(unsigned seeds, const Settings& settings) {
     FleetResult mean;
-    mean.served.resize(traffic.size());
+    mean.served.resize(settings.pools.size());
     for (unsigned seed = 1; seed <= seeds; ++seed) {
-      const FleetResult result =
-          FleetModel(seed, traffic, standby_machines).Play();
-      for (std::size_t pool = 0; pool < traffic.size(); ++pool) {
+      const FleetResult result = FleetModel(seed, settings).Play();
+      for (std::size_t pool = 0; pool < settings.pools.size(); ++pool) {
         mean.served[pool] += result.served[pool] / seeds;
       }
       mean.machine_seconds += result.machine_seconds / seeds;
@@ -167,7 +173,6 @@
   /** @brief From the time a machine is up until its worker is known. */
   static constexpr double kJoinSeconds = 0.8;
   static constexpr double kTurnSeconds = 5;
-  static constexpr double kTurnFactor = 4;
   static constexpr double kRestFactor = 0.05;
   static constexpr double kTrafficSeconds = 41;
   static constexpr double kPlaySeconds = 55;
@@ -213,19 +218,17 @@
     double seconds = 0;
   };
 
-  FleetModel(unsigned seed,
-             std::vector<PoolTraffic> traffic,
-             std::size_t standby_machines)
-      : m_random(seed), m_traffic(std::move(traffic)) {
-    for (std::size_t pool = 0; pool < m_traffic.size(); ++pool) {
+  FleetModel(unsigned seed, Settings settings)
+      : m_random(seed), m_settings(std::move(settings)) {
+    for (std::size_t pool = 0; pool < m_settings.pools.size(); ++pool) {
       m_pools.push_back(MakeId<core::PoolId>("pool-" + std::to_string(pool)));
-      AddMachines(pool, m_traffic[pool].machines);
+      AddMachines(pool, m_settings.pools[pool].machines);
     }
     m_pools.push_back(MakeId<core::PoolId>("standby"));
-    AddMachines(m_traffic.size(), standby_machines);
-    m_waiting.resize(m_traffic.size());
-    m_job_count.resize(m_traffic.size());
-    m_result.served.resize(m_traffic.size());
+    AddMachines(m_settings.pools.size(), m_settings.standby_machines);
+    m_waiting.resize(m_settings.pools.size());
+    m_job_count.resize(m_settings.pools.size());
+    m_result.served.resize(m_settings.pools.size());
     m_began_at = m_clock.Now();
     m_machine_port.BeginTerm(std::vector<crocusmast::job::MachineCooldown>());
     m_machine_port.EnableCommands();
@@ -236,17 +239,19 @@
     while (Seconds() < kPlaySeconds) {
       EndRuns();
       AddArrivals();
-      for (std::size_t pool = 0; pool < m_traffic.size(); ++pool) {
+      for (std::size_t pool = 0; pool < m_settings.pools.size(); ++pool) {
         PlaceTasks(pool);
       }
-      m_balancer.RunCycle(true, [](const core::MachineId&) { return false; });
+      if (m_settings.has_balancer) {
+        m_balancer.RunCycle(true, [](const core::MachineId&) { return false; });
+      }
       AnswerBalancer();
       for (const Machine& machine : m_machines) {
         m_result.machine_seconds += IsStandby(machine.pool) ? 0 : TickSeconds();
       }
       m_clock.Advance(kTick);
     }
-    for (std::size_t pool = 0; pool < m_traffic.size(); ++pool) {
+    for (std::size_t pool = 0; pool < m_settings.pools.size(); ++pool) {
       m_result.served[pool] /= static_cast<double>(m_job_count[pool]);
     }
     return m_result;
@@ -270,7 +275,9 @@
     return std::lognormal_distribution<double>(
         std::log(mean) - spread * spread / 2, spread)(m_random);
   }
-  bool IsStandby(std::size_t pool) const { return pool == m_traffic.size(); }
+  bool IsStandby(std::size_t pool) const {
+    return pool == m_settings.pools.size();
+  }
   bool IsReady(const Machine& machine) const {
     return !IsStandby(machine.pool) && !machine.is_drained &&
            machine.ready_at <= Seconds();
@@ -289,10 +296,10 @@
 
   void AddArrivals() {
     const auto turn = static_cast<std::size_t>(Seconds() / kTurnSeconds);
-    for (std::size_t pool = 0; pool < m_traffic.size(); ++pool) {
-      const bool has_turn = turn % m_traffic.size() == pool;
-      const double rate = m_traffic[pool].jobs_per_second *
-                          (has_turn ? kTurnFactor : kRestFactor);
+    for (std::size_t pool = 0; pool < m_settings.pools.size(); ++pool) {
+      const bool has_turn = turn % m_settings.pools.size() == pool;
+      const double rate = m_settings.pools[pool].jobs_per_second *
+                          (has_turn ? m_settings.turn_factor : kRestFactor);
       const std::size_t arrivals = Seconds() < kTrafficSeconds
                                        ? std::poisson_distribution<std::size_t>(
                                              rate * TickSeconds())(m_random)
@@ -305,7 +312,7 @@
 
   void AddJob(std::size_t pool) {
     constexpr double kMeanWidth = 8;
-    const PoolTraffic& traffic = m_traffic[pool];
+    const PoolTraffic& traffic = m_settings.pools[pool];
     Job job;
     job.pool = pool;
     job.arrival = Seconds();
@@ -484,11 +491,11 @@
   }
 
   std::mt19937 m_random;
+  const Settings m_settings;
   FakeClock m_clock;
   core::TimePoint m_began_at;
   NullLogger m_logger;
-  std::vector<PoolTraffic> m_traffic;
-  /** @brief The pools of m_traffic, then the standby pool. */
+  /** @brief The pools of the settings, then the standby pool. */
   std::vector<core::PoolId> m_pools;
   std::vector<Machine> m_machines;
   std::map<core::MachineId, std::size_t> m_machine_index;
