Let the fleet model estimate what is left of a job

The model ranked jobs by the real run times that were left and by estimated objectives, so that wrong estimates made no job count as late. Both are estimated now. Traffic, the leader's view of jobs and the results have headers of their own.

--- a/test/capacity/fleet_model.h
+++ b/test/capacity/fleet_model.h
@@ -3,12 +3,9 @@
 
 #include <algorithm>
 #include <chrono>
-#include <cmath>
 #include <cstddef>
 #include <deque>
 #include <map>
-#include <ostream>
-#include <random>
 #include <string>
 #include <utility>
 #include <vector>
@@ -16,58 +13,18 @@
 #include "crocusmast/capacity/balancer.h"
 #include "crocusmast/capacity/demand_estimator.h"
 #include "crocusmast/scheduling/job_order.h"
-#include "crocusmast/scheduling/run_time_estimator.h"
 #include "crocusmast/upkeep/cooldown_machine_port.h"
+#include "test/capacity/fleet_result.h"
+#include "test/capacity/leader_view.h"
+#include "test/capacity/turn_traffic.h"
 #include "test/support/factories.h"
 #include "test/support/fake_clock.h"
 #include "test/support/mocks.h"
 
 namespace test {
 
-namespace capacity = crocusmast::capacity;
-namespace core = crocusmast::core;
-namespace scheduling = crocusmast::scheduling;
 namespace upkeep = crocusmast::upkeep;
 
-/** @brief A pool and its jobs. */
-struct PoolTraffic {
-  std::size_t machines = 0;
-  /** @brief Mean over the turns of all pools. */
-  double jobs_per_second = 0;
-  double mean_steps = 0;
-  /** @brief Cores of one of the eight tasks that a step has on average. */
-  double mean_cores = 0;
-  double mean_run_seconds = 0;
-  /** @brief Standard deviation of the logarithm of estimated to actual run
-   * times. */
-  double estimate_error = 0;
-};
-
-/** @brief How a fleet served its jobs. */
-struct FleetResult {
-  /** @brief Share of the jobs of each pool that ended in time. */
-  std::vector<double> served;
-  /** @brief Seconds of machines in pools that are not standby. */
-  double machine_seconds = 0;
-  double moves = 0;
-  /** @brief Moves of machines that have run nothing since their last move. */
-  double unused_moves = 0;
-
-  double LeastServed() const {
-    return *std::min_element(served.begin(), served.end());
-  }
-
-  friend std::ostream& operator<<(std::ostream& out,
-                                  const FleetResult& result) {
-    out << "served";
-    for (const double share : result.served) {
-      out << ' ' << share;
-    }
-    return out << ", machine seconds " << result.machine_seconds << ", moves "
-               << result.moves << ", unused moves " << result.unused_moves;
-  }
-};
-
 /**
  * @brief Pools whose demand comes in turns, with the balancer between them, in
  * virtual time.
@@ -82,11 +39,9 @@
                          public capacity::PoolLoadSource {
  public:
   struct Settings {
-    std::vector<PoolTraffic> pools;
+    TurnTrafficSettings traffic;
     /** @brief Machines that are off at the beginning. */
     std::size_t standby_machines = 0;
-    /** @brief Demand of a pool in its turn, in multiples of the mean. */
-    double turn_factor = 4;
     /** @brief Whether machines change their pools. */
     bool has_balancer = true;
   };
@@ -98,10 +53,10 @@
    */
   static FleetResult Mean(unsigned seeds, const Settings& settings) {
     FleetResult mean;
-    mean.served.resize(settings.pools.size());
+    mean.served.resize(settings.traffic.pools.size());
     for (unsigned seed = 1; seed <= seeds; ++seed) {
       const FleetResult result = FleetModel(seed, settings).Play();
-      for (std::size_t pool = 0; pool < settings.pools.size(); ++pool) {
+      for (std::size_t pool = 0; pool < settings.traffic.pools.size(); ++pool) {
         mean.served[pool] += result.served[pool] / seeds;
       }
       mean.machine_seconds += result.machine_seconds / seeds;
@@ -161,45 +116,22 @@
     }
     for (std::size_t pool = 0; pool < m_waiting.size(); ++pool) {
       for (const std::size_t index : m_waiting[pool]) {
-        AddWaitingJob(m_jobs[index], loads[pool]);
+        m_view.AddWaitingJob(m_jobs[index], RankOf(m_jobs[index]).timeliness,
+                             loads[pool]);
       }
     }
     return loads;
   }
 
  private:
-  static constexpr double kMachineCores = 16;
+  using Job = TurnJob;
+
   static constexpr double kMoveSeconds = 1.5;
   /** @brief From the time a machine is up until its worker is known. */
   static constexpr double kJoinSeconds = 0.8;
-  static constexpr double kTurnSeconds = 5;
-  static constexpr double kRestFactor = 0.05;
-  static constexpr double kTrafficSeconds = 41;
   static constexpr double kPlaySeconds = 55;
   static constexpr std::chrono::milliseconds kTick{20};
 
-  struct Job {
-    std::size_t pool = 0;
-    double arrival = 0;
-    std::size_t steps = 0;
-    std::size_t width = 0;
-    double cores = 0;
-    double run_seconds = 0;
-    double estimate_seconds = 0;
-    /** @brief What the leader takes for the objective. */
-    double expected_objective = 0;
-    std::size_t step = 0;
-    std::size_t ready = 0;
-    std::size_t running = 0;
-    bool is_started = false;
-
-    double ObjectiveFor(double step_seconds) const {
-      constexpr double kSlackSeconds = 0.6;
-      constexpr double kSlackFactor = 1.6;
-      return kSlackSeconds +
-             kSlackFactor * static_cast<double>(steps) * step_seconds;
-    }
-  };
   struct Machine {
     core::MachineId id;
     std::size_t pool = 0;
@@ -219,16 +151,16 @@
   };
 
   FleetModel(unsigned seed, Settings settings)
-      : m_random(seed), m_settings(std::move(settings)) {
-    for (std::size_t pool = 0; pool < m_settings.pools.size(); ++pool) {
+      : m_traffic(seed, settings.traffic), m_settings(std::move(settings)) {
+    for (std::size_t pool = 0; pool < m_settings.traffic.pools.size(); ++pool) {
       m_pools.push_back(MakeId<core::PoolId>("pool-" + std::to_string(pool)));
-      AddMachines(pool, m_settings.pools[pool].machines);
+      AddMachines(pool, m_settings.traffic.pools[pool].machines);
     }
     m_pools.push_back(MakeId<core::PoolId>("standby"));
-    AddMachines(m_settings.pools.size(), m_settings.standby_machines);
-    m_waiting.resize(m_settings.pools.size());
-    m_job_count.resize(m_settings.pools.size());
-    m_result.served.resize(m_settings.pools.size());
+    AddMachines(m_settings.traffic.pools.size(), m_settings.standby_machines);
+    m_waiting.resize(m_settings.traffic.pools.size());
+    m_job_count.resize(m_settings.traffic.pools.size());
+    m_result.served.resize(m_settings.traffic.pools.size());
     m_began_at = m_clock.Now();
     m_machine_port.BeginTerm(std::vector<crocusmast::job::MachineCooldown>());
     m_machine_port.EnableCommands();
@@ -239,7 +171,8 @@
     while (Seconds() < kPlaySeconds) {
       EndRuns();
       AddArrivals();
-      for (std::size_t pool = 0; pool < m_settings.pools.size(); ++pool) {
+      for (std::size_t pool = 0; pool < m_settings.traffic.pools.size();
+           ++pool) {
         PlaceTasks(pool);
       }
       if (m_settings.has_balancer) {
@@ -251,7 +184,7 @@
       }
       m_clock.Advance(kTick);
     }
-    for (std::size_t pool = 0; pool < m_settings.pools.size(); ++pool) {
+    for (std::size_t pool = 0; pool < m_settings.traffic.pools.size(); ++pool) {
       m_result.served[pool] /= static_cast<double>(m_job_count[pool]);
     }
     return m_result;
@@ -263,20 +196,8 @@
   double Seconds() const {
     return std::chrono::duration<double>(m_clock.Now() - m_began_at).count();
   }
-  static core::Duration ToDuration(double seconds) {
-    return std::chrono::duration_cast<core::Duration>(
-        std::chrono::duration<double>(seconds));
-  }
-  double Uniform(double from, double to) {
-    return std::uniform_real_distribution<double>(from, to)(m_random);
-  }
-  /** @brief Draws a positive figure with a given mean and relative spread. */
-  double Draw(double mean, double spread) {
-    return std::lognormal_distribution<double>(
-        std::log(mean) - spread * spread / 2, spread)(m_random);
-  }
   bool IsStandby(std::size_t pool) const {
-    return pool == m_settings.pools.size();
+    return pool == m_settings.traffic.pools.size();
   }
   bool IsReady(const Machine& machine) const {
     return !IsStandby(machine.pool) && !machine.is_drained &&
@@ -295,84 +216,19 @@
   }
 
   void AddArrivals() {
-    const auto turn = static_cast<std::size_t>(Seconds() / kTurnSeconds);
-    for (std::size_t pool = 0; pool < m_settings.pools.size(); ++pool) {
-      const bool has_turn = turn % m_settings.pools.size() == pool;
-      const double rate = m_settings.pools[pool].jobs_per_second *
-                          (has_turn ? m_settings.turn_factor : kRestFactor);
-      const std::size_t arrivals = Seconds() < kTrafficSeconds
-                                       ? std::poisson_distribution<std::size_t>(
-                                             rate * TickSeconds())(m_random)
-                                       : 0;
-      for (std::size_t index = 0; index < arrivals; ++index) {
-        AddJob(pool);
-      }
+    for (const Job& job : m_traffic.Arrivals(Seconds(), TickSeconds())) {
+      m_demand.Add(m_pools[job.pool],
+                   static_cast<double>(job.steps * job.width) * job.cores *
+                       m_view.ExpectedSeconds(job),
+                   m_clock.Now());
+      ++m_job_count[job.pool];
+      m_waiting[job.pool].push_back(m_jobs.size());
+      m_jobs.push_back(job);
     }
   }
 
-  void AddJob(std::size_t pool) {
-    constexpr double kMeanWidth = 8;
-    const PoolTraffic& traffic = m_settings.pools[pool];
-    Job job;
-    job.pool = pool;
-    job.arrival = Seconds();
-    const double whole = std::floor(traffic.mean_steps);
-    job.steps = static_cast<std::size_t>(whole) +
-                (Uniform(0, 1) < traffic.mean_steps - whole ? 1 : 0);
-    job.width = std::clamp<std::size_t>(
-        static_cast<std::size_t>(Draw(kMeanWidth, 0.6)), 1, 32);
-    job.cores = std::min(kMachineCores, Draw(traffic.mean_cores, 0.45));
-    job.run_seconds = Draw(traffic.mean_run_seconds, 0.5);
-    job.estimate_seconds =
-        job.run_seconds *
-        std::exp(std::normal_distribution<double>(
-            0, std::max(traffic.estimate_error, 1e-9))(m_random));
-    job.expected_objective = job.ObjectiveFor(job.estimate_seconds);
-    job.ready = job.width;
-    m_demand.Add(m_pools[pool],
-                 static_cast<double>(job.steps * job.width) * job.cores *
-                     ExpectedSeconds(job),
-                 m_clock.Now());
-    ++m_job_count[pool];
-    m_waiting[pool].push_back(m_jobs.size());
-    m_jobs.push_back(job);
-  }
-
-  core::QueueId QueueOf(const Job& job) const {
-    return MakeId<core::QueueId>(m_pools[job.pool].Text());
-  }
-  double ExpectedSeconds(const Job& job) const {
-    return std::chrono::duration<double>(
-               m_estimator.Correct(QueueOf(job),
-                                   ToDuration(job.estimate_seconds)))
-        .count();
-  }
-
   scheduling::JobRank RankOf(const Job& job) const {
-    scheduling::JobUrgency urgency;
-    urgency.is_started = job.is_started;
-    urgency.accepted_at = m_began_at + ToDuration(job.arrival);
-    urgency.objective = ToDuration(job.expected_objective);
-    urgency.remaining =
-        ToDuration(static_cast<double>(job.steps - job.step) * job.run_seconds);
-    return scheduling::JobRank::Of(urgency, m_clock.Now());
-  }
-
-  void AddWaitingJob(const Job& job, capacity::PoolLoad& load) const {
-    switch (RankOf(job).timeliness) {
-      case scheduling::Timeliness::kInTime:
-        ++load.waiting_in_time;
-        break;
-      case scheduling::Timeliness::kLate:
-        ++load.waiting_late;
-        break;
-      case scheduling::Timeliness::kExpired:
-        ++load.waiting_expired;
-        return;
-    }
-    const double cores = static_cast<double>(job.ready) * job.cores;
-    load.waiting_cores += cores;
-    load.waiting_core_seconds += cores * ExpectedSeconds(job);
+    return m_view.RankOf(job, m_began_at, m_clock.Now());
   }
 
   void PlaceTasks(std::size_t pool) {
@@ -430,7 +286,7 @@
     machine.free_cores -= job.cores;
     ++machine.runs;
     machine.has_run = true;
-    const double seconds = job.run_seconds * Uniform(0.85, 1.15);
+    const double seconds = m_traffic.DrawRunSeconds(job);
     m_runs.emplace(Seconds() + seconds, Run{job_index, machine_index, seconds});
   }
 
@@ -440,8 +296,7 @@
       m_runs.erase(m_runs.begin());
       Job& job = m_jobs[run.job];
       Machine& machine = m_machines[run.machine];
-      m_estimator.Observe(QueueOf(job), ToDuration(job.estimate_seconds),
-                          ToDuration(run.seconds));
+      m_view.Observe(job, run.seconds);
       machine.free_cores += job.cores;
       if (--machine.runs == 0) {
         machine.free_cores = kMachineCores;
@@ -490,7 +345,7 @@
     return listed;
   }
 
-  std::mt19937 m_random;
+  TurnTraffic m_traffic;
   const Settings m_settings;
   FakeClock m_clock;
   core::TimePoint m_began_at;
@@ -507,7 +362,7 @@
   std::multimap<double, Run> m_runs;
   std::vector<std::size_t> m_job_count;
   capacity::DemandEstimator m_demand;
-  scheduling::RunTimeEstimator m_estimator;
+  LeaderView m_view;
   bool m_is_list_requested = false;
   std::vector<core::MachineId> m_commands;
   FleetResult m_result;
--- a/test/capacity/turn_service_test.cc
+++ b/test/capacity/turn_service_test.cc
@@ -23,10 +23,10 @@
  * for more than their own machines can do. */
 FleetModel::Settings MakeSettings() {
   FleetModel::Settings settings;
-  settings.pools = {{39, 10.4, 1.6, 2.2, 0.8, 0.9},
-                    {44, 2.0, 2, 4.8, 1.7, 0.2},
-                    {49, 12.9, 1.6, 2.2, 0.8, 0.9},
-                    {53, 2.46, 2, 4.8, 1.7, 0.2}};
+  settings.traffic.pools = {{39, 10.4, 1.6, 2.2, 0.8, 0.9},
+                            {44, 2.0, 2, 4.8, 1.7, 0.2},
+                            {49, 12.9, 1.6, 2.2, 0.8, 0.9},
+                            {53, 2.46, 2, 4.8, 1.7, 0.2}};
   settings.standby_machines = 35;
   return settings;
 }
@@ -53,11 +53,11 @@
   // its late jobs, while the pools that lent them have their turns.
   void NoPoolLosesByLendingInHeavyTurns() {
     FleetModel::Settings settings = MakeSettings();
-    settings.turn_factor = 8;
+    settings.traffic.turn_factor = 8;
     const FleetResult lending = Play("heavy turns", settings);
     settings.has_balancer = false;
     const FleetResult alone = Play("without moves", settings);
-    for (std::size_t pool = 0; pool < settings.pools.size(); ++pool) {
+    for (std::size_t pool = 0; pool < settings.traffic.pools.size(); ++pool) {
       CPPUNIT_ASSERT_MESSAGE(
           "pool " + std::to_string(pool),
           lending.served[pool] > alone.served[pool] - kNoise);
