Store the progress of many jobs in one record

Cause: each change of a job was a record of its own, and the store takes 32 entries a transaction, one of which is in flight; 28 entries of about 250 bytes use 7 KB of the 1 MiB that one value may hold.

A commit whose changes don't fit into a transaction now stores them all as one batch. What transactions leave free moves jobs out of batches to records of their own, ended ones first and running ones after 2 s, and removes batches that are not the latest of any job, so nothing is stored twice for good and commits that fit are as before. A commit without an answer leaves its batch and the earlier ones in place until the jobs are stored again. A successor learns from a list which batch is the latest of which job. An entry that can't be decoded loses itself alone, and its batch is never removed.

Three tests of the committer had filled a commit with 40 or 100 jobs; they now use more than a batch holds, with the same checks, and count batch entries too.

--- a/src/crocusmast/adapters/records/job_records.h
+++ b/src/crocusmast/adapters/records/job_records.h
@@ -45,6 +45,26 @@
  */
 core::Result<job::JobProgress> DecodeProgress(std::string_view bytes);
 
+/**
+ * @brief Encodes the progress of several jobs; of ended ones only the state.
+ * @param batch The progress.
+ * @return CBOR bytes.
+ */
+std::string EncodeBatch(const std::vector<job::ProgressWrite>& batch);
+/** @brief What could be decoded of a batch. */
+struct DecodedBatch {
+  /** @brief The jobs; without revision and batch. */
+  std::vector<job::ProgressStored> progress;
+  /** @brief Describes each entry that can't be decoded, or the batch. */
+  std::vector<std::string> errors;
+};
+/**
+ * @brief Decodes a batch. An entry that can't be decoded does not affect the
+ * others.
+ * @param bytes CBOR bytes.
+ */
+DecodedBatch DecodeBatch(std::string_view bytes);
+
 /**
  * @brief Encodes the end of a job; the record does not contain the job id.
  * @param queue Queue of the job.
--- a/src/crocusmast/adapters/records/progress_records.cc
+++ b/src/crocusmast/adapters/records/progress_records.cc
@@ -153,4 +153,65 @@
       });
 }
 
+std::string EncodeBatch(const std::vector<job::ProgressWrite>& batch) {
+  Json jobs = Json::array();
+  for (const job::ProgressWrite& write : batch) {
+    job::JobProgress end;
+    end.state = write.progress.state;
+    const std::string progress =
+        EncodeProgress(job::IsFinal(end.state) ? end : write.progress);
+    // Bytes of their own, so that a damaged entry does not affect the others.
+    jobs.push_back(
+        {write.id.Text(), Json::binary({progress.begin(), progress.end()})});
+  }
+  return internal::ToCbor(
+      {{"v", internal::kFormatVersion}, {"jobs", std::move(jobs)}});
+}
+
+namespace internal {
+
+core::Result<job::ProgressStored> DecodeBatchEntry(const Json& entry) {
+  try {
+    job::ProgressStored stored;
+    BOOST_LEAF_ASSIGN(stored.id,
+                      core::JobId::Create(entry.at(0).get<std::string>()));
+    const Json::binary_t& bytes = entry.at(1).get_binary();
+    BOOST_LEAF_ASSIGN(stored.progress,
+                      DecodeProgress(std::string(bytes.begin(), bytes.end())));
+    return stored;
+  } catch (const Json::exception& error) {
+    return core::Fail(core::Operation::kDecodeMessage, "batch entry",
+                      error.what());
+  }
+}
+
+}  // namespace internal
+
+DecodedBatch DecodeBatch(std::string_view bytes) {
+  DecodedBatch batch;
+  const auto add_error = [&batch](const core::Error& error) {
+    batch.errors.push_back(Describe(error));
+  };
+  core::Handle(
+      [&]() -> core::Result<void> {
+        BOOST_LEAF_AUTO(jobs, internal::Decode<Json>(
+                                  bytes, "batch record",
+                                  [](const Json& json) -> core::Result<Json> {
+                                    return json.at("jobs");
+                                  }));
+        for (const Json& entry : jobs) {
+          core::Handle(
+              [&]() -> core::Result<void> {
+                BOOST_LEAF_AUTO(stored, internal::DecodeBatchEntry(entry));
+                batch.progress.push_back(std::move(stored));
+                return {};
+              },
+              add_error);
+        }
+        return {};
+      },
+      add_error);
+  return batch;
+}
+
 }  // namespace crocusmast::adapters::records
--- a/src/crocusmast/job/job_catalog.cc
+++ b/src/crocusmast/job/job_catalog.cc
@@ -53,9 +53,13 @@
   if (event.revision < entry.revision) {
     return;
   }
+  const bool was_final = entry.progress && IsFinal(entry.progress->state);
   entry.progress = std::move(event.progress);
   entry.revision = event.revision;
-  DiscardSpecIfFinal(entry, now);
+  entry.batch = event.batch;
+  if (!was_final) {
+    DiscardSpecIfFinal(entry, now);
+  }
 }
 
 void JobCatalog::HandleEvent(JobEnded&& event, core::TimePoint now) {
@@ -66,6 +70,7 @@
   entry.progress.emplace();
   entry.progress->state = event.state;
   entry.revision = event.revision;
+  entry.batch.reset();
   if (!was_final) {
     DiscardSpecIfFinal(entry, now);
   }
@@ -75,7 +80,9 @@
   m_entries.erase(event.id);
 }
 
-void JobCatalog::RetainOnly(const std::unordered_set<core::JobId>& listed) {
+void JobCatalog::RetainOnly(const std::unordered_set<core::JobId>& listed,
+                            const std::set<BatchId>& listed_batches) {
+  m_batches = listed_batches;
   for (auto entry = m_entries.begin(); entry != m_entries.end();) {
     entry = listed.count(entry->first) == 0 ? m_entries.erase(entry)
                                             : std::next(entry);
--- a/src/crocusmast/job/job_catalog.h
+++ b/src/crocusmast/job/job_catalog.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <unordered_map>
 #include <unordered_set>
 #include <variant>
@@ -10,6 +11,7 @@
 
 #include "crocusmast/core/clock.h"
 #include "crocusmast/core/units.h"
+#include "crocusmast/job/batch_id.h"
 #include "crocusmast/job/job_spec.h"
 #include "crocusmast/job/progress.h"
 
@@ -29,6 +31,9 @@
   JobProgress progress;
   /** @brief The store's revision of this progress. */
   core::Revision revision;
+  /** @brief The batch that contains it; absent if it has a record of its own.
+   */
+  std::optional<BatchId> batch = std::nullopt;
 };
 /** @brief A job ended; only its final state is left in the store. */
 struct JobEnded {
@@ -56,6 +61,15 @@
  */
 const core::JobId& JobIdOf(const JobEvent& event);
 
+/** @brief A batch was stored; ProgressStored tells its contents. */
+struct BatchStored {
+  BatchId id;
+};
+/** @brief A batch was removed from the store. */
+struct BatchRemoved {
+  BatchId id;
+};
+
 /** @brief The stored state of one job. */
 struct JobEntry {
   /** @brief The job; its spec is discarded once its state is final. */
@@ -66,6 +80,9 @@
   std::optional<JobProgress> progress;
   /** @brief Store revision of the progress; 0 for none. */
   core::Revision revision;
+  /** @brief The batch that contains the progress; absent if it has a record of
+   * its own. */
+  std::optional<BatchId> batch;
   /** @brief When its final state was received. */
   core::TimePoint ended_at;
 
@@ -83,13 +100,17 @@
    * @param now The current time.
    */
   void Apply(JobEvent event, core::TimePoint now);
+  /** @brief Applies the storage or the removal of a batch. */
+  void Apply(const BatchStored& event) { m_batches.insert(event.id); }
+  void Apply(const BatchRemoved& event) { m_batches.erase(event.id); }
 
   /**
-   * @brief Removes the jobs that are missing from a complete listing of the
-   * store.
+   * @brief Removes what is missing from a complete listing of the store.
    * @param listed The jobs of the listing.
+   * @param listed_batches The batches of the listing.
    */
-  void RetainOnly(const std::unordered_set<core::JobId>& listed);
+  void RetainOnly(const std::unordered_set<core::JobId>& listed,
+                  const std::set<BatchId>& listed_batches);
 
   /**
    * @brief Finds a job.
@@ -109,6 +130,9 @@
     return m_entries;
   }
 
+  /** @brief Returns the batches that the store holds. */
+  const std::set<BatchId>& Batches() const { return m_batches; }
+
  private:
   void HandleEvent(JobStored&& event, core::TimePoint now);
   void HandleEvent(CancellationStored&& event, core::TimePoint now);
@@ -118,6 +142,7 @@
   static void DiscardSpecIfFinal(JobEntry& entry, core::TimePoint now);
 
   std::unordered_map<core::JobId, JobEntry> m_entries;
+  std::set<BatchId> m_batches;
 };
 
 }  // namespace crocusmast::job
--- a/src/crocusmast/job/job_store.h
+++ b/src/crocusmast/job/job_store.h
@@ -9,6 +9,7 @@
 
 #include "crocusmast/core/ids.h"
 #include "crocusmast/core/units.h"
+#include "crocusmast/job/batch_id.h"
 #include "crocusmast/job/job_catalog.h"
 #include "crocusmast/job/job_spec.h"
 #include "crocusmast/job/progress.h"
@@ -173,6 +174,14 @@
   core::JobId id;
   core::QueueId queue;
   JobProgress progress;
+  /** @brief A record of this job's progress alone may be stored. */
+  bool may_have_own_record = true;
+};
+
+/** @brief The progress of several jobs, stored in one record. */
+struct ProgressBatch {
+  BatchId id;
+  std::vector<ProgressWrite> progress;
 };
 
 /** @brief Writes of the leader in one atomic transaction. */
@@ -184,7 +193,12 @@
   /** @brief Expected revision of the last commit; the commit fails if another
    * one was stored since. */
   core::Revision expected_last_commit;
+  /** @brief Progress that is stored in a record for each job. */
   std::vector<ProgressWrite> progress;
+  /** @brief Progress of further jobs; absent for none. */
+  std::optional<ProgressBatch> batch;
+  /** @brief Batches that hold the latest progress of no job any more. */
+  std::vector<BatchId> removed_batches;
   /** @brief New handover state; absent to leave it unchanged. */
   std::optional<HandoverState> handover;
 };
--- a/src/crocusmast/manager/job_manager.cc
+++ b/src/crocusmast/manager/job_manager.cc
@@ -1,6 +1,7 @@
 #include "crocusmast/manager/job_manager.h"
 
 #include <algorithm>
+#include <set>
 #include <type_traits>
 #include <unordered_set>
 #include <utility>
@@ -216,9 +217,16 @@
   SetStoreView(list.revision, list.complete_at);
   bool has_leader = false;
   std::unordered_set<core::JobId> listed_ids;
+  std::set<job::BatchId> listed_batches;
   for (StoreEvent& event : list.events) {
     if (const auto* job = std::get_if<job::JobEvent>(&event)) {
-      listed_ids.insert(job::JobIdOf(*job));
+      // A batch may still contain jobs that have been removed.
+      const auto* progress = std::get_if<job::ProgressStored>(job);
+      if (progress == nullptr || !progress->batch) {
+        listed_ids.insert(job::JobIdOf(*job));
+      }
+    } else if (const auto* batch = std::get_if<job::BatchStored>(&event)) {
+      listed_batches.insert(batch->id);
     }
     has_leader =
         has_leader || std::holds_alternative<leadership::LeaderObserved>(event);
@@ -227,7 +235,7 @@
   if (!has_leader) {
     m_elector.Handle(leadership::LeadershipVacant{list.revision});
   }
-  m_job_catalog.RetainOnly(listed_ids);
+  m_job_catalog.RetainOnly(listed_ids, listed_batches);
   if (list.handover) {
     m_stored_handover = std::move(*list.handover);
     m_stored_handover_revision = list.revision;
@@ -255,6 +263,10 @@
 void JobManager::Apply(StoreEvent&& event) {
   if (auto* job = std::get_if<job::JobEvent>(&event)) {
     ApplyJob(std::move(*job));
+  } else if (const auto* stored = std::get_if<job::BatchStored>(&event)) {
+    m_job_catalog.Apply(*stored);
+  } else if (const auto* removed = std::get_if<job::BatchRemoved>(&event)) {
+    m_job_catalog.Apply(*removed);
   } else if (const auto* leader =
                  std::get_if<leadership::LeaderObserved>(&event)) {
     m_elector.Handle(*leader);
--- a/src/crocusmast/manager/messages.h
+++ b/src/crocusmast/manager/messages.h
@@ -22,6 +22,8 @@
 
 /** @brief One change of the stored state. */
 using StoreEvent = std::variant<job::JobEvent,
+                                job::BatchStored,
+                                job::BatchRemoved,
                                 leadership::LeaderObserved,
                                 leadership::LeadershipVacant>;
 
--- a/src/crocusmast/scheduling/committer.cc
+++ b/src/crocusmast/scheduling/committer.cc
@@ -1,9 +1,52 @@
 #include "crocusmast/scheduling/committer.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace crocusmast::scheduling {
+namespace internal {
+
+// Estimated bytes of what a batch contains.
+constexpr std::size_t kJobBytes = 64;
+constexpr std::size_t kTaskBytes = 40;
+constexpr std::size_t kPlacementBytes = 64;
+
+/** @brief Share of the entries that is left for emptying batches while no batch
+ * may be added. */
+constexpr std::size_t kEmptyingShare = 2;
+
+}  // namespace internal
+
+std::size_t EntriesOf(const job::ProgressWrite& write) {
+  if (!job::IsFinal(write.progress.state)) {
+    return 1;
+  }
+  const bool removes_cancellation =
+      write.progress.state == job::JobState::kCancelled;
+  return 1 + (write.may_have_own_record ? 1 : 0) +
+         (removes_cancellation ? 1 : 0);
+}
+
+std::size_t EstimateSize(const job::ProgressWrite& write) {
+  std::size_t size = internal::kJobBytes;
+  if (job::IsFinal(write.progress.state)) {
+    return size;
+  }
+  for (const job::OccurrenceProgress& occurrence :
+       write.progress.open_occurrences) {
+    for (const job::StepProgress& step : occurrence.steps) {
+      size += step.done.size();
+      for (const job::TaskProgress& task : step.tasks) {
+        size += internal::kTaskBytes + task.checkpoint.size();
+      }
+    }
+  }
+  if (write.progress.placements) {
+    size += write.progress.placements->size() * internal::kPlacementBytes;
+  }
+  return size;
+}
 
 void Committer::Reset() {
   BeginTerm({});
@@ -18,11 +61,50 @@
   m_positions.clear();
   m_in_flight.clear();
   m_pending_ends.clear();
+  m_batches.Clear();
+  m_ended.clear();
+  m_ended_order.clear();
+  m_own_records.clear();
+  m_in_flight_batch.reset();
+  m_in_flight_ended.clear();
+  m_in_flight_removed.clear();
   m_handover.reset();
   m_in_flight_handover.reset();
   m_stored_handover.reset();
 }
 
+void Committer::AddStoredBatch(const job::BatchId& batch) {
+  m_batches.AddBatch(batch, {});
+}
+
+void Committer::AddStoredProgress(const core::JobId& id,
+                                  const core::QueueId& queue,
+                                  job::JobState state,
+                                  const std::optional<job::BatchId>& batch) {
+  const bool is_final = job::IsFinal(state);
+  if (!is_final || batch) {
+    m_own_records.insert(id);
+  }
+  if (batch) {
+    m_batches.AddBatch(*batch, {});
+    m_batches.AddJob(*batch, id);
+  }
+  if (is_final && batch) {
+    AddEndedJob(id, queue, state);
+  }
+}
+
+void Committer::AddEndedJob(const core::JobId& id,
+                            const core::QueueId& queue,
+                            job::JobState state) {
+  job::ProgressWrite end;
+  end.id = id;
+  end.queue = queue;
+  end.progress.state = state;
+  m_ended.insert_or_assign(id, std::move(end));
+  m_ended_order.push_back(id);
+}
+
 void Committer::MarkChanged(const core::JobId& id) {
   if (m_positions.emplace(id, m_last_position + 1).second) {
     m_changed.emplace_back(++m_last_position, id);
@@ -42,38 +124,162 @@
   return std::exchange(m_stored_handover, std::nullopt);
 }
 
+bool Committer::IsCommitDue() const {
+  return !m_changed.empty() || !m_pending_ends.empty() || m_handover;
+}
+
+bool Committer::IsBatchDue(core::TimePoint now) const {
+  const auto& batches = m_batches.Batches();
+  return !batches.empty() &&
+         (kManyBatches < batches.size() ||
+          batches.begin()->second.stored_at + kBatchAge <= now);
+}
+
 std::optional<job::Commit> Committer::NextCommit(core::FencingToken token,
                                                  core::TimePoint now,
                                                  const ProgressReader& read) {
-  const bool is_empty =
-      m_changed.empty() && m_pending_ends.empty() && !m_handover;
-  if (m_is_in_flight || is_empty || now < m_next_at) {
+  const bool is_due = IsCommitDue() || IsBatchDue(now);
+  if (m_is_in_flight || !is_due || now < m_next_at) {
     return std::nullopt;
   }
   job::Commit commit;
   commit.sequence = ++m_sequence;
   commit.token = token;
   commit.expected_last_commit = m_last_commit;
+  std::vector<Change> changes = TakeChanges(read);
+  m_is_full = !m_changed.empty();
   std::size_t entries = 0;
-  while (!m_changed.empty() &&
-         entries + kFinalJobEntries <= kMaxCommitEntries) {
-    const auto [position, id] = std::move(m_changed.front());
-    m_changed.pop_front();
-    m_positions.erase(id);
-    if (std::optional<job::ProgressWrite> write = read(id); write) {
-      entries += job::IsFinal(write->progress.state) ? kFinalJobEntries
-                                                     : kProgressEntries;
-      m_in_flight.emplace(id, InFlightJob{position, write->progress.state});
-      commit.progress.push_back(std::move(*write));
-    }
+  for (const Change& change : changes) {
+    entries += EntriesOf(change.write);
   }
-  m_is_full = !m_changed.empty();
+  const bool has_batch = kMaxCommitEntries < entries;
+  if (has_batch) {
+    commit.batch.emplace();
+    commit.batch->id = {token, commit.sequence};
+    m_in_flight_batch = commit.batch->id;
+    entries = 1;
+  }
+  for (Change& change : changes) {
+    AddToCommit(std::move(change), has_batch, commit);
+  }
+  EmptyBatches(now, read, kMaxCommitEntries - entries, commit);
   m_in_flight_handover = std::exchange(m_handover, std::nullopt);
   commit.handover = m_in_flight_handover;
   m_is_in_flight = true;
   return commit;
 }
 
+std::optional<job::ProgressWrite> Committer::Read(
+    const core::JobId& id,
+    const ProgressReader& read) const {
+  std::optional<job::ProgressWrite> write = read(id);
+  if (write) {
+    write->may_have_own_record = m_own_records.count(id) > 0;
+  }
+  return write;
+}
+
+std::vector<Committer::Change> Committer::TakeChanges(
+    const ProgressReader& read) {
+  const bool may_add_batch = m_batches.Batches().size() < kMaxBatches;
+  const std::size_t max_entries =
+      may_add_batch ? kMaxCommitEntries
+                    : kMaxCommitEntries / internal::kEmptyingShare;
+  std::vector<Change> changes;
+  std::size_t entries = 0;
+  std::size_t batch_bytes = 0;
+  while (!m_changed.empty()) {
+    const auto& [position, id] = m_changed.front();
+    std::optional<job::ProgressWrite> write = Read(id, read);
+    if (write) {
+      entries += EntriesOf(*write);
+      batch_bytes += EstimateSize(*write);
+      const bool can_fit = entries <= max_entries ||
+                           (may_add_batch && batch_bytes <= kMaxBatchBytes);
+      if (!can_fit) {
+        break;
+      }
+      changes.push_back({position, std::move(*write)});
+    }
+    m_positions.erase(id);
+    m_changed.pop_front();
+  }
+  return changes;
+}
+
+void Committer::AddToCommit(Change change,
+                            bool is_in_batch,
+                            job::Commit& commit) {
+  const core::JobId& id = change.write.id;
+  const job::JobState state = change.write.progress.state;
+  m_in_flight.emplace(
+      id, InFlightJob{change.position, change.write.queue, state, is_in_batch});
+  if (is_in_batch) {
+    commit.batch->progress.push_back(std::move(change.write));
+    return;
+  }
+  if (!job::IsFinal(state)) {
+    m_own_records.insert(id);
+  }
+  commit.progress.push_back(std::move(change.write));
+}
+
+void Committer::EmptyBatches(core::TimePoint now,
+                             const ProgressReader& read,
+                             std::size_t free_entries,
+                             job::Commit& commit) {
+  commit.removed_batches = m_batches.FindUnused(free_entries);
+  m_in_flight_removed = commit.removed_batches;
+  free_entries -= commit.removed_batches.size();
+  MoveEndedJobs(free_entries, commit);
+  if (!IsBatchDue(now)) {
+    return;
+  }
+  std::vector<core::JobId> jobs;
+  for (const auto& [batch, content] : m_batches.Batches()) {
+    const bool is_old = content.stored_at + kBatchAge <= now ||
+                        kManyBatches < m_batches.Batches().size();
+    if (!is_old || free_entries <= jobs.size()) {
+      break;
+    }
+    std::copy_if(content.jobs.begin(), content.jobs.end(),
+                 std::back_inserter(jobs), [this](const core::JobId& id) {
+                   return !IsChanged(id) && m_ended.count(id) == 0;
+                 });
+  }
+  for (const core::JobId& id : jobs) {
+    if (free_entries == 0) {
+      return;
+    }
+    std::optional<job::ProgressWrite> write = Read(id, read);
+    if (!write) {
+      m_batches.RemoveJob(id);
+    } else if (EntriesOf(*write) <= free_entries && !IsChanged(id)) {
+      free_entries -= EntriesOf(*write);
+      AddToCommit({++m_last_position, std::move(*write)}, false, commit);
+    }
+  }
+}
+
+void Committer::MoveEndedJobs(std::size_t& free_entries, job::Commit& commit) {
+  while (!m_ended_order.empty()) {
+    const core::JobId id = m_ended_order.front();
+    const auto ended = m_ended.find(id);
+    // A job that changed again is stored anew in any case.
+    if (ended != m_ended.end() && !IsChanged(id)) {
+      ended->second.may_have_own_record = m_own_records.count(id) > 0;
+      const std::size_t entries = EntriesOf(ended->second);
+      if (free_entries < entries) {
+        return;
+      }
+      free_entries -= entries;
+      commit.progress.push_back(ended->second);
+      m_in_flight_ended.push_back(id);
+    }
+    m_ended_order.pop_front();
+  }
+}
+
 bool Committer::Handle(const job::CommitReply& reply,
                        core::TimePoint now,
                        const StoredCallback& on_stored,
@@ -86,12 +292,23 @@
     m_next_at = now + DelayAfterCommit();
     m_last_commit = reply.revision;
     m_stored_handover = std::exchange(m_in_flight_handover, std::nullopt);
+    HandleBatchesStored(now);
     for (const auto& [id, job] : std::exchange(m_in_flight, {})) {
       on_stored(id, job.state);
     }
     ReportRecordedEnds(on_recorded);
     return true;
   }
+  if (reply.outcome == job::StoreOutcome::kUnknown && m_in_flight_batch) {
+    // The batch may be stored, or may be later; the earlier ones may not be
+    // obsolete.
+    m_batches.AddBatch(*m_in_flight_batch, now);
+    for (const auto& [id, job] : m_in_flight) {
+      if (job.is_in_batch) {
+        m_batches.AddJob(*m_in_flight_batch, id);
+      }
+    }
+  }
   RequeueInFlight();
   m_next_at = now + kCommitRetryDelay;
   if (reply.outcome != job::StoreOutcome::kConflict) {
@@ -104,6 +321,35 @@
   return reply.is_still_leader;
 }
 
+void Committer::HandleBatchesStored(core::TimePoint now) {
+  if (m_in_flight_batch) {
+    m_batches.AddBatch(*m_in_flight_batch, now);
+  }
+  for (const auto& [id, job] : m_in_flight) {
+    m_batches.RemoveJob(id);
+    if (job.is_in_batch) {
+      m_batches.AddJob(*m_in_flight_batch, id);
+    }
+    if (job::IsFinal(job.state)) {
+      m_ended.erase(id);
+      if (job.is_in_batch) {
+        AddEndedJob(id, job.queue, job.state);
+      } else {
+        m_own_records.erase(id);
+      }
+    }
+  }
+  for (const core::JobId& id : std::exchange(m_in_flight_ended, {})) {
+    m_batches.RemoveJob(id);
+    m_ended.erase(id);
+    m_own_records.erase(id);
+  }
+  for (const job::BatchId& batch : std::exchange(m_in_flight_removed, {})) {
+    m_batches.RemoveBatch(batch);
+  }
+  m_in_flight_batch.reset();
+}
+
 std::chrono::milliseconds Committer::DelayAfterCommit() const {
   if (m_is_full) {
     return std::chrono::milliseconds(0);
@@ -122,20 +368,25 @@
 }
 
 void Committer::RequeueInFlight() {
-  std::vector<std::pair<Position, core::JobId>> jobs;
   for (const auto& [id, job] : m_in_flight) {
     // A job that changed again keeps the position of its first change.
     m_positions[id] = job.position;
-    jobs.emplace_back(job.position, id);
   }
   m_changed.erase(std::remove_if(m_changed.begin(), m_changed.end(),
                                  [this](const auto& change) {
                                    return m_in_flight.count(change.second) > 0;
                                  }),
                   m_changed.end());
-  std::sort(jobs.begin(), jobs.end());
-  m_changed.insert(m_changed.begin(), jobs.begin(), jobs.end());
+  for (const auto& [id, job] : m_in_flight) {
+    m_changed.emplace_back(job.position, id);
+  }
+  std::sort(m_changed.begin(), m_changed.end());
   m_in_flight.clear();
+  m_ended_order.insert(m_ended_order.begin(), m_in_flight_ended.begin(),
+                       m_in_flight_ended.end());
+  m_in_flight_ended.clear();
+  m_in_flight_removed.clear();
+  m_in_flight_batch.reset();
   if (!m_handover) {
     m_handover = std::move(m_in_flight_handover);
   }
--- a/src/crocusmast/scheduling/committer.h
+++ b/src/crocusmast/scheduling/committer.h
@@ -7,11 +7,13 @@
 #include <functional>
 #include <optional>
 #include <unordered_map>
+#include <unordered_set>
 #include <utility>
 #include <vector>
 
 #include "crocusmast/core/clock.h"
 #include "crocusmast/job/job_store.h"
+#include "crocusmast/scheduling/batch_index.h"
 
 namespace crocusmast::scheduling {
 
@@ -23,11 +25,19 @@
  * and the handover state.
  */
 inline constexpr std::size_t kMaxCommitEntries = 28;
-/** @brief Entries that a job in progress uses: one write. */
-inline constexpr std::size_t kProgressEntries = 1;
-/** @brief Entries that a job in a final state uses: the write of its end and
- * the deletion of two records. */
-inline constexpr std::size_t kFinalJobEntries = 3;
+/** @brief Estimated size of the largest batch. The store accepts values of
+ * 1 MiB and delivers as much in one reply; each entry instance receives each
+ * batch, some on a link of 20 Mbit/s, which takes 35 ms for this. */
+inline constexpr std::size_t kMaxBatchBytes = std::size_t{64} * 1024;
+/** @brief The most batches that the store holds, so that a list of the store,
+ * with all batches as large as possible, takes below 4 s on such a link. */
+inline constexpr std::size_t kMaxBatches = 100;
+/** @brief From this number of batches on the oldest ones are emptied whatever
+ * their age. */
+inline constexpr std::size_t kManyBatches = kMaxBatches / 2;
+/** @brief Age from which on the jobs of a batch that have not changed since get
+ * records of their own. Most jobs change or end within this time. */
+inline constexpr std::chrono::seconds kBatchAge{2};
 /** @brief Delay after a commit, so that changes are batched. */
 inline constexpr std::chrono::milliseconds kCommitDelay{15};
 /** @brief Delay after a commit of at least kBusyCommitJobs jobs. More ended
@@ -39,9 +49,29 @@
 /** @brief Delay before a commit that failed or got no reply is retried. */
 inline constexpr std::chrono::milliseconds kCommitRetryDelay{100};
 
+/**
+ * @brief Returns the entries of a store transaction that a job uses in a record
+ * of its own: a write, and in a final state the deletion of records that are
+ * obsolete.
+ * @param write The progress.
+ */
+std::size_t EntriesOf(const job::ProgressWrite& write);
+
+/**
+ * @brief Returns the estimated size of a job's progress in a batch, in bytes.
+ * @param write The progress.
+ */
+std::size_t EstimateSize(const job::ProgressWrite& write);
+
 /**
  * @brief Stores the progress of jobs, and tracks which run ends are recorded.
  *
+ * If the changed jobs fit into one transaction, each is stored in a record of
+ * its own. Otherwise they are stored in one batch, so that a change does not
+ * wait for those of other jobs. What transactions leave free is used to move
+ * jobs from batches, the ended ones first, to records of their own, and to
+ * remove batches that are not the latest of any job.
+ *
  * At most one commit is in flight. A commit without a reply may still take
  * effect later. Each commit is conditional on the revision of the previous one,
  * so that a delayed commit can't overwrite a newer one.
@@ -62,6 +92,25 @@
    */
   void BeginTerm(core::Revision last_commit);
 
+  /**
+   * @brief Adds a batch that an earlier leader stored.
+   * @param batch The batch.
+   */
+  void AddStoredBatch(const job::BatchId& batch);
+
+  /**
+   * @brief Adds a job whose progress an earlier leader stored.
+   * @param id The job.
+   * @param queue Its queue.
+   * @param state Its stored state.
+   * @param batch The batch that contains it; absent if it has a record of its
+   * own.
+   */
+  void AddStoredProgress(const core::JobId& id,
+                         const core::QueueId& queue,
+                         job::JobState state,
+                         const std::optional<job::BatchId>& batch);
+
   /**
    * @brief Marks a job's progress as changed, to be stored.
    * @param id The job.
@@ -134,7 +183,15 @@
   /** @brief A job of the commit in flight. */
   struct InFlightJob {
     Position position = 0;
+    core::QueueId queue;
     job::JobState state = job::JobState::kQueued;
+    /** @brief Its progress is in the batch of the commit. */
+    bool is_in_batch = false;
+  };
+  /** @brief A change that was taken for the next commit. */
+  struct Change {
+    Position position = 0;
+    job::ProgressWrite write;
   };
   /** @brief Ended runs that are recorded once the changes up to a position are
    * stored. */
@@ -144,6 +201,21 @@
     core::RunEndNumber last_end;
   };
 
+  bool IsCommitDue() const;
+  bool IsBatchDue(core::TimePoint now) const;
+  std::optional<job::ProgressWrite> Read(const core::JobId& id,
+                                         const ProgressReader& read) const;
+  std::vector<Change> TakeChanges(const ProgressReader& read);
+  void AddToCommit(Change change, bool is_in_batch, job::Commit& commit);
+  void EmptyBatches(core::TimePoint now,
+                    const ProgressReader& read,
+                    std::size_t free_entries,
+                    job::Commit& commit);
+  void MoveEndedJobs(std::size_t& free_entries, job::Commit& commit);
+  void AddEndedJob(const core::JobId& id,
+                   const core::QueueId& queue,
+                   job::JobState state);
+  void HandleBatchesStored(core::TimePoint now);
   void RequeueInFlight();
   std::chrono::milliseconds DelayAfterCommit() const;
   void ReportRecordedEnds(const RecordedCallback& on_recorded);
@@ -165,6 +237,19 @@
   /** @brief Jobs of the commit in flight. */
   std::unordered_map<core::JobId, InFlightJob> m_in_flight;
   std::deque<PendingEnds> m_pending_ends;
+  BatchIndex m_batches;
+  /** @brief Ended jobs whose final state only a batch contains. */
+  std::unordered_map<core::JobId, job::ProgressWrite> m_ended;
+  /** @brief Their ids and those of others that are not there any more, oldest
+   * first. */
+  std::deque<core::JobId> m_ended_order;
+  /** @brief Jobs that may have a record of their progress alone. */
+  std::unordered_set<core::JobId> m_own_records;
+  /** @brief The batch of the commit in flight. */
+  std::optional<job::BatchId> m_in_flight_batch;
+  /** @brief What the commit in flight moves out of batches and removes. */
+  std::vector<core::JobId> m_in_flight_ended;
+  std::vector<job::BatchId> m_in_flight_removed;
   std::optional<job::HandoverState> m_handover;
   std::optional<job::HandoverState> m_in_flight_handover;
   std::optional<job::HandoverState> m_stored_handover;
--- a/src/crocusmast/scheduling/scheduler.cc
+++ b/src/crocusmast/scheduling/scheduler.cc
@@ -43,7 +43,14 @@
   m_inherited_workers = InheritedWorkers::Create(
       handover.workers, term.vacant_since.value_or(now));
   const core::WallTime wall = m_ports.clock.WallNow();
+  for (const job::BatchId& batch : catalog.Batches()) {
+    m_committer.AddStoredBatch(batch);
+  }
   for (const auto& [id, entry] : catalog.Entries()) {
+    if (!entry.job.id.IsEmpty() && entry.progress) {
+      m_committer.AddStoredProgress(id, entry.job.queue, entry.progress->state,
+                                    entry.batch);
+    }
     // A cancelled job is kept until its final state is stored.
     if (entry.job.id.IsEmpty() || job::IsFinal(entry.State())) {
       const bool is_unrecorded_cancellation =
--- a/test/job/job_test.cc
+++ b/test/job/job_test.cc
@@ -388,7 +388,7 @@
     catalog.Apply(job::CancellationStored{accepted.id}, kNow);
     CPPUNIT_ASSERT(catalog.Find(accepted.id)->State() == JobState::kSucceeded);
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, catalog.CountQueued(accepted.queue));
-    catalog.RetainOnly({});
+    catalog.RetainOnly({}, {});
     CPPUNIT_ASSERT(catalog.Find(accepted.id) == nullptr);
   }
 };
--- a/test/scheduling/committer_test.cc
+++ b/test/scheduling/committer_test.cc
@@ -16,6 +16,10 @@
 using job::StoreOutcome;
 using test::MakeId;
 
+/** @brief More jobs than fit into one batch, whatever their progress. */
+constexpr int kMoreThanABatch =
+    static_cast<int>(scheduling::kMaxBatchBytes / 32);
+
 core::JobId MakeJobId(int number) {
   const std::string digits = std::to_string(number);
   return MakeId<core::JobId>(std::string(16 - digits.size(), '0') + digits);
@@ -73,15 +77,25 @@
       }
     }
     std::size_t stored = 0;
+    std::set<core::JobId> stored_ids;
     while (const auto commit = NextCommit()) {
       // The claim, and the last commit's revision as condition and write. One
       // of the store's 32 entries remains for the handover state.
-      std::size_t entries = 3;
+      std::size_t entries = 3 + commit->removed_batches.size();
       for (const job::ProgressWrite& write : commit->progress) {
-        entries += job::IsFinal(write.progress.state) ? 3 : 1;
+        const bool removes_record =
+            job::IsFinal(write.progress.state) && write.may_have_own_record;
+        entries += removes_record ? 2 : 1;
+        stored_ids.insert(write.id);
+      }
+      if (commit->batch) {
+        ++entries;
+        for (const job::ProgressWrite& write : commit->batch->progress) {
+          stored_ids.insert(write.id);
+        }
       }
       CPPUNIT_ASSERT(entries <= 31);
-      stored += commit->progress.size();
+      stored = stored_ids.size();
       HandleReply(*commit, StoreOutcome::kDone, 10 + stored);
     }
     CPPUNIT_ASSERT_EQUAL(std::size_t{40}, stored);
@@ -94,7 +108,7 @@
     }
     committer.MarkChanged(MakeJobId(1));
     const auto commit = NextCommit();
-    CPPUNIT_ASSERT(commit->progress.front().id == MakeJobId(9));
+    CPPUNIT_ASSERT(commit->batch->progress.front().id == MakeJobId(9));
     CPPUNIT_ASSERT(commit->expected_last_commit == core::Revision(7));
   }
 
@@ -103,7 +117,7 @@
     const auto worker = MakeId<core::InstanceId>("worker");
     committer.MarkChanged(MakeJobId(0));
     committer.AddRunEnds(worker, core::RunEndNumber(3));
-    for (int number = 1; number < 100; ++number) {
+    for (int number = 1; number < kMoreThanABatch; ++number) {
       committer.MarkChanged(MakeJobId(number));
     }
     const auto commit = NextCommit();
@@ -129,7 +143,7 @@
 
   void RunEndsAreRecordedOnlyWithAllOlderChanges() {
     const core::InstanceId worker = MakeId<core::InstanceId>("w-1");
-    for (int number = 0; number < 40; ++number) {
+    for (int number = 0; number < kMoreThanABatch; ++number) {
       committer.MarkChanged(MakeJobId(number));
     }
     committer.AddRunEnds(worker, core::RunEndNumber(3));
