Let late jobs hold no borrowed machines

Cause: the need of a pool counted late jobs like those in time, late jobs filled whatever machines a pool had, and expired ones 55% of it. Pools that lacked machines got them in the order of their names, so the first took all that was idle.

The need of a pool counts jobs in time alone. While these wait for machines that another pool lacks, late and expired jobs start only as far as the baseline of their own pool reaches, so that the machines above it become idle. The next machine goes to the pool that lacks most.

--- a/src/crocusmast/capacity/balancer.cc
+++ b/src/crocusmast/capacity/balancer.cc
@@ -34,6 +34,7 @@
   m_moves.clear();
   m_idle_since.clear();
   m_cooldown_until.clear();
+  m_late_limits.clear();
 }
 
 void Balancer::Handle(const upkeep::MachineListReceived& list) {
@@ -110,15 +111,14 @@
     m_ports.machines.RequestMachineList();
   }
   LogLoads(views);
+  LimitLateJobs(views);
   if (is_lease_valid && !m_machines.empty()) {
     for (const auto& [machine, move] : m_moves) {
       if (!move.is_done && move.requested_at + kMoveRetryInterval <= now) {
         RequestMove(machine, move.to);
       }
     }
-    for (auto& [pool, view] : views) {
-      BorrowMachines(view, views);
-    }
+    BorrowMachines(views);
     for (auto& [pool, view] : views) {
       ReturnMachines(view, views);
     }
@@ -249,17 +249,46 @@
              kSpareCapacityUtilization * load.capacity_cores;
 }
 
-void Balancer::BorrowMachines(PoolView& view,
-                              std::map<core::PoolId, PoolView>& views) {
-  if (view.load.is_standby) {
-    return;
+void Balancer::LimitLateJobs(const std::map<core::PoolId, PoolView>& views) {
+  constexpr double kMilliCoresPerCore = 1000;
+  m_late_limits.clear();
+  for (const auto& [pool, view] : views) {
+    const bool is_needed_elsewhere =
+        BaselineOf(pool) < view.machines &&
+        std::any_of(views.begin(), views.end(),
+                    [&view = view](const auto& other) {
+                      return &other.second != &view &&
+                             0 < other.second.load.waiting_in_time &&
+                             kMinDeficit <= other.second.deficit;
+                    });
+    if (is_needed_elsewhere) {
+      m_late_limits[pool] = core::MilliCores(
+          static_cast<std::uint64_t>(static_cast<double>(BaselineOf(pool)) *
+                                     view.machine_cores * kMilliCoresPerCore));
+    }
   }
-  while (view.deficit >= kMinDeficit) {
-    PoolView* lender = FindLender(view, views);
-    if (lender == nullptr) {
-      return;
+}
+
+void Balancer::BorrowMachines(std::map<core::PoolId, PoolView>& views) {
+  std::vector<PoolView*> borrowers;
+  for (auto& [pool, view] : views) {
+    if (!view.load.is_standby && kMinDeficit <= view.deficit) {
+      borrowers.push_back(&view);
+    }
+  }
+  while (!borrowers.empty()) {
+    const auto neediest =
+        std::max_element(borrowers.begin(), borrowers.end(),
+                         [](const PoolView* left, const PoolView* right) {
+                           return left->deficit < right->deficit;
+                         });
+    PoolView* lender = FindLender(**neediest, views);
+    if (lender != nullptr) {
+      MoveMachine(*lender, **neediest, "capacity deficit");
+    }
+    if (lender == nullptr || (*neediest)->deficit < kMinDeficit) {
+      borrowers.erase(neediest);
     }
-    MoveMachine(*lender, view, "capacity deficit");
   }
 }
 
--- a/src/crocusmast/capacity/balancer.h
+++ b/src/crocusmast/capacity/balancer.h
@@ -122,6 +122,15 @@
    */
   bool RunCycle(bool is_lease_valid, const ReservedPredicate& is_reserved);
 
+  /**
+   * @brief Returns what late jobs may use of the pools.
+   *
+   * While jobs in time wait for machines that a pool lacks, the late jobs of
+   * other pools start tasks only as far as the baseline machines of these
+   * reach, so that those that were lent to them become idle.
+   */
+  const LateLimits& LimitsOfLateJobs() const { return m_late_limits; }
+
   /** @brief Returns the pool sizes to store for the next leader. */
   std::vector<job::PoolSize> PoolSizes() const;
 
@@ -175,7 +184,7 @@
       const ReservedPredicate& is_reserved);
   void FindIdleMachines(std::map<core::PoolId, PoolView>& views,
                         const ReservedPredicate& is_reserved);
-  void BorrowMachines(PoolView& view, std::map<core::PoolId, PoolView>& views);
+  void BorrowMachines(std::map<core::PoolId, PoolView>& views);
   PoolView* FindLender(const PoolView& borrower,
                        std::map<core::PoolId, PoolView>& views);
   void ReturnMachines(PoolView& view, std::map<core::PoolId, PoolView>& views);
@@ -183,6 +192,7 @@
   void RequestMove(const core::MachineId& machine, const core::PoolId& to);
   void LogLoads(const std::map<core::PoolId, PoolView>& views);
   bool HasSpareCapacity(const PoolView& view) const;
+  void LimitLateJobs(const std::map<core::PoolId, PoolView>& views);
   std::size_t BaselineOf(const core::PoolId& pool) const;
   void Log(std::string sentence, std::vector<core::LogField> fields) const;
 
@@ -200,6 +210,7 @@
   std::map<core::MachineId, Move> m_moves;
   std::map<core::MachineId, core::TimePoint> m_idle_since;
   std::map<core::MachineId, core::TimePoint> m_cooldown_until;
+  LateLimits m_late_limits;
 };
 
 }  // namespace crocusmast::capacity
--- a/src/crocusmast/capacity/pool_load.h
+++ b/src/crocusmast/capacity/pool_load.h
@@ -2,9 +2,11 @@
 #define CROCUSMAST_CAPACITY_POOL_LOAD_H_
 
 #include <cstddef>
+#include <map>
 #include <vector>
 
 #include "crocusmast/core/ids.h"
+#include "crocusmast/core/units.h"
 
 namespace crocusmast::capacity {
 
@@ -32,7 +34,8 @@
   double steady_cores = 0;
   /**
    * @brief Cores needed by the work that could start now if there were
-   * capacity; without that of expired jobs, which justifies no machine.
+   * capacity; only that of jobs in time, as what late ones are worth justifies
+   * no machine.
    */
   double waiting_cores = 0;
   /** @brief The same work in core-seconds. */
@@ -44,6 +47,10 @@
   std::size_t waiting_expired = 0;
 };
 
+/** @brief Processor time of pools up to which jobs that are not in time start
+ * tasks. */
+using LateLimits = std::map<core::PoolId, core::MilliCores>;
+
 /** @brief Provides the load of the pools. */
 class PoolLoadSource {
  public:
--- a/src/crocusmast/manager/job_manager.cc
+++ b/src/crocusmast/manager/job_manager.cc
@@ -115,6 +115,7 @@
       is_lease_valid, [this](const core::MachineId& machine) {
         return m_upkeep.IsReserved(machine);
       });
+  m_scheduler.SetLateLimits(m_balancer.LimitsOfLateJobs());
   const bool has_new_wave_progress =
       m_upkeep.RunCycle(is_lease_valid, [this](const core::MachineId& machine) {
         return m_balancer.IsMoving(machine);
--- a/src/crocusmast/scheduling/scheduler.cc
+++ b/src/crocusmast/scheduling/scheduler.cc
@@ -124,6 +124,7 @@
   m_crashes.Clear();
   m_unanswered_starts.Clear();
   m_demand.Clear();
+  m_late_limits.clear();
   m_job_monitor.Clear();
   m_workers_by_pool.clear();
   m_free_capacity.clear();
--- a/src/crocusmast/scheduling/scheduler.h
+++ b/src/crocusmast/scheduling/scheduler.h
@@ -150,6 +150,13 @@
    */
   void SetFleetHandover(job::FleetHandover handover);
 
+  /**
+   * @brief Sets how much of a pool late and expired jobs may fill, in place of
+   * the last limits.
+   * @param limits The limits; a pool that is missing has none.
+   */
+  void SetLateLimits(const capacity::LateLimits& limits);
+
   upkeep::WorkerUsage UsageOf(const core::InstanceId& worker) const override;
   void DrainWorker(const core::InstanceId& worker) override;
   bool IsConfirmedIdle(const core::InstanceId& worker) const override;
@@ -306,6 +313,8 @@
                      capacity::PoolLoad& load) const;
   static execution::AssignedRun MakeAssignedRun(const job::Step& step);
   core::Duration RemainingCriticalPath(const ActiveJob& active) const;
+  core::Duration PredictCriticalPath(const job::AcceptedJob& job,
+                                     const std::vector<bool>& is_pending) const;
   core::TimePoint OldestDueTime(const ActiveJob& active) const;
   JobRank RankOf(const ActiveJob& active) const;
 
@@ -313,8 +322,6 @@
       const execution::Worker& worker) const;
   std::string ViewAgeMs() const;
   void Log(core::Severity severity,
-  core::Duration PredictCriticalPath(const job::AcceptedJob& job,
-                                     const std::vector<bool>& is_pending) const;
            std::string message,
            std::vector<core::LogField> fields) const;
 
@@ -372,6 +379,7 @@
   RunMonitor m_run_monitor;
   JobMonitor m_job_monitor;
   capacity::DemandEstimator m_demand;
+  capacity::LateLimits m_late_limits;
   TicketCache m_tickets;
   CrashAttribution m_crashes;
   UnansweredStarts m_unanswered_starts;
--- a/src/crocusmast/scheduling/scheduler_placement.cc
+++ b/src/crocusmast/scheduling/scheduler_placement.cc
@@ -81,7 +81,11 @@
 }
 
 void Scheduler::PlaceTasksIn(const core::PoolId& pool) {
-  PlacementRound round(m_free_capacity[pool]);
+  const auto late_limit = m_late_limits.find(pool);
+  PlacementRound round(m_free_capacity[pool],
+                       late_limit == m_late_limits.end()
+                           ? std::nullopt
+                           : std::optional(late_limit->second));
   WaitingJobs& waiting = m_waiting_jobs[pool];
   waiting.Advance(m_ports.clock.Now(),
                   [this](const ActiveJob& job) { return RankOf(job); });
@@ -99,7 +103,7 @@
     if (!MayStartFiniteTasks(active) && entry.rank.is_finite) {
       continue;
     }
-    round.is_placing_expired = entry.rank.timeliness == Timeliness::kExpired;
+    round.timeliness = entry.rank.timeliness;
     PlaceJob(active, round);
     if (!active.may_have_ready_tasks || job::IsFinal(active.job.State())) {
       waiting.Remove(active);
--- a/src/crocusmast/scheduling/scheduler_selection.cc
+++ b/src/crocusmast/scheduling/scheduler_selection.cc
@@ -111,7 +111,7 @@
   if (is_suspect && m_crashes.MustWait(task)) {
     return nullptr;
   }
-  if (round.is_placing_expired && !round.MayStartExpired()) {
+  if (!round.MayStart(round.timeliness)) {
     return nullptr;
   }
   Worker* best = nullptr;
--- a/src/crocusmast/scheduling/scheduler_upkeep.cc
+++ b/src/crocusmast/scheduling/scheduler_upkeep.cc
@@ -110,7 +110,7 @@
       break;
     case Timeliness::kLate:
       ++load.waiting_late;
-      break;
+      return;
     case Timeliness::kExpired:
       ++load.waiting_expired;
       return;
@@ -129,6 +129,16 @@
   });
 }
 
+void Scheduler::SetLateLimits(const capacity::LateLimits& limits) {
+  if (limits == m_late_limits) {
+    return;
+  }
+  for (const auto& [pool, limit] : m_late_limits) {
+    m_pools_to_place.insert(pool);
+  }
+  m_late_limits = limits;
+}
+
 std::vector<capacity::PoolLoad> Scheduler::PoolLoads() const {
   const core::TimePoint now = m_ports.clock.Now();
   std::map<core::PoolId, capacity::PoolLoad> loads;
--- a/test/capacity/balancer_test.cc
+++ b/test/capacity/balancer_test.cc
@@ -20,6 +20,7 @@
 using upkeep::MachineState;
 
 const core::PoolId kShopPool = MakeId<core::PoolId>("shop");
+const core::PoolId kOtherPool = MakeId<core::PoolId>("other");
 const core::PoolId kStandbyPool = MakeId<core::PoolId>("spare");
 
 /** @brief Fake fleet: four machines in a pool and three on standby. */
@@ -41,6 +42,7 @@
     shop_load.pool = kShopPool;
     shop_load.capacity_cores = 64;
     shop_load.ready_workers = 4;
+    other_load.pool = kOtherPool;
     standby_load.pool = kStandbyPool;
     standby_load.is_standby = true;
   }
@@ -65,7 +67,7 @@
     return busy.count(worker) == 0;
   }
   std::vector<PoolLoad> PoolLoads() const override {
-    return {shop_load, standby_load};
+    return {shop_load, other_load, standby_load};
   }
 
   void CompleteMove(const core::MachineId& id, const core::PoolId& pool) {
@@ -83,6 +85,7 @@
   std::set<core::InstanceId> drained;
   std::set<core::InstanceId> busy;
   PoolLoad shop_load;
+  PoolLoad other_load;
   PoolLoad standby_load;
   bool is_list_requested = false;
 };
@@ -96,6 +99,7 @@
   CPPUNIT_TEST(WorkersThatCannotBeReachedAreReplaced);
   CPPUNIT_TEST(IdleMachinesAboveBaselineAreReturned);
   CPPUNIT_TEST(BusyAndReservedMachinesAreNotMoved);
+  CPPUNIT_TEST(LateJobsLeaveLentMachinesToPoolsThatLackThem);
   CPPUNIT_TEST(UnansweredMoveIsRequestedAgain);
   CPPUNIT_TEST(NothingMovesWithoutLeaseOrDuringCooldown);
   CPPUNIT_TEST_SUITE_END();
@@ -192,6 +196,27 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_fleet.moves.size());
   }
 
+  // Issue 42: after a turn a pool kept the machines that it had borrowed busy
+  // with late jobs, while the jobs in time of another pool waited for cores.
+  void LateJobsLeaveLentMachinesToPoolsThatLackThem() {
+    m_fleet.other_load.waiting_in_time = 5;
+    m_fleet.other_load.arriving_cores = 200;
+    RunFor(std::chrono::seconds(1));
+    CPPUNIT_ASSERT(m_balancer.LimitsOfLateJobs().empty());
+    m_fleet.other_load.arriving_cores = 0;
+    SpikeBorrowsFromStandby();
+    CPPUNIT_ASSERT(m_balancer.LimitsOfLateJobs().empty());
+    m_fleet.shop_load.waiting_core_seconds = 0;
+    m_fleet.other_load.arriving_cores = 200;
+    RunFor(std::chrono::milliseconds(200));
+    const capacity::LateLimits limits = m_balancer.LimitsOfLateJobs();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, limits.size());
+    CPPUNIT_ASSERT(limits.at(kShopPool) == core::MilliCores(4 * 16000));
+    m_fleet.other_load.waiting_in_time = 0;
+    RunFor(std::chrono::milliseconds(200));
+    CPPUNIT_ASSERT(m_balancer.LimitsOfLateJobs().empty());
+  }
+
   void UnansweredMoveIsRequestedAgain() {
     m_outcome = MachineCommandOutcome::kUnknown;
     m_fleet.shop_load.running_cores = 64;
--- a/test/capacity/fleet_model.h
+++ b/test/capacity/fleet_model.h
@@ -13,6 +13,7 @@
 #include "crocusmast/capacity/balancer.h"
 #include "crocusmast/capacity/demand_estimator.h"
 #include "crocusmast/scheduling/job_order.h"
+#include "crocusmast/scheduling/start_limits.h"
 #include "crocusmast/upkeep/cooldown_machine_port.h"
 #include "test/capacity/fleet_result.h"
 #include "test/capacity/leader_view.h"
@@ -231,6 +232,20 @@
     return m_view.RankOf(job, m_began_at, m_clock.Now());
   }
 
+  static core::MilliCores ToMilliCores(double cores) {
+    return core::MilliCores(static_cast<std::uint64_t>(cores * 1000));
+  }
+
+  scheduling::StartLimits LimitsOf(std::size_t pool,
+                                   double capacity_cores) const {
+    scheduling::StartLimits limits{ToMilliCores(capacity_cores), std::nullopt};
+    const auto& late = m_balancer.LimitsOfLateJobs();
+    if (const auto limit = late.find(m_pools[pool]); limit != late.end()) {
+      limits.late_limit = limit->second;
+    }
+    return limits;
+  }
+
   void PlaceTasks(std::size_t pool) {
     std::vector<std::pair<scheduling::JobRank, std::size_t>> order;
     for (const std::size_t index : m_waiting[pool]) {
@@ -251,14 +266,13 @@
         free_cores += machine.free_cores;
       }
     }
+    const scheduling::StartLimits limits = LimitsOf(pool, capacity_cores);
     for (const auto& [rank, index] : order) {
       Job& job = m_jobs[index];
       while (job.ready > 0) {
         const auto best = free.lower_bound(job.cores);
-        const bool may_start =
-            rank.timeliness != scheduling::Timeliness::kExpired ||
-            (capacity_cores - free_cores) * 100 <
-                capacity_cores * scheduling::kExpiredSharePercent;
+        const bool may_start = limits.MayStart(
+            rank.timeliness, ToMilliCores(capacity_cores - free_cores));
         if (best == free.end() || !may_start) {
           break;
         }
--- a/test/capacity/leader_view.h
+++ b/test/capacity/leader_view.h
@@ -77,7 +77,7 @@
         break;
       case scheduling::Timeliness::kLate:
         ++load.waiting_late;
-        break;
+        return;
       case scheduling::Timeliness::kExpired:
         ++load.waiting_expired;
         return;
