--- a/test/adapters/job_records_test.cc
+++ b/test/adapters/job_records_test.cc
@@ -23,6 +23,8 @@
   CPPUNIT_TEST(CrashedAttemptsRoundTrip);
   CPPUNIT_TEST(StartedPoolsRoundTrip);
   CPPUNIT_TEST(JobEndIsDistinguishedFromJob);
+  CPPUNIT_TEST(BatchRoundTrips);
+  CPPUNIT_TEST(DamagedBatchEntryLosesItselfAlone);
   CPPUNIT_TEST(HandoverStateAndHolderRoundTrip);
   CPPUNIT_TEST(DamagedBytesGiveJobOrError);
   CPPUNIT_TEST_SUITE_END();
@@ -51,6 +53,18 @@
     return job;
   }
 
+  static std::vector<job::ProgressWrite> MakeBatch() {
+    job::ProgressWrite running;
+    running.id = MakeId<core::JobId>("0123456789abcdef");
+    running.progress.state = job::JobState::kRunning;
+    running.progress.opened_count = 1;
+    running.progress.open_occurrences.push_back({0, {{{true, false}, {}}}});
+    job::ProgressWrite ended = running;
+    ended.id = MakeId<core::JobId>("00000000000000ff");
+    ended.progress.state = job::JobState::kSucceeded;
+    return {running, ended};
+  }
+
   void JobRoundTrips() {
     const std::string bytes = records::EncodeJob(MakeJobWithAllFields());
     const job::AcceptedJob decoded = records::DecodeJob(bytes).value();
@@ -61,6 +75,35 @@
     CPPUNIT_ASSERT(records::EncodeJob(decoded) == bytes);
   }
 
+  void BatchRoundTrips() {
+    const records::DecodedBatch decoded =
+        records::DecodeBatch(records::EncodeBatch(MakeBatch()));
+    CPPUNIT_ASSERT(decoded.errors.empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, decoded.progress.size());
+    CPPUNIT_ASSERT(decoded.progress[0].id.Text() == "0123456789abcdef");
+    CPPUNIT_ASSERT(records::EncodeProgress(decoded.progress[0].progress) ==
+                   records::EncodeProgress(MakeBatch()[0].progress));
+    CPPUNIT_ASSERT(decoded.progress[1].progress.state ==
+                   job::JobState::kSucceeded);
+    // Of an ended job only the state is stored.
+    CPPUNIT_ASSERT(decoded.progress[1].progress.open_occurrences.empty());
+  }
+
+  void DamagedBatchEntryLosesItselfAlone() {
+    std::string bytes = records::EncodeBatch(MakeBatch());
+    const std::string id = "0123456789abcdef";
+    // An id that is too short for a job, in text of the same length.
+    bytes.replace(bytes.find(id), id.size(), std::string(id.size(), ' '));
+    const records::DecodedBatch decoded = records::DecodeBatch(bytes);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, decoded.errors.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, decoded.progress.size());
+    CPPUNIT_ASSERT(decoded.progress[0].id.Text() == "00000000000000ff");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                         records::DecodeBatch("no record").errors.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                         records::DecodeBatch("").errors.size());
+  }
+
   void JobEndIsDistinguishedFromJob() {
     const auto queue = MakeId<core::QueueId>("queue");
     const std::string bytes =
