Move an ended job out of its batch once a transaction

Callers would have seen nothing stored any more, if the store refuses two writes of a key in a transaction, which its page does not say. Cause, found by reading the diff: a job that had ended in a batch and was stored in a batch again, as the end of one of its runs marks it as changed, stood twice in the order of jobs to be moved, and one commit could move both. A commit now skips a job that it moves already.

NothingIsRevertedWhateverIsLost, which now marks ended jobs as changed too and rejects two writes of a key, failed before ("a transaction writes a record twice") and passes.

--- a/src/crocusmast/scheduling/committer.cc
+++ b/src/crocusmast/scheduling/committer.cc
@@ -265,8 +265,12 @@
   while (!m_ended_order.empty()) {
     const core::JobId id = m_ended_order.front();
     const auto ended = m_ended.find(id);
-    // A job that changed again is stored anew in any case.
-    if (ended != m_ended.end() && !IsChanged(id)) {
+    // A job that changed again is stored anew in any case, and may have been
+    // added again.
+    const bool is_moved =
+        std::find(m_in_flight_ended.begin(), m_in_flight_ended.end(), id) !=
+        m_in_flight_ended.end();
+    if (ended != m_ended.end() && !is_moved && !IsChanged(id)) {
       ended->second.may_have_own_record = m_own_records.count(id) > 0;
       const std::size_t entries = EntriesOf(ended->second);
       if (free_entries < entries) {
--- a/test/scheduling/batch_model.h
+++ b/test/scheduling/batch_model.h
@@ -70,6 +70,10 @@
     m_committer.MarkChanged(id);
   }
 
+  /** @brief Marks a job as changed though its progress is the same, as for a
+   * run of a cancelled job that ends. */
+  void Touch(const core::JobId& id) { m_committer.MarkChanged(id); }
+
   /** @brief Sends the next commit; false if none is due. */
   bool Commit(Outcome outcome) {
     const auto read =
@@ -184,7 +188,11 @@
     std::size_t entries = 3 + (commit.handover ? 1 : 0) +
                           (commit.batch ? 1 : 0) +
                           commit.removed_batches.size();
+    std::set<core::JobId> written;
     for (const job::ProgressWrite& write : commit.progress) {
+      if (!written.insert(write.id).second) {
+        fault = "a transaction writes a record twice";
+      }
       const bool is_final = job::IsFinal(write.progress.state);
       entries += is_final && write.may_have_own_record ? 2 : 1;
       const auto record = m_records.find(write.id);
