Share the set-up of late and expired jobs in tests

Two tests let numbered jobs wait without workers and then list workers that are alike, in the same twenty lines. They share these; checks and figures stay.

--- a/test/scheduling/expired_job_test.cc
+++ b/test/scheduling/expired_job_test.cc
@@ -4,7 +4,7 @@
 #include <string>
 #include <vector>
 
-#include "test/scheduling/scheduler_fixture.h"
+#include "test/scheduling/waiting_jobs_support.h"
 
 namespace {
 
@@ -12,6 +12,7 @@
 using test::MakeJob;
 using test::MakeStep;
 using test::MakeWorker;
+using test::NumberedJobId;
 
 constexpr std::uint32_t kWorkers = 10;
 constexpr std::uint64_t kCoresPerWorker = 4;
@@ -19,11 +20,6 @@
 /** @brief Well above three times the objective of a job, 2.6 s. */
 constexpr std::chrono::seconds kLongAgo{30};
 
-std::string JobId(std::uint32_t number) {
-  const std::string digits = std::to_string(number);
-  return std::string(16 - digits.size(), '0') + digits;
-}
-
 /** @brief Jobs that have waited for so long that their results are worth
  * nothing. */
 class ExpiredJobTest : public CppUnit::TestFixture {
@@ -36,13 +32,7 @@
 
  public:
   void setUp() override {
-    m_fixture.BeginTerm();
-    for (std::uint32_t job = 0; job < kExpiredJobs; ++job) {
-      m_fixture.scheduler.AddJob(MakeJob(JobId(job), {MakeStep(1)}));
-    }
-    m_fixture.RunCycles();
-    m_fixture.clock.Advance(kLongAgo);
-    m_fixture.ReceiveStoreState();
+    test::LetJobsWait(m_fixture, kExpiredJobs, kLongAgo);
   }
 
   // Issue 24: a backlog that nobody waited for any more kept a pool full, so
@@ -53,7 +43,8 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{kWorkers * kCoresPerWorker *
                                      scheduling::kExpiredSharePercent / 100},
                          expired);
-    m_fixture.scheduler.AddJob(MakeJob(JobId(kExpiredJobs), {MakeStep(10)}));
+    m_fixture.scheduler.AddJob(
+        MakeJob(NumberedJobId(kExpiredJobs), {MakeStep(10)}));
     m_fixture.RunCycles();
     CPPUNIT_ASSERT_EQUAL(expired + 10, m_fixture.worker_port.starts.size());
   }
@@ -80,7 +71,7 @@
   // Issue 24: an occurrence counted as expired because its job had been
   // accepted long before it was due.
   void OccurrenceIsInTimeWhenItIsDue() {
-    job::AcceptedJob job = MakeJob(JobId(kExpiredJobs), {MakeStep(1)});
+    job::AcceptedJob job = MakeJob(NumberedJobId(kExpiredJobs), {MakeStep(1)});
     job.accepted_at = m_fixture.clock.WallNow();
     job.spec.schedule.occurrence_count = 2;
     job.spec.schedule.first = m_fixture.clock.WallNow() + kLongAgo;
@@ -96,12 +87,7 @@
 
  private:
   void ListWorkers() {
-    std::vector<execution::WorkerRecord> workers;
-    for (std::uint32_t index = 0; index < kWorkers; ++index) {
-      workers.push_back(
-          MakeWorker("w-" + std::to_string(index), 1, kCoresPerWorker * 1000));
-    }
-    m_fixture.SetWorkers(std::move(workers));
+    test::ListEqualWorkers(m_fixture, kWorkers, kCoresPerWorker * 1000);
   }
 
   test::SchedulerFixture m_fixture;
--- a/test/scheduling/late_job_test.cc
+++ b/test/scheduling/late_job_test.cc
@@ -4,7 +4,7 @@
 #include <string>
 #include <vector>
 
-#include "test/scheduling/scheduler_fixture.h"
+#include "test/scheduling/waiting_jobs_support.h"
 
 namespace {
 
@@ -12,7 +12,7 @@
 using test::MakeId;
 using test::MakeJob;
 using test::MakeStep;
-using test::MakeWorker;
+using test::NumberedJobId;
 
 constexpr std::uint32_t kWorkers = 10;
 constexpr std::uint64_t kWorkerProcessor = 4000;
@@ -20,11 +20,6 @@
 /** @brief Above the objective of a job, 2.6 s, and below three times that. */
 constexpr std::chrono::seconds kLate{4};
 
-std::string JobId(std::uint32_t number) {
-  const std::string digits = std::to_string(number);
-  return std::string(16 - digits.size(), '0') + digits;
-}
-
 /** @brief Jobs that can't end within their objective any more. */
 class LateJobTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(LateJobTest);
@@ -35,15 +30,7 @@
   CPPUNIT_TEST_SUITE_END();
 
  public:
-  void setUp() override {
-    m_fixture.BeginTerm();
-    for (std::uint32_t job = 0; job < kLateJobs; ++job) {
-      m_fixture.scheduler.AddJob(MakeJob(JobId(job), {MakeStep(1)}));
-    }
-    m_fixture.RunCycles();
-    m_fixture.clock.Advance(kLate);
-    m_fixture.ReceiveStoreState();
-  }
+  void setUp() override { test::LetJobsWait(m_fixture, kLateJobs, kLate); }
 
   // Issue 42: late jobs, worth 7% of one in time, kept the machines that a pool
   // had borrowed for its turn, while another pool had its own.
@@ -76,11 +63,13 @@
 
   void JobsInTimeHaveNoLimit() {
     m_fixture.scheduler.SetLateLimits(Limit(kWorkerProcessor));
-    m_fixture.scheduler.AddJob(MakeJob(JobId(kLateJobs), {MakeStep(20)}));
+    m_fixture.scheduler.AddJob(
+        MakeJob(NumberedJobId(kLateJobs), {MakeStep(20)}));
     ListWorkers();
     std::size_t starts_in_time = 0;
     for (const execution::StartCommand& start : m_fixture.worker_port.starts) {
-      starts_in_time += start.task.job.Text() == JobId(kLateJobs) ? 1 : 0;
+      starts_in_time +=
+          start.task.job.Text() == NumberedJobId(kLateJobs) ? 1 : 0;
     }
     CPPUNIT_ASSERT_EQUAL(std::size_t{20}, starts_in_time);
     CPPUNIT_ASSERT_EQUAL(std::size_t{20}, m_fixture.worker_port.starts.size());
@@ -92,12 +81,7 @@
   }
 
   void ListWorkers() {
-    std::vector<execution::WorkerRecord> workers;
-    for (std::uint32_t index = 0; index < kWorkers; ++index) {
-      workers.push_back(
-          MakeWorker("w-" + std::to_string(index), 1, kWorkerProcessor));
-    }
-    m_fixture.SetWorkers(std::move(workers));
+    test::ListEqualWorkers(m_fixture, kWorkers, kWorkerProcessor);
   }
 
   test::SchedulerFixture m_fixture;
