--- a/review/stand_ins_2/deployment_2.py
+++ b/review/stand_ins_2/deployment_2.py
@@ -92,6 +92,17 @@
         worker.terminate()
         asyncio.ensure_future(self._expire(worker))
 
+    def leave(self):
+        """Ends the worker and removes its entry."""
+        worker, self.worker = self.worker, None
+        worker.terminate()
+        self._deployment.store.remove("servers/" + worker.id)
+
+    async def start_next(self, step):
+        """Starts a worker with a new id."""
+        self._number += step
+        await self.start()
+
     def crash_silently(self):
         """Crashes the worker and its machine, which answers nothing more."""
         self._is_silent = True
@@ -367,13 +378,13 @@
         self.note("lease of %s expired" % worker.id)
 
 
-def run_case(folder, scenario):
-    """Runs a scenario; returns the exit code of the script.
+def run_case(folder, scenario, kind=Deployment2):
+    """Runs a scenario on a kind of deployment; returns the exit code.
 
     The scenario gets the deployment and whether the disruption takes place.
     """
     async def run():
-        deployment = Deployment2(folder)
+        deployment = kind(folder)
         try:
             await scenario(deployment, os.environ.get("TROUBLE") != "0")
         finally:
