Replace review case 7 by one on rejected moves

Moves that the platform rejects leave their workers cordoned, so that a burst in one pool takes another out of use. The stand-ins hold one call of any kind.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -24,13 +24,11 @@
     await asyncio.sleep(3)
     daemon = deployment.daemons[0]
     if trouble:
-        first.hold_starts_s = HOLD_SECONDS
+        first.hold_next = ("run-start", HOLD_SECONDS)
     job = await deployment.submit(daemon, "q", [
         {"count": 1, "cpu": 1000, "mem_mb": 64, "estimate_ms": TASK_MS,
          "ms": TASK_MS}])
     task = job + ".0.0.0"
-    await asyncio.sleep(0.2)
-    first.hold_starts_s = None  # only the first order is held
     while task not in deployment.tasks:
         await asyncio.sleep(0.05)
     await deployment.add_worker()
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,4 +1,4 @@
-"""A job is shown as failed though none of its runs ended as failed."""
+"""A pool is left without usable workers after moves that were rejected."""
 
 import asyncio
 import pathlib
@@ -7,45 +7,110 @@
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "stand_ins_2"))
 
-from deployment_2 import run_case  # noqa: E402
+from deployment_2 import Deployment2, Reply, run_case  # noqa: E402
 
-CRASH_AFTER = [0.7, 0.15]  # seconds from a start of the task to the crash
-DOWN_SECONDS = 2.0
-TASK_MS = 4000
+CORES = 16
+POOLS = {"a": ("a", 3), "g": ("g", 4), "spare": ("a", 1)}  # kind, machines
+MOVE_SECONDS = 1.5
+STEP_MS = 1000
+BURST_SECONDS = 6
+CALM_JOBS, BURST_JOBS = 2, 20  # a second
+FINISH_SECONDS = 14  # after the end of the traffic
+IDLE_SECONDS = 3
+
+
+class MovingDeployment(Deployment2):
+    """A deployment whose machine API moves machines."""
+
+    def __init__(self, folder):
+        super().__init__(folder)
+        self._moving = set()
+
+    async def start_machines(self):
+        """Starts the workers; those of the spare pool are off."""
+        for pool, (kind, count) in POOLS.items():
+            for _ in range(count):
+                address = await self.add_worker(pool, CORES)
+                address.machine.labels[0] = kind
+                if pool == "spare":
+                    address.leave()
+
+    async def _handle_machines(self, request):
+        if request.path.endswith("/machines"):
+            return Reply(200, {"next_token": None, "machines": [
+                {"machine_id": a.machine.id, "pool": a.machine.pool,
+                 "zone": a.machine.zone, "labels": a.machine.labels,
+                 "state": "moving" if a in self._moving else "up",
+                 "capacity": a.machine.capacity,
+                 "id": a.worker.id if a.worker else ""}
+                for a in self.addresses]})
+        if not request.path.endswith("/machine-move"):
+            return Reply(503)
+        command = request.json()
+        address = next(a for a in self.addresses
+                       if a.machine.id == command["machine_id"])
+        status = self._move(address, command["pool"])
+        self.note("move of %s from %s to %s: %d" % (
+            address.machine.id, address.machine.pool, command["pool"], status))
+        if status == 200 and address.machine.pool != command["pool"]:
+            self._moving.add(address)
+            if address.worker:
+                address.leave()
+            address.machine.pool = command["pool"]
+            asyncio.ensure_future(self._arrive(address))
+        return Reply(status, {"reason": "busy"} if status == 409 else {})
+
+    def _move(self, address, pool):
+        kind, _ = POOLS[pool]
+        if kind != address.machine.labels[0]:
+            return 400  # the pool is a pool of other machines
+        if address.machine.pool == pool:
+            return 200
+        return 409 if address in self._moving else 200
+
+    async def _arrive(self, address):
+        await asyncio.sleep(MOVE_SECONDS)
+        self._moving.discard(address)
+        if address.machine.pool != "spare":
+            await address.start_next(100)
+
+    def is_idle(self, pool):
+        """Returns whether nothing runs on the workers of a pool."""
+        workers = [a.worker for a in self.addresses
+                   if a.machine.pool == pool and a.worker]
+        return len(workers) > 1 and not any(w.is_busy() for w in workers)
 
 
 async def scenario(deployment, trouble):
     """Runs the case."""
-    deployment.configure([("q", "a")])
-    for _ in range(3):
-        await deployment.add_worker()
+    deployment.configure([("q-a", "a"), ("q-g", "g")], ("a", "g", "spare"),
+                         ("spare",))
+    await deployment.start_machines()
     await deployment.start(1)
     await deployment.wait_leader()
     await asyncio.sleep(3)
     daemon = deployment.daemons[0]
-    job = await deployment.submit(daemon, "q", [
-        {"count": 1, "cpu": 1000, "mem_mb": 64, "estimate_ms": TASK_MS,
-         "ms": TASK_MS}])
+    rate = BURST_JOBS if trouble else CALM_JOBS
+    for _ in range(rate * BURST_SECONDS):
+        await deployment.submit(daemon, "q-a", [
+            {"count": 1, "cpu": 4000, "mem_mb": 64, "estimate_ms": STEP_MS,
+             "ms": STEP_MS}])
+        await asyncio.sleep(1 / rate)
+    job = await deployment.submit(daemon, "q-g", [
+        {"count": 1, "cpu": 4000, "mem_mb": 64, "estimate_ms": STEP_MS,
+         "ms": STEP_MS}])
     task = job + ".0.0.0"
-    for number, delay in enumerate(CRASH_AFTER if trouble else []):
-        for _ in range(400):
-            if (task in deployment.tasks and
-                    len(deployment.tasks[task].starts) > number):
-                break
-            await asyncio.sleep(0.02)
-        await asyncio.sleep(delay)
-        worker = deployment.tasks[task].starts[-1][2]
-        address = next(a for a in deployment.addresses if a.worker is worker)
-        address.crash()
-        await asyncio.sleep(DOWN_SECONDS)
-        await address.start()
-    await asyncio.sleep(15)
-    _, state = await deployment.state(daemon, "q", job)
-    failed = sum(end[3] == "failed" for end in deployment.tasks[task].ends)
-    if state == "failed" and failed < 4:
+    await asyncio.sleep(FINISH_SECONDS)
+    is_idle = deployment.is_idle("g")
+    for _ in range(IDLE_SECONDS * 10):
+        await asyncio.sleep(0.1)
+        is_idle = is_idle and deployment.is_idle("g")
+    await deployment.state(daemon, "q-g", job)
+    if task not in deployment.tasks and is_idle:
         deployment.violation(
-            "LOST", "%s is shown as failed, but %d of its runs ended as "
-            "failed" % (job, failed))
+            "LOST", "%s has not been started %d s after the end of the "
+            "traffic, though all workers of its pool are idle" % (
+                task, FINISH_SECONDS + IDLE_SECONDS))
 
 
-sys.exit(run_case(str(FOLDER), scenario))
+sys.exit(run_case(str(FOLDER), scenario, MovingDeployment))
--- a/review/stand_ins_2/deployment_2.py
+++ b/review/stand_ins_2/deployment_2.py
@@ -69,7 +69,7 @@
     def __init__(self, deployment, number, pool, cores):
         self.machine = Machine(number, pool, "z1", cores)
         self.worker = None
-        self.hold_starts_s = None  # delay of each start while it is set
+        self.hold_next = None  # the call to hold once, and its delay
         self._is_silent = False    # no answer, instead of a lost connection
         self._deployment = deployment
         self._number = number
@@ -116,11 +116,13 @@
 
     async def _handle(self, request):
         is_start = request.path.endswith("/run-start")
-        if is_start and self.hold_starts_s is not None:
-            self._deployment.note("order held for %.1f s: %s" % (
-                self.hold_starts_s, _order(request)))
-            asyncio.ensure_future(self._deliver(request, self.hold_starts_s))
-            await asyncio.sleep(self.hold_starts_s)
+        if self.hold_next and request.path.endswith(self.hold_next[0]):
+            _, delay_s = self.hold_next
+            self.hold_next = None
+            self._deployment.note("held for %.1f s: %s" % (
+                delay_s, _order(request)))
+            asyncio.ensure_future(self._deliver(request, delay_s))
+            await asyncio.sleep(delay_s)
             return None
         if self._is_silent:
             await asyncio.sleep(SILENT_SECONDS)
@@ -137,19 +139,23 @@
 
     async def _deliver(self, request, delay_s):
         await asyncio.sleep(delay_s)
+        self._deployment.note("the held call arrives: %s" % _order(request))
         reply = None
         if self.worker is not None:
             try:
                 reply = await self.worker.handle(request)
             except Reply as early:
                 reply = early
-        self._deployment.note("held order %s arrives: %s" % (
+        self._deployment.note("the held call %s has the result %s" % (
             _order(request), reply and "%d %s" % (
-                reply.status, reply.body.decode())))
+                reply.status, reply.body.decode()[:200])))
 
 
 def _order(request):
     body = request.json()
+    if "task" not in body:
+        return "hold with last_seen %s, token %s" % (
+            body["last_seen"], body["fencing_token"])
     return "%s#%s token %s" % (body["task"], body["attempt"],
                                body["fencing_token"])
 
@@ -189,8 +195,10 @@
 
     def note(self, text):
         """Writes a line to the record."""
-        self._record.write("%8.3f %s\n" % (self.clock() - self._began_at, text))
-        self._record.flush()
+        if not self._record.closed:  # runs of tasks may end after the case
+            self._record.write("%8.3f %s\n" % (
+                self.clock() - self._began_at, text))
+            self._record.flush()
 
     def violation(self, rule, text):
         """Records that a rule was broken."""
@@ -267,7 +275,7 @@
 
     # The operator and the caller.
 
-    def configure(self, queues, pools=("a",)):
+    def configure(self, queues, pools=("a",), standby=()):
         """Writes a configuration with queues, given as (name, pool)."""
         self._version += 3
         content = {"version": self._version, "limits": {}, "routes": [
@@ -276,7 +284,8 @@
              "priority": 0, "service": pool, "max_attempts": 4,
              "slack_factor": 1.6} for name, pool in queues],
             "services": [{"name": pool, "enforce_capacity": True,
-                          "standby": False} for pool in pools]}
+                          "standby": pool in standby}
+                         for pool in pools]}
         self.note("configuration %d: queues %s" % (
             self._version, ", ".join(name for name, _ in queues)))
         self.store.put("op/config", base64.b64encode(
