--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,7 +6,7 @@
 import ast
 import pathlib
 
-paths = list(pathlib.Path("review/stand_ins_2").glob("*.py"))
+paths = [pathlib.Path("review/deployment_2.py")]
 paths += pathlib.Path("test/soak").glob("*.py")
 for number in range(6, 11):
     paths += pathlib.Path("review", str(number)).glob("*.py")
--- a/review/stand_ins_2/deployment_2.py
+++ b/review/deployment_2.py
@@ -14,7 +14,7 @@
 import sys
 import time
 
-ROOT = pathlib.Path(__file__).resolve().parents[2]
+ROOT = pathlib.Path(__file__).resolve().parents[1]
 sys.path.insert(0, str(ROOT / "test" / "soak"))
 
 # The modules of test/soak are found only now.
@@ -52,6 +52,10 @@
         """Returns whether a task runs."""
         return bool(self._runs)
 
+    def load(self):
+        """Returns the number of running tasks."""
+        return len(self._runs)
+
     def terminate(self):
         """Ends this incarnation and aborts its runs."""
         self.is_alive = False
@@ -69,7 +73,6 @@
     def __init__(self, deployment, number, pool, cores):
         self.machine = Machine(number, pool, "z1", cores)
         self.worker = None
-        self.hold_next = None  # the call to hold once, and its delay
         self._is_silent = False    # no answer, instead of a lost connection
         self._deployment = deployment
         self._number = number
@@ -79,6 +82,7 @@
         """Starts a worker; one after a crash has the same id and address."""
         if self._address is None:
             _, self._address = await serve(self._handle)
+        self._is_silent = False
         self.worker = LoopbackWorker(self._deployment, self.machine,
                                      self._number)
         await self.worker.start_at(self._address)
@@ -116,9 +120,8 @@
 
     async def _handle(self, request):
         is_start = request.path.endswith("/run-start")
-        if self.hold_next and request.path.endswith(self.hold_next[0]):
-            _, delay_s = self.hold_next
-            self.hold_next = None
+        delay_s = self._deployment.take_hold(self, request)
+        if delay_s is not None:
             self._deployment.note("held for %.1f s: %s" % (
                 delay_s, _order(request)))
             asyncio.ensure_future(self._deliver(request, delay_s))
@@ -181,6 +184,9 @@
         self.tasks = {}
         self.violations = []
         self.worker_calls = 0
+        # The call to hold once: address or None, path, text in the body, delay.
+        self.hold_next = None
+        self.orders = 0  # calls of workers other than holds
         self.job_seed = random.Random(int(time.time()))
         self._folder = folder
         self._logs = make_log_folder()
@@ -273,6 +279,18 @@
             await asyncio.sleep(0.05)
         raise RuntimeError("there is no leader")
 
+    def take_hold(self, address, request):
+        """Returns the delay of a call that is to be held, or None."""
+        self.orders += not request.path.endswith("/hold")
+        if self.hold_next is None:
+            return None
+        at, path, text, delay_s = self.hold_next
+        if at not in (None, address) or not request.path.endswith(path) or (
+                text.encode() not in request.body):
+            return None
+        self.hold_next = None
+        return delay_s
+
     # The operator and the caller.
 
     def configure(self, queues, pools=("a",), standby=()):
@@ -291,13 +309,17 @@
         self.store.put("op/config", base64.b64encode(
             json.dumps(content).encode()).decode())
 
-    async def submit(self, daemon, queue, steps):
+    def new_id(self):
+        """Returns the id of a new job."""
+        return "%016x" % self.job_seed.getrandbits(64)
+
+    async def submit(self, daemon, queue, steps, job=None):
         """Submits a job until it is accepted; returns its id.
 
         A step has the field ms, the time that its tasks take; it is sent in
         the payload, where the workers find it.
         """
-        job = "%016x" % self.job_seed.getrandbits(64)
+        job = job or self.new_id()
         content = {"spec": json.dumps({"steps": steps}), "steps": [
             {key: value for key, value in step.items() if key != "ms"}
             for step in steps]}
