--- a/review/7/case.py
+++ b/review/7/case.py
@@ -5,7 +5,7 @@
 import sys
 
 FOLDER = pathlib.Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent / "stand_ins_2"))
+sys.path.insert(0, str(FOLDER.parent))
 
 from deployment_2 import Deployment2, Reply, run_case  # noqa: E402
 
@@ -13,8 +13,8 @@
 POOLS = {"a": ("a", 3), "g": ("g", 4), "spare": ("a", 1)}  # kind, machines
 MOVE_SECONDS = 1.5
 STEP_MS = 1000
-BURST_SECONDS = 6
-CALM_JOBS, BURST_JOBS = 2, 20  # a second
+CALM_SECONDS, BURST_SECONDS = 4, 6
+CALM_JOBS, BURST_JOBS = 9, 20  # a second
 FINISH_SECONDS = 14  # after the end of the traffic
 IDLE_SECONDS = 3
 
@@ -90,12 +90,13 @@
     await deployment.wait_leader()
     await asyncio.sleep(3)
     daemon = deployment.daemons[0]
-    rate = BURST_JOBS if trouble else CALM_JOBS
-    for _ in range(rate * BURST_SECONDS):
-        await deployment.submit(daemon, "q-a", [
-            {"count": 1, "cpu": 4000, "mem_mb": 64, "estimate_ms": STEP_MS,
-             "ms": STEP_MS}])
-        await asyncio.sleep(1 / rate)
+    burst = BURST_JOBS if trouble else CALM_JOBS
+    for rate, seconds in (CALM_JOBS, CALM_SECONDS), (burst, BURST_SECONDS):
+        for _ in range(rate * seconds):
+            await deployment.submit(daemon, "q-a", [
+                {"count": 1, "cpu": 4000, "mem_mb": 64,
+                 "estimate_ms": STEP_MS, "ms": STEP_MS}])
+            await asyncio.sleep(1 / rate)
     job = await deployment.submit(daemon, "q-g", [
         {"count": 1, "cpu": 4000, "mem_mb": 64, "estimate_ms": STEP_MS,
          "ms": STEP_MS}])
