--- a/src/crocusmast/execution/commands.cc
+++ b/src/crocusmast/execution/commands.cc
@@ -1,5 +1,7 @@
 #include "crocusmast/execution/commands.h"
 
+#include <algorithm>
+
 namespace crocusmast::execution {
 
 std::string_view WorkerCallOutcomeName(WorkerCallOutcome outcome) {
@@ -30,4 +32,12 @@
   return "unknown";
 }
 
+bool PollReply::IsRunning(const job::TaskId& task,
+                          core::Attempt attempt) const {
+  return std::any_of(running.begin(), running.end(),
+                     [&](const RunReport& report) {
+                       return report.attempt == attempt && report.task == task;
+                     });
+}
+
 }  // namespace crocusmast::execution
--- a/src/crocusmast/execution/commands.h
+++ b/src/crocusmast/execution/commands.h
@@ -151,6 +151,13 @@
   /** @brief No ended run was left out; otherwise a run in neither list may have
    * ended. */
   bool lists_all_ends = true;
+
+  /**
+   * @brief Tells whether it lists a run as active.
+   * @param task The task.
+   * @param attempt The attempt.
+   */
+  bool IsRunning(const job::TaskId& task, core::Attempt attempt) const;
 };
 
 }  // namespace crocusmast::execution
--- a/src/crocusmast/execution/worker.cc
+++ b/src/crocusmast/execution/worker.cc
@@ -1,6 +1,7 @@
 #include "crocusmast/execution/worker.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace crocusmast::execution {
@@ -21,11 +22,27 @@
   m_clock_read_at = now;
   m_alive_at = WorkerTime();
   m_lease_until = WorkerTime();
-  m_lease_expires_at = core::TimePoint();
-  m_runs.clear();
-  m_used = {};
-  m_used_by_long_running = {};
-  m_whole_worker_runs = 0;
+  m_token = {};
+  bool has_held_runs = false;
+  for (const RunKey& key : Keys()) {
+    AssignedRun& run = m_runs.at(key);
+    if (!run.is_held) {
+      Remove(key);
+      continue;
+    }
+    has_held_runs = true;
+    if (run.has_start_in_flight) {
+      run.unanswered_start_until = run.start_sent_at + kMaxCommandDelay;
+    }
+    // Replies to commands that were sent to the earlier incarnation don't count
+    // any more.
+    run.has_start_in_flight = false;
+    run.is_command_pending = false;
+    run.is_stop_acknowledged = false;
+  }
+  if (!has_held_runs) {
+    m_lease_expires_at = core::TimePoint();
+  }
   recorded_end = {};
   received_end = {};
   acknowledged_end = {};
@@ -140,14 +157,61 @@
     m_used_by_long_running = m_used_by_long_running - found->second.resources;
   }
   m_whole_worker_runs -= found->second.reserves_whole_worker ? 1 : 0;
+  if (found->second.unanswered_start_until != core::TimePoint()) {
+    m_late_starts[key] = found->second.unanswered_start_until;
+  }
   m_runs.erase(found);
   return true;
 }
 
-bool Worker::HasLateStarts() const {
-  return std::any_of(m_runs.begin(), m_runs.end(), [](const auto& entry) {
-    return entry.second.may_start_late;
-  });
+void Worker::SetToken(core::FencingToken token) {
+  if (!IsAddressable()) {
+    m_token = token;
+  }
+}
+
+CommandDestination Worker::Address(core::TimePoint now) {
+  m_addressed_at = now;
+  for (auto next = m_late_starts.begin(); next != m_late_starts.end();) {
+    next = next->second <= now ? m_late_starts.erase(next) : std::next(next);
+  }
+  return {m_record.id, m_record.incarnation, m_record.address, m_token};
+}
+
+std::vector<RunKey> Worker::HoldRuns(core::TimePoint now) {
+  std::vector<RunKey> ended;
+  for (auto& [key, run] : m_runs) {
+    run.is_held = run.MayRunOnLaterIncarnation(now);
+    if (!run.is_held) {
+      ended.push_back(key);
+    }
+  }
+  return ended;
+}
+
+void Worker::ExtendHeldRuns(core::TimePoint now,
+                            std::chrono::milliseconds max_lease) {
+  for (const auto& [key, run] : m_runs) {
+    AssumeLeaseUntil(std::max(now, run.unanswered_start_until) +
+                     WithClockDrift(max_lease));
+  }
+}
+
+std::map<RunKey, core::TimePoint> Worker::LateStarts(
+    core::TimePoint now) const {
+  std::map<RunKey, core::TimePoint> starts;
+  for (const auto& [key, until] : m_late_starts) {
+    if (now < until) {
+      starts.emplace(key, until);
+    }
+  }
+  return starts;
+}
+
+bool Worker::HasOnlyHeldRuns() const {
+  return !m_runs.empty() &&
+         std::all_of(m_runs.begin(), m_runs.end(),
+                     [](const auto& entry) { return entry.second.is_held; });
 }
 
 std::vector<RunKey> Worker::Keys() const {
--- a/src/crocusmast/execution/worker.h
+++ b/src/crocusmast/execution/worker.h
@@ -32,6 +32,10 @@
  */
 core::Duration WithClockDrift(core::Duration time);
 
+/** @brief How long after it was sent a command without a reply may be executed;
+ * above the delays of seconds that the worker interface allows. */
+inline constexpr std::chrono::seconds kMaxCommandDelay{15};
+
 /** @brief A run that is assigned to a worker and may be active there. */
 struct AssignedRun {
   /** @brief Resources it reserves; best-effort runs reserve no processor. */
@@ -67,9 +71,13 @@
   bool has_unanswered_cpu_share = false;
   /** @brief The worker has accepted the stop command. */
   bool is_stop_acknowledged = false;
-  /** @brief An earlier incarnation of the worker was told to start it, and this
-   * one may execute the command too. */
-  bool may_start_late = false;
+  /** @brief Its incarnation has ended, but a later one may run it or start it
+   * yet. */
+  bool is_held = false;
+  /** @brief When the last start command for it was sent. */
+  core::TimePoint start_sent_at;
+  /** @brief Until when a start command that got no reply may be executed. */
+  core::TimePoint unanswered_start_until;
   /** @brief When it was placed; unset for a run that an earlier leader started.
    */
   core::TimePoint placed_at;
@@ -95,11 +103,15 @@
     return !is_confirmed && command_sent_at == core::TimePoint();
   }
 
-  /** @brief Tells whether a later incarnation of the worker may run it: a start
-   * command was executed by it, or may still be. */
-  bool MayStartOnLaterIncarnation() const {
-    return !IsUnsent() &&
-           (has_start_in_flight || has_unanswered_start || !is_listed);
+  /**
+   * @brief Tells whether a later incarnation of the worker may run it: it may
+   * have been the one that confirmed the start, or a start command may still
+   * reach it.
+   * @param now The current time.
+   */
+  bool MayRunOnLaterIncarnation(core::TimePoint now) const {
+    return has_start_in_flight || now < unanswered_start_until ||
+           (is_confirmed && !is_listed && !is_stop_acknowledged);
   }
 };
 
@@ -119,7 +131,19 @@
  *
  * Invariants: a run's resources are reserved from the start command until the
  * worker reports its end; no run outlives the latest lease requested for the
- * worker; a new incarnation inherits no runs.
+ * worker.
+ *
+ * All incarnations of a worker have one id and one address, so that a call to
+ * one of them may be executed by a later one. What keeps that safe:
+ * - Each incarnation is addressed with a fencing token of its own, above those
+ *   of all earlier ones, and with nothing before it has one.
+ * - Its first call is a poll. Once it has replied, it rejects all calls to
+ *   earlier incarnations, and no other call was executed by it before but
+ *   those that the reply shows.
+ * - Until then the runs are held that calls to earlier incarnations may have
+ *   started or may still start; their tasks start nowhere else. They are
+ *   released when every lease that an incarnation may have given them has
+ *   expired.
  */
 class Worker {
  public:
@@ -132,6 +156,59 @@
 
   /** @brief Returns the latest membership record. */
   const WorkerRecord& Record() const { return m_record; }
+
+  /** @brief Tells whether its present incarnation may be sent commands. */
+  bool IsAddressable() const { return m_token != core::FencingToken(); }
+
+  /**
+   * @brief Sets the fencing token of its present incarnation, once.
+   * @param token A token above those of all commands to earlier incarnations.
+   */
+  void SetToken(core::FencingToken token);
+
+  /**
+   * @brief Returns the destination of a command that is sent now.
+   * @param now The current time.
+   */
+  CommandDestination Address(core::TimePoint now);
+
+  /**
+   * @brief Tells whether a command that was sent to any of its incarnations may
+   * still be executed.
+   * @param now The current time.
+   */
+  bool MayReceiveLateCommands(core::TimePoint now) const {
+    return now < m_addressed_at + kMaxCommandDelay;
+  }
+
+  /**
+   * @brief Holds the runs that a later incarnation may run or start, because
+   * the present one has ended.
+   * @param now The current time.
+   * @return The other runs, which have ended.
+   */
+  std::vector<RunKey> HoldRuns(core::TimePoint now);
+
+  /**
+   * @brief Extends the lease of the held runs to the longest that a later
+   * incarnation may give them.
+   * @param now The current time.
+   * @param max_lease The longest lease that a worker grants.
+   */
+  void ExtendHeldRuns(core::TimePoint now, std::chrono::milliseconds max_lease);
+
+  /**
+   * @brief Returns the ended runs for which a start command got no reply and
+   * may still be executed by a later incarnation, until its first reply.
+   * @param now The current time.
+   */
+  std::map<RunKey, core::TimePoint> LateStarts(core::TimePoint now) const;
+
+  /** @brief The present incarnation rejects commands to earlier ones. */
+  void ForgetLateStarts() { m_late_starts.clear(); }
+
+  /** @brief Tells whether runs are assigned and all of them are held. */
+  bool HasOnlyHeldRuns() const;
   /** @brief Returns when its present incarnation became known. */
   core::TimePoint JoinedAt() const { return m_joined_at; }
   /** @brief Tells whether the membership list contains the worker. */
@@ -142,7 +219,8 @@
    * and one that this incarnation wrote before the known one.
    * @param record The membership record.
    * @param now The current time.
-   * @return True if a new incarnation began, which discards all runs.
+   * @return True if a new incarnation began, which discards all runs but held
+   * ones.
    */
   bool Update(WorkerRecord record, core::TimePoint now);
 
@@ -240,10 +318,6 @@
   /** @brief Returns the assigned runs, which may be active. */
   const std::map<RunKey, AssignedRun>& Runs() const { return m_runs; }
 
-  /** @brief Tells whether a run may start that an earlier incarnation was told
-   * to start. */
-  bool HasLateStarts() const;
-
   /** @brief Returns a copy of the keys of the assigned runs. */
   std::vector<RunKey> Keys() const;
 
@@ -269,7 +343,8 @@
   std::uint64_t poll_sequence = 0;
   /** @brief Its last reply left out ended runs. */
   bool has_unlisted_ends = false;
-  /** @brief All runs that it may have from earlier terms are known. */
+  /** @brief It has replied to a poll, or no earlier command can reach it: all
+   * runs that it may have from earlier terms or incarnations are known. */
   bool is_reconciled = false;
   /** @brief Earliest time of the next poll. */
   core::TimePoint next_poll_at;
@@ -294,6 +369,11 @@
   void BeginIncarnation(WorkerRecord record, core::TimePoint now);
 
   WorkerRecord m_record;
+  /** @brief Fencing token of commands to the present incarnation; 0 for none
+   * yet. */
+  core::FencingToken m_token;
+  /** @brief When the last command was sent to any incarnation. */
+  core::TimePoint m_addressed_at;
   core::TimePoint m_joined_at;
   bool m_is_listed = true;
   /** @brief Latest reading of the worker's clock. */
@@ -308,6 +388,9 @@
   /** @brief When every lease has certainly expired. */
   core::TimePoint m_lease_expires_at;
   std::map<RunKey, AssignedRun> m_runs;
+  /** @brief Ended runs, and until when a start command for them without a reply
+   * may be executed. */
+  std::map<RunKey, core::TimePoint> m_late_starts;
   /** @brief Resources that the assigned runs reserve, without those that
    * reserve the whole worker. */
   job::Resources m_used;
--- a/src/crocusmast/scheduling/scheduler.cc
+++ b/src/crocusmast/scheduling/scheduler.cc
@@ -31,6 +31,7 @@
   const job::HandoverState& handover = stored.handover;
   m_is_active = true;
   m_term = term;
+  m_has_predecessor = stored.revision != core::Revision();
   const core::TimePoint now = m_ports.clock.Now();
   m_term_began_at = now;
   m_fleet_handover = handover.fleet;
@@ -122,7 +123,6 @@
   m_ended_jobs.clear();
   m_tickets.Clear();
   m_crashes.Clear();
-  m_unanswered_starts.Clear();
   m_demand.Clear();
   m_late_limits.clear();
   m_job_monitor.Clear();
@@ -316,7 +316,7 @@
   m_may_remove_jobs = true;
   if (reply.outcome == job::StoreOutcome::kDone) {
     if (const auto handover = m_committer.TakeStoredHandover(); handover) {
-      HandleHandoverStored(*handover);
+      HandleHandoverStored(*handover, reply.revision);
     }
   } else {
     Log(core::Severity::kWarning,
@@ -349,12 +349,6 @@
   }
 }
 
-execution::CommandDestination Scheduler::DestinationOf(
-    const Worker& worker) const {
-  return {worker.Record().id, worker.Record().incarnation,
-          worker.Record().address, m_term.token};
-}
-
 std::string Scheduler::ViewAgeMs() const {
   return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(
                             m_ports.clock.Now() - m_store_view.complete_at)
--- a/src/crocusmast/scheduling/scheduler.h
+++ b/src/crocusmast/scheduling/scheduler.h
@@ -35,7 +35,6 @@
 #include "crocusmast/scheduling/run_time_estimator.h"
 #include "crocusmast/scheduling/ticket_cache.h"
 #include "crocusmast/scheduling/timing.h"
-#include "crocusmast/scheduling/unanswered_starts.h"
 #include "crocusmast/scheduling/waiting_jobs.h"
 #include "crocusmast/upkeep/worker_drain_port.h"
 
@@ -193,7 +192,8 @@
   void FreezeLeasesOfSilentWorkers();
   std::chrono::milliseconds LongestLease() const;
   job::HandoverState MakeHandover(bool stays_active) const;
-  void HandleHandoverStored(const job::HandoverState& handover);
+  void HandleHandoverStored(const job::HandoverState& handover,
+                            core::Revision revision);
   void MoveLongRunningTasks(execution::Worker& worker);
   bool MayInterrupt(const ActiveJob& active, const job::TaskKey& key) const;
   static bool MayHaveMadeReady(const ActiveJob& active,
@@ -219,8 +219,6 @@
   void BeginIncarnation(execution::Worker& worker,
                         execution::WorkerRecord record,
                         const char* reason);
-  std::map<execution::RunKey, execution::AssignedRun> RunsToStopOn(
-      const execution::Worker& replaced) const;
   void SettleCrash(const core::InstanceId& worker, core::Incarnation seen);
   void CountCrashes(const core::InstanceId& worker, const Blame& blame);
   void MarkStartSurvived(execution::Worker& worker,
@@ -244,6 +242,12 @@
   void ProcessRunningRuns(execution::Worker& worker,
                           const execution::PollReply& reply);
   void AdoptRun(execution::Worker& worker, const execution::RunReport& report);
+  void HoldEndedRun(execution::Worker& worker,
+                    const execution::RunKey& key,
+                    core::TimePoint until);
+  void ResumeHeldRun(execution::Worker& worker, const execution::RunKey& key);
+  void EndUnreportedHeldRuns(execution::Worker& worker,
+                             const execution::PollReply& reply);
   void EndUnreportedRuns(execution::Worker& worker,
                          const execution::PollReply& reply);
   void TrackFailures(execution::Worker& worker, job::RunOutcome outcome);
@@ -318,8 +322,6 @@
   core::TimePoint OldestDueTime(const ActiveJob& active) const;
   JobRank RankOf(const ActiveJob& active) const;
 
-  execution::CommandDestination DestinationOf(
-      const execution::Worker& worker) const;
   std::string ViewAgeMs() const;
   void Log(core::Severity severity,
            std::string message,
@@ -336,6 +338,9 @@
    * reply to a poll of an earlier term is taken for a later one. */
   std::uint64_t m_last_poll_sequence = 0;
   SchedulingTerm m_term;
+  /** @brief An earlier leader has stored handover state, so that its commands
+   * may still be executed. */
+  bool m_has_predecessor = false;
   core::TimePoint m_term_began_at;
   StoreView m_store_view;
   std::map<core::QueueId, queue::Queue> m_queues;
@@ -382,7 +387,6 @@
   capacity::LateLimits m_late_limits;
   TicketCache m_tickets;
   CrashAttribution m_crashes;
-  UnansweredStarts m_unanswered_starts;
   job::FleetHandover m_fleet_handover;
   /** @brief Placements of the current job for the log, each in the form
    * TASK#ATTEMPT@WORKER/FREE, where FREE is the processor time that is left on
--- a/src/crocusmast/scheduling/scheduler_crashes.cc
+++ b/src/crocusmast/scheduling/scheduler_crashes.cc
@@ -3,136 +3,13 @@
 
 #include "crocusmast/scheduling/scheduler.h"
 
-// Ends of worker incarnations, and the crashes that are counted against tasks.
+// Crashes of workers that are counted against tasks.
 
 namespace crocusmast::scheduling {
 
 using execution::RunKey;
 using execution::Worker;
 
-void Scheduler::EndIncarnation(Worker& worker,
-                               IncarnationEnd end,
-                               const char* reason) {
-  const core::InstanceId& id = worker.Record().id;
-  const core::TimePoint now = m_ports.clock.Now();
-  if (!worker.Runs().empty()) {
-    Log(core::Severity::kWarning,
-        "All runs on worker " + id.Text() + " are lost: " + reason + ".",
-        {{"event", "worker_lost"},
-         {"worker", id.Text()},
-         {"evidence", reason},
-         {"runs", std::to_string(worker.Runs().size())}});
-  }
-  Blame blame;
-  if (end == IncarnationEnd::kLeaseExpired) {
-    // The worker may be cut off rather than crashed.
-    m_crashes.HandleLeaseExpiry(worker, now);
-  } else {
-    blame = m_crashes.FindBlame(worker, now);
-  }
-  for (const RunKey& key : worker.Keys()) {
-    if (end == IncarnationEnd::kReplaced &&
-        worker.Find(key)->MayStartOnLaterIncarnation()) {
-      continue;
-    }
-    const bool is_blamed = std::any_of(
-        blame.runs.begin(), blame.runs.end(), [&key](const RunKey& run) {
-          return run.task == key.task && run.attempt == key.attempt;
-        });
-    EndRun(worker, key,
-           is_blamed ? job::RunOutcome::kWorkerCrashed : job::RunOutcome::kLost,
-           "");
-  }
-  CountCrashes(id, blame);
-  if (end != IncarnationEnd::kReplaced) {
-    MarkReconciled(id, reason);
-  }
-}
-
-void Scheduler::HandleOtherWorker(Worker& worker) {
-  const core::Incarnation known = worker.Record().incarnation;
-  EndIncarnation(worker, IncarnationEnd::kAddressTaken,
-                 "another worker replied at its address");
-  worker.MarkUnlisted();
-  SettleCrash(worker.Record().id, known + core::Incarnation(1));
-}
-
-void Scheduler::HandleOtherIncarnation(Worker& worker,
-                                       core::Incarnation replying) {
-  // The known record is of a later incarnation, so there is no later one to
-  // expect commands to reach.
-  if (replying < worker.Record().incarnation) {
-    HandleOtherWorker(worker);
-    return;
-  }
-  execution::WorkerRecord record = worker.Record();
-  record.incarnation = replying;
-  record.clock = {};
-  BeginIncarnation(worker, std::move(record),
-                   "a later incarnation replied at its address");
-  // Its capacity is not known until its own record arrives.
-  worker.MarkUnlisted();
-  UpdateCapacity(worker);
-}
-
-// A start command whose reply is missing, or may have come from the later
-// incarnation, may be executed by that one. The run is kept until the later
-// incarnation has confirmed a stop, after which it rejects such a command.
-void Scheduler::BeginIncarnation(Worker& worker,
-                                 execution::WorkerRecord record,
-                                 const char* reason) {
-  const core::TimePoint now = m_ports.clock.Now();
-  const core::InstanceId id = record.id;
-  const core::Incarnation incarnation = record.incarnation;
-  EndIncarnation(worker, IncarnationEnd::kReplaced, reason);
-  const std::map<RunKey, execution::AssignedRun> runs = RunsToStopOn(worker);
-  worker.Update(std::move(record), now);
-  SettleCrash(id, incarnation);
-  if (!runs.empty()) {
-    Log(core::Severity::kWarning,
-        "Stopping " + std::to_string(runs.size()) +
-            " runs that may have started on the later incarnation of worker " +
-            id.Text() + ".",
-        {{"event", "late_starts_stopped"},
-         {"worker", id.Text()},
-         {"incarnation", std::to_string(incarnation.Count())},
-         {"runs", std::to_string(runs.size())}});
-    worker.AssumeLeaseUntil(now +
-                            execution::WithClockDrift(m_term.max_worker_lease));
-  }
-  for (const auto& [key, run] : runs) {
-    worker.Add(key, run);
-    SendStop(worker, key);
-  }
-  if (m_has_worker_list) {
-    StoreHandover();
-  }
-}
-
-std::map<RunKey, execution::AssignedRun> Scheduler::RunsToStopOn(
-    const Worker& replaced) const {
-  std::map<RunKey, execution::AssignedRun> runs;
-  const auto add = [this, &runs](const RunKey& key) {
-    const auto job = m_jobs.find(key.task.job);
-    execution::AssignedRun run;
-    run.reserves_whole_worker = true;
-    if (job != m_jobs.end() && job->second.job.Find(key.task.key) != nullptr) {
-      run = MakeAssignedRun(job->second.job.StepOf(key.task.key));
-    }
-    run.has_unanswered_start = true;
-    run.may_start_late = true;
-    runs.emplace(key, run);
-  };
-  for (const auto& [key, run] : replaced.Runs()) {
-    add(key);
-  }
-  for (const RunKey& key :
-       m_unanswered_starts.Find(replaced.Record().id, m_ports.clock.Now())) {
-    add(key);
-  }
-  return runs;
-}
-
 void Scheduler::SettleCrash(const core::InstanceId& worker,
                             core::Incarnation seen) {
   const std::optional<Blame> blame = m_crashes.Settle(worker, seen);
--- /dev/null
+++ b/src/crocusmast/scheduling/scheduler_incarnations.cc
@@ -0,0 +1,196 @@
+#include <algorithm>
+#include <utility>
+
+#include "crocusmast/scheduling/scheduler.h"
+
+// Incarnations of workers: their ends, and what may still start on later ones.
+
+namespace crocusmast::scheduling {
+
+using execution::AssignedRun;
+using execution::RunKey;
+using execution::Worker;
+
+void Scheduler::EndIncarnation(Worker& worker,
+                               IncarnationEnd end,
+                               const char* reason) {
+  const core::InstanceId& id = worker.Record().id;
+  const core::TimePoint now = m_ports.clock.Now();
+  // The end of an incarnation with held runs only was handled before.
+  const bool is_known = worker.HasOnlyHeldRuns();
+  // Without a lease nothing runs, and a worker with another id at its address
+  // executes none of its commands.
+  const bool may_have_later =
+      end == IncarnationEnd::kReplaced || end == IncarnationEnd::kMachineGone;
+  const std::vector<RunKey> ended =
+      may_have_later ? worker.HoldRuns(now) : worker.Keys();
+  if (!is_known && !worker.Runs().empty()) {
+    Log(core::Severity::kWarning,
+        "Runs on worker " + id.Text() + " are lost: " + reason + ".",
+        {{"event", "worker_lost"},
+         {"worker", id.Text()},
+         {"evidence", reason},
+         {"runs", std::to_string(worker.Runs().size())},
+         {"held", std::to_string(worker.Runs().size() - ended.size())}});
+  }
+  Blame blame;
+  if (is_known) {
+    blame = {};
+  } else if (end == IncarnationEnd::kLeaseExpired) {
+    // The worker may be cut off rather than crashed.
+    m_crashes.HandleLeaseExpiry(worker, now);
+  } else {
+    blame = m_crashes.FindBlame(worker, now);
+  }
+  for (const RunKey& key : ended) {
+    const bool is_blamed = std::any_of(
+        blame.runs.begin(), blame.runs.end(), [&key](const RunKey& run) {
+          return run.task == key.task && run.attempt == key.attempt;
+        });
+    EndRun(worker, key,
+           is_blamed ? job::RunOutcome::kWorkerCrashed : job::RunOutcome::kLost,
+           "");
+  }
+  CountCrashes(id, blame);
+  if (end != IncarnationEnd::kReplaced) {
+    MarkReconciled(id, reason);
+  }
+}
+
+void Scheduler::HandleOtherWorker(Worker& worker) {
+  const core::Incarnation known = worker.Record().incarnation;
+  EndIncarnation(worker, IncarnationEnd::kAddressTaken,
+                 "another worker replied at its address");
+  worker.MarkUnlisted();
+  SettleCrash(worker.Record().id, known + core::Incarnation(1));
+}
+
+void Scheduler::HandleOtherIncarnation(Worker& worker,
+                                       core::Incarnation replying) {
+  // The known record is of a later incarnation, so there is no later one to
+  // expect commands to reach.
+  if (replying < worker.Record().incarnation) {
+    HandleOtherWorker(worker);
+    return;
+  }
+  execution::WorkerRecord record = worker.Record();
+  record.incarnation = replying;
+  record.clock = {};
+  BeginIncarnation(worker, std::move(record),
+                   "a later incarnation replied at its address");
+  // Its capacity is not known until its own record arrives.
+  worker.MarkUnlisted();
+  UpdateCapacity(worker);
+}
+
+void Scheduler::BeginIncarnation(Worker& worker,
+                                 execution::WorkerRecord record,
+                                 const char* reason) {
+  const core::TimePoint now = m_ports.clock.Now();
+  const core::InstanceId id = record.id;
+  const core::Incarnation incarnation = record.incarnation;
+  EndIncarnation(worker, IncarnationEnd::kReplaced, reason);
+  worker.Update(std::move(record), now);
+  for (const auto& [key, until] : worker.LateStarts(now)) {
+    HoldEndedRun(worker, key, until);
+  }
+  worker.ExtendHeldRuns(now, m_term.max_worker_lease);
+  SettleCrash(id, incarnation);
+  if (!worker.Runs().empty()) {
+    Log(core::Severity::kWarning,
+        "The later incarnation of worker " + id.Text() + " may start " +
+            std::to_string(worker.Runs().size()) +
+            " runs of the earlier one until it replies to a poll.",
+        {{"event", "late_starts_possible"},
+         {"worker", id.Text()},
+         {"incarnation", std::to_string(incarnation.Count())},
+         {"runs", std::to_string(worker.Runs().size())}});
+  }
+  if (m_has_worker_list) {
+    StoreHandover();
+  }
+}
+
+// The run has ended, but its task, which may start again, has not. If the later
+// incarnation has started the run once more, it is stopped there first.
+void Scheduler::HoldEndedRun(Worker& worker,
+                             const RunKey& key,
+                             core::TimePoint until) {
+  ActiveJob* active = FindJob(key.task.job);
+  const job::Task* task =
+      active == nullptr ? nullptr : active->job.Find(key.task.key);
+  if (task == nullptr || task->is_done || !task->runs.empty() ||
+      job::IsFinal(active->job.State())) {
+    return;
+  }
+  AssignedRun held = MakeAssignedRun(active->job.StepOf(key.task.key));
+  held.is_held = true;
+  held.is_stopping = true;
+  held.command_sent_at = m_ports.clock.Now();
+  held.unanswered_start_until = until;
+  worker.Add(key, held);
+  job::Run run;
+  run.worker = worker.Record().id;
+  run.incarnation = worker.Record().incarnation;
+  run.attempt = key.attempt;
+  run.started_at = held.command_sent_at;
+  active->job.BeginRun(key.task.key, std::move(run));
+  active->job.MarkRunStopping(key.task.key, key.attempt);
+}
+
+// The task is not placed again, so that the run goes on; a gang would wait for
+// members that have ended.
+void Scheduler::ResumeHeldRun(Worker& worker, const RunKey& key) {
+  AssignedRun* run = worker.Find(key);
+  const ActiveJob* active = FindJob(key.task.job);
+  const job::Task* task =
+      active == nullptr ? nullptr : active->job.Find(key.task.key);
+  const bool is_wanted = task != nullptr && !run->is_stopping &&
+                         !job::IsFinal(active->job.State()) && !task->is_done &&
+                         !active->job.StepOf(key.task.key).is_gang;
+  run->is_held = false;
+  run->is_confirmed = true;
+  run->confirmed_at_poll = worker.poll_sequence;
+  run->has_unanswered_start = false;
+  run->unanswered_start_until = {};
+  run->active_since.reset();
+  run->listed_at.reset();
+  Log(core::Severity::kInfo,
+      "Task " + Describe(key.task) + " runs on a later incarnation of worker " +
+          worker.Record().id.Text() + (is_wanted ? "." : "; stopping it."),
+      {{"event", is_wanted ? "run_resumed" : "run_unwanted"},
+       {"job", key.task.job.Text()},
+       {"task", Describe(key.task)},
+       {"attempt", std::to_string(key.attempt.Count())},
+       {"worker", worker.Record().id.Text()}});
+  if (!is_wanted) {
+    SendStop(worker, key);
+  }
+}
+
+// A later incarnation that has replied rejects the start commands to earlier
+// ones. The same one rejects them once the lease that they carry has expired.
+void Scheduler::EndUnreportedHeldRuns(Worker& worker,
+                                      const execution::PollReply& reply) {
+  const bool rejects_starts =
+      !worker.is_reconciled ||
+      (reply.clock && !(*reply.clock < worker.LeaseUntil()));
+  for (const RunKey& key : worker.Keys()) {
+    AssignedRun* run = worker.Find(key);
+    if (run == nullptr || !run->is_held ||
+        reply.IsRunning(key.task, key.attempt)) {
+      continue;
+    }
+    if (rejects_starts) {
+      EndRun(
+          worker, key,
+          run->is_stopping ? job::RunOutcome::kStopped : job::RunOutcome::kLost,
+          "");
+    } else {
+      run->is_held = false;
+      m_workers_to_retry.insert(worker.Record().id);
+    }
+  }
+}
+
+}  // namespace crocusmast::scheduling
--- a/src/crocusmast/scheduling/scheduler_machines.cc
+++ b/src/crocusmast/scheduling/scheduler_machines.cc
@@ -59,7 +59,6 @@
         m_machine_evidence.HasEnded(id, KnownSince(*worker), confirmed_at)) {
       EndIncarnation(*worker, IncarnationEnd::kMachineGone,
                      internal::kNoMachine);
-      worker->is_reconciled = true;
     }
   }
 }
--- a/src/crocusmast/scheduling/scheduler_poll_commands.cc
+++ b/src/crocusmast/scheduling/scheduler_poll_commands.cc
@@ -27,10 +27,14 @@
 void Scheduler::SendPollIfDue(Worker& worker) {
   const core::TimePoint now = m_ports.clock.Now();
   const core::InstanceId& id = worker.Record().id;
-  if (worker.is_poll_pending || now < worker.next_poll_at) {
+  if (worker.is_poll_pending || now < worker.next_poll_at ||
+      !worker.IsAddressable()) {
     return;
   }
-  const bool is_needed = !worker.is_reconciled || !worker.Runs().empty() ||
+  const bool may_have_unknown_runs =
+      !worker.is_reconciled &&
+      (worker.IsListed() || m_inherited_workers.Find(id) != nullptr);
+  const bool is_needed = may_have_unknown_runs || !worker.Runs().empty() ||
                          worker.acknowledged_end < worker.recorded_end ||
                          worker.has_unlisted_ends ||
                          (worker.failed_polls > 0 && worker.IsListed()) ||
@@ -39,13 +43,13 @@
     return;
   }
   execution::PollCommand command;
-  command.to = DestinationOf(worker);
+  command.to = worker.Address(now);
   worker.poll_sequence = ++m_last_poll_sequence;
   command.sequence = worker.poll_sequence;
   command.recorded = worker.recorded_end;
   const bool may_wait = worker.is_reconciled && !worker.Runs().empty() &&
                         worker.received_end == worker.recorded_end &&
-                        !worker.HasLateStarts();
+                        !worker.HasOnlyHeldRuns();
   const std::chrono::milliseconds wait =
       m_crashes.IsReserved(id) ? kStartProbation : kPollWait;
   worker.is_poll_waiting = may_wait;
--- a/src/crocusmast/scheduling/scheduler_polls.cc
+++ b/src/crocusmast/scheduling/scheduler_polls.cc
@@ -89,21 +89,29 @@
     // The runs it reports are covered by leases of an earlier leader.
     worker->AssumeLeaseUntil(inherited->leased_until);
   }
+  if (!worker->is_reconciled) {
+    // Commands to earlier incarnations, or of earlier leaders, may have
+    // extended its lease until now.
+    worker->AssumeLeaseUntil(
+        now + execution::WithClockDrift(m_term.max_worker_lease));
+  }
   ProcessEndedRuns(*worker, reply);
+  // Nothing follows from a run's absence in a list that is not complete. An
+  // earlier run of a task may be found in place of a held one.
+  if (reply.lists_all_ends) {
+    EndUnreportedHeldRuns(*worker, reply);
+  }
   ProcessRunningRuns(*worker, reply);
-  // Nothing follows from a run's absence in a list that is not complete.
   if (reply.lists_all_ends) {
     EndUnreportedRuns(*worker, reply);
   }
   ThrottleBestEffortRuns(*worker, reply);
   if (!worker->is_reconciled && reply.lists_all_ends) {
     worker->is_reconciled = true;
+    worker->ForgetLateStarts();
     MarkReconciled(reply.worker, "it replied to a poll");
     m_pools_to_place.insert(worker->Record().pool);
   }
-  if (worker->HasLateStarts()) {
-    worker->next_poll_at = now + kLateStartPollDelay;
-  }
   UpdateCapacity(*worker);
 }
 
@@ -214,6 +222,9 @@
   for (const execution::RunReport& report : reply.running) {
     const RunKey key{report.task, report.attempt};
     AssignedRun* run = worker.Find(key);
+    if (run != nullptr && run->is_held) {
+      ResumeHeldRun(worker, key);
+    }
     if (run == nullptr) {
       AdoptRun(worker, report);
     } else if (!run->is_confirmed) {
@@ -292,15 +303,11 @@
                                   const execution::PollReply& reply) {
   for (const RunKey& key : worker.Keys()) {
     const AssignedRun* run = worker.Find(key);
-    if (!run->is_confirmed || run->confirmed_at_poll >= reply.sequence) {
+    if (run == nullptr || !run->is_confirmed ||
+        run->confirmed_at_poll >= reply.sequence) {
       continue;
     }
-    const bool is_reported = std::any_of(
-        reply.running.begin(), reply.running.end(),
-        [&key](const execution::RunReport& report) {
-          return report.attempt == key.attempt && report.task == key.task;
-        });
-    if (!is_reported) {
+    if (!reply.IsRunning(key.task, key.attempt)) {
       EndRun(
           worker, key,
           run->is_stopping ? job::RunOutcome::kStopped : job::RunOutcome::kLost,
@@ -362,7 +369,8 @@
       AssignedRun* assigned = worker.Find(key);
       assigned->has_cpu_share = true;
       assigned->has_unanswered_cpu_share = false;
-      m_ports.workers.SetCpuShare({DestinationOf(worker), key.task, key.attempt,
+      m_ports.workers.SetCpuShare({worker.Address(m_ports.clock.Now()),
+                                   key.task, key.attempt,
                                    worker.best_effort_share});
     }
   }
--- a/src/crocusmast/scheduling/scheduler_runs.cc
+++ b/src/crocusmast/scheduling/scheduler_runs.cc
@@ -180,19 +180,22 @@
   run->is_stopping = true;
   run->is_command_pending = true;
   m_workers_to_retry.insert(worker.Record().id);
-  run->command_sent_at = m_ports.clock.Now();
   if (ActiveJob* active = FindJob(key.task.job); active != nullptr) {
     active->job.MarkRunStopping(key.task.key, key.attempt);
   }
-  m_ports.workers.Stop({DestinationOf(worker), key.task, key.attempt});
+  // A later incarnation is polled first.
+  if (run->is_held && !worker.is_reconciled) {
+    run->is_command_pending = false;
+    return;
+  }
+  run->command_sent_at = m_ports.clock.Now();
+  m_ports.workers.Stop(
+      {worker.Address(run->command_sent_at), key.task, key.attempt});
 }
 
 void Scheduler::HandleStartReply(const execution::WorkerCommandReply& reply) {
   Worker* worker = FindWorker(reply.worker);
   const RunKey key{reply.task, reply.attempt};
-  if (m_is_active && reply.outcome == WorkerCallOutcome::kUnknown) {
-    m_unanswered_starts.Add(reply.worker, key, m_ports.clock.Now());
-  }
   if (!m_is_active || worker == nullptr ||
       worker->Record().incarnation != reply.incarnation) {
     return;
@@ -227,6 +230,8 @@
       break;
     case WorkerCallOutcome::kUnknown:
       run->has_unanswered_start = true;
+      run->unanswered_start_until =
+          run->start_sent_at + execution::kMaxCommandDelay;
       run->is_repeat_unsent = false;
       m_workers_to_retry.insert(reply.worker);
       break;
@@ -339,7 +344,7 @@
         run != nullptr && !run->is_stop_acknowledged &&
         (run->is_stopping ||
          ((run->is_start_deferred || run->has_unanswered_start) &&
-          !run->is_confirmed));
+          !run->is_confirmed && !run->is_held));
     is_pending = is_pending || needs_retry;
     if (!needs_retry || run->is_command_pending) {
       continue;
--- a/src/crocusmast/scheduling/scheduler_starts.cc
+++ b/src/crocusmast/scheduling/scheduler_starts.cc
@@ -135,14 +135,26 @@
     m_workers_to_retry.insert(worker.Record().id);
     return;
   }
+  const core::TimePoint now = m_ports.clock.Now();
+  if (worker.is_lease_frozen || worker.HasLeaseExpired(now)) {
+    // The worker would reject it, but a later incarnation, whose clock starts
+    // anew, would not.
+    if (run->IsUnsent()) {
+      EndRun(worker, key, job::RunOutcome::kRejected, "");
+    }
+    return;
+  }
+  // A later incarnation that executes it grants a lease from then on.
+  worker.AssumeLeaseUntil(now + execution::WithClockDrift(kWorkerLeaseLength));
   if (run->IsUnsent()) {
-    m_run_monitor.HandleStart(*run, m_ports.clock.Now());
+    m_run_monitor.HandleStart(*run, now);
   }
   run->is_command_pending = true;
   run->has_start_in_flight = true;
-  run->command_sent_at = m_ports.clock.Now();
+  run->command_sent_at = now;
+  run->start_sent_at = now;
   execution::StartCommand command;
-  command.to = DestinationOf(worker);
+  command.to = worker.Address(now);
   command.task = key.task;
   command.attempt = key.attempt;
   command.payload = active->job.Accepted().spec.payload;
--- a/src/crocusmast/scheduling/scheduler_upkeep.cc
+++ b/src/crocusmast/scheduling/scheduler_upkeep.cc
@@ -151,7 +151,8 @@
   }
   for (const auto& [id, worker] : m_workers) {
     const auto load = loads.find(worker->Record().pool);
-    if (load == loads.end()) {
+    const bool has_left = !worker->IsListed() && worker->Runs().empty();
+    if (load == loads.end() || has_left) {
       continue;
     }
     if (!IsUsable(*worker, now)) {
--- a/src/crocusmast/scheduling/scheduler_workers.cc
+++ b/src/crocusmast/scheduling/scheduler_workers.cc
@@ -43,6 +43,12 @@
                     id, std::make_unique<Worker>(std::move(update.worker), now))
                 .first->second.get();
     m_workers_by_pool[pool].push_back(known);
+    // This leader has sent it no command that may still be executed, since it
+    // keeps workers for that long. Those that join later get a token when they
+    // are stored, like later incarnations: one that was erased has seen others.
+    if (!m_has_worker_list || m_inherited_workers.Find(id) != nullptr) {
+      known->SetToken(m_term.token);
+    }
   } else if (known->Record().incarnation < update.worker.incarnation) {
     const core::PoolId before = known->Record().pool;
     BeginIncarnation(*known, std::move(update.worker), "it has restarted");
@@ -81,10 +87,12 @@
        {"worker", id.Text()},
        {"pool", pool.Text()},
        {"incarnation", std::to_string(known->Record().incarnation.Count())}});
-  // A later incarnation than the known one may run what that one was told to
-  // start, by this leader or by an earlier one: it is polled before it is used.
-  known->is_reconciled =
-      is_new_worker && m_inherited_workers.Find(id) == nullptr;
+  // Commands to earlier incarnations, of this leader or of an earlier one, may
+  // be executed by this one: it is polled before it is used.
+  known->is_reconciled = is_new_worker &&
+                         m_inherited_workers.Find(id) == nullptr &&
+                         !(m_has_predecessor &&
+                           now < m_term_began_at + execution::kMaxCommandDelay);
   UpdateCapacity(*known);
   if (m_has_worker_list) {
     StoreHandover();
@@ -199,8 +207,12 @@
   }
 }
 
-void Scheduler::HandleHandoverStored(const job::HandoverState& handover) {
+void Scheduler::HandleHandoverStored(const job::HandoverState& handover,
+                                     core::Revision revision) {
   m_may_poll_any = true;
+  // Commits need the leader's claim, so that their revisions are above its
+  // token and below the token of any successor.
+  const core::FencingToken token(revision.Count());
   m_has_stored_handover = m_has_stored_handover || !handover.workers.empty();
   for (const job::LeasedWorker& stored : handover.workers) {
     Worker* worker = FindWorker(stored.worker);
@@ -211,6 +223,11 @@
     const bool may_thaw = worker->is_lease_frozen &&
                           worker->failed_polls == 0 &&
                           LongestLease() <= stored.lease_remaining;
+    if (!worker->IsAddressable() && !(m_term.token < token)) {
+      StoreHandover();
+      continue;
+    }
+    worker->SetToken(token);
     if (may_thaw || !worker->is_recorded_in_store) {
       worker->is_lease_frozen = worker->is_lease_frozen && !may_thaw;
       worker->is_recorded_in_store = true;
@@ -273,10 +290,6 @@
         confirmed_at < m_inherited_workers.Find(id)->leased_until + vacancy) {
       continue;
     }
-    if (worker != nullptr) {
-      worker->is_reconciled = true;
-      UpdateCapacity(*worker);
-    }
     MarkReconciled(id, "all leases it may have held have expired");
   }
   m_may_have_silent_workers = false;
@@ -291,6 +304,7 @@
     const bool is_removable =
         !worker.IsListed() && worker.Runs().empty() &&
         m_inherited_workers.Find(next->first) == nullptr &&
+        !worker.MayReceiveLateCommands(m_ports.clock.Now()) &&
         !m_crashes.IsUncertain(next->first);
     if (!is_removable) {
       ++next;
--- a/src/crocusmast/scheduling/timing.h
+++ b/src/crocusmast/scheduling/timing.h
@@ -23,10 +23,6 @@
 inline constexpr std::chrono::milliseconds kIdlePollRetryDelay{2000};
 /** @brief Delay before a poll that only acknowledges ended runs. */
 inline constexpr std::chrono::milliseconds kAcknowledgeDelay{250};
-/** @brief Delay between polls of a worker that was told to stop runs which an
- * earlier incarnation of it was told to start. If they never started, no end
- * completes a poll that waits. */
-inline constexpr std::chrono::milliseconds kLateStartPollDelay{50};
 /** @brief Delay between polls while ended runs are not recorded yet. */
 inline constexpr std::chrono::milliseconds kUnrecordedPollDelay{300};
 /** @brief How long a worker that rejected a start or did not reply gets no
--- a/test/scheduling/simulated_cluster.h
+++ b/test/scheduling/simulated_cluster.h
@@ -19,11 +19,18 @@
  * @brief Workers, a store and successive leaders of one job of long-running
  * tasks.
  *
- * Messages stay in flight until they are delivered or lost. Whether a rule is
- * broken is kept in Violation().
+ * Messages stay in flight until they are delivered or lost. As in the worker
+ * interface, a call reaches whichever incarnation has the worker's id, and the
+ * clock starts anew with each. Whether a rule is broken is kept in Violation().
  */
 class SimulatedCluster {
  public:
+  /** @brief The oldest start command that a later incarnation executes. Not
+   * simulated: one that executes a command before it is known and after the
+   * earlier one's lease, or after it started during the next leader's term. */
+  static constexpr std::chrono::milliseconds kMaxStartDelay{2000};
+  static constexpr std::chrono::milliseconds kMaxListingDelay{1000};
+
   SimulatedCluster(std::uint32_t worker_count, std::uint32_t task_count) {
     for (std::uint32_t index = 0; index < worker_count; ++index) {
       m_workers["w-" + std::to_string(index)] = {};
@@ -49,9 +56,13 @@
     m_elapsed += time;
     m_leader->clock.Advance(time);
     for (auto& [id, worker] : m_workers) {
-      if (worker.lease_until <= Clock()) {
+      if (worker.lease_until <= worker.Clock(m_elapsed)) {
         EndRuns(worker, job::RunOutcome::kLeaseExpired);
       }
+      if (!worker.is_listed &&
+          worker.started_at + kMaxListingDelay <= m_elapsed) {
+        List(id, worker);
+      }
     }
     Cycle();
   }
@@ -75,15 +86,21 @@
       m_leader->catalog.Apply(
           job::ProgressStored{m_job.id, *m_progress, core::Revision(1)}, {});
     }
-    m_token += 1000;
+    m_token = ++m_revision;
+    for (const auto& [id, worker] : m_workers) {
+      m_incarnations[id] = worker.incarnation;
+    }
     m_leader->ReceiveStoreState();
     m_leader->scheduler.BeginTerm(
         {core::FencingToken(m_token), std::chrono::seconds(5)},
-        m_leader->catalog, {m_handover, core::Revision(m_last_commit)});
+        m_leader->catalog,
+        {m_handover, core::Revision(m_last_commit),
+         core::Revision(m_last_commit)});
     scheduling::WorkerListReceived list;
-    for (const auto& [id, worker] : m_workers) {
+    for (auto& [id, worker] : m_workers) {
+      worker.is_listed = true;
       if (worker.is_up) {
-        list.workers.push_back(RecordOf(id, worker));
+        list.workers.push_back(worker.Record(id, m_elapsed));
       }
     }
     m_leader->scheduler.Handle(std::move(list));
@@ -103,7 +120,7 @@
       reply.outcome = job::StoreOutcome::kConflict;
     } else if (is_stored) {
       reply.outcome = job::StoreOutcome::kDone;
-      ++m_last_commit;
+      m_last_commit = ++m_revision;
       for (const job::ProgressWrite& write : commit.progress) {
         m_progress = write.progress;
       }
@@ -122,11 +139,21 @@
     if (m_starts.empty()) {
       return;
     }
-    const execution::StartCommand command = std::move(m_starts.front());
+    const StartInFlight start = std::move(m_starts.front());
     m_starts.pop_front();
-    const auto outcome =
-        is_executed ? Execute(command) : execution::WorkerCallOutcome::kUnknown;
-    if (command.to.token == core::FencingToken(m_token)) {
+    const execution::StartCommand& command = start.command;
+    const Worker& worker = m_workers.at(command.to.worker.Text());
+    const bool is_for_later =
+        command.to.incarnation != core::Incarnation(worker.incarnation);
+    const bool arrives =
+        !is_for_later ||
+        (m_elapsed < start.sent_at + kMaxStartDelay &&
+         (IsOfLeader(command.to) ||
+          worker.incarnation <= m_incarnations[command.to.worker.Text()]));
+    const auto outcome = is_executed && arrives
+                             ? Execute(command)
+                             : execution::WorkerCallOutcome::kUnknown;
+    if (IsOfLeader(command.to)) {
       m_leader->ReplyToStart(
           command,
           is_answered ? outcome : execution::WorkerCallOutcome::kUnknown);
@@ -141,16 +168,16 @@
     const execution::StopCommand command = std::move(m_stops.front());
     m_stops.pop_front();
     Worker& worker = m_workers.at(command.to.worker.Text());
-    auto outcome = Receive(worker, command.to);
+    const auto outcome = worker.Receive(command.to.token);
     if (outcome == execution::WorkerCallOutcome::kDone) {
       const auto run = worker.runs.find(command.task.key.index);
       worker.last_stopped[command.task.key.index] = std::max(
           worker.last_stopped[command.task.key.index], command.attempt);
       if (run != worker.runs.end() && !(command.attempt < run->second)) {
-        EndRun(worker, run->first, job::RunOutcome::kStopped);
+        worker.EndRun(command.task, job::RunOutcome::kStopped);
       }
     }
-    if (command.to.token == core::FencingToken(m_token)) {
+    if (IsOfLeader(command.to)) {
       m_leader->scheduler.HandleStopReply(
           m_leader->MakeReply(command, outcome));
       Collect();
@@ -170,19 +197,17 @@
     reply.incarnation = poll.to.incarnation;
     reply.sequence = poll.sequence;
     if (is_delivered) {
-      reply.outcome = Receive(worker, poll.to);
+      reply.outcome = worker.Receive(poll.to.token);
     }
     if (reply.outcome == execution::WorkerCallOutcome::kDone) {
-      Extend(worker, poll.lease_until.value_or(worker.lease_until));
-      reply.clock = Clock();
+      worker.Extend(poll.lease_until.value_or(worker.lease_until), m_elapsed);
+      reply.clock = worker.Clock(m_elapsed);
+      reply.replying_incarnation = core::Incarnation(worker.incarnation);
+      worker.Forget(poll.recorded);
       for (const auto& [index, attempt] : worker.runs) {
         reply.running.push_back({Task(index), attempt, "", 100, {}});
       }
-      for (const execution::EndedRunReport& end : worker.ended) {
-        if (poll.recorded < end.number) {
-          reply.ended.push_back(end);
-        }
-      }
+      reply.ended = worker.ended;
     }
     m_leader->scheduler.Handle(reply);
     Collect();
@@ -191,7 +216,7 @@
   void FailRun(std::uint32_t index) {
     for (auto& [id, worker] : m_workers) {
       if (worker.runs.count(index) > 0) {
-        EndRun(worker, index, job::RunOutcome::kFailed);
+        worker.EndRun(Task(index), job::RunOutcome::kFailed);
       }
     }
   }
@@ -209,6 +234,7 @@
       m_most_crashes = std::max(m_most_crashes, ++m_crashes[task]);
     }
     worker.is_up = false;
+    worker.is_listed = true;
     worker.runs.clear();
     worker.ended.clear();
   }
@@ -217,8 +243,7 @@
   void UpdateMembership(std::uint32_t index) {
     auto& [id, worker] = At(index);
     if (worker.is_up) {
-      m_leader->scheduler.Handle(
-          scheduling::WorkerUpdated{RecordOf(id, worker)});
+      List(id, worker);
     } else {
       m_leader->scheduler.Handle(
           scheduling::WorkerRemoved{MakeId<core::InstanceId>(id)});
@@ -232,6 +257,8 @@
     const std::uint64_t incarnation = worker.incarnation;
     worker = {};
     worker.incarnation = incarnation + 1;
+    worker.is_listed = false;
+    worker.started_at = m_elapsed;
   }
 
   /** @brief Delivers everything for long enough that all leases expire. */
@@ -255,6 +282,10 @@
 
  private:
   using Worker = SimulatedWorker;
+  struct StartInFlight {
+    execution::StartCommand command;
+    std::chrono::milliseconds sent_at;
+  };
 
   std::pair<const std::string, Worker>& At(std::uint32_t index) {
     return *std::next(m_workers.begin(), index % m_workers.size());
@@ -264,59 +295,30 @@
     return {m_job.id, {0, 0, index}};
   }
 
-  execution::WorkerTime Clock() const {
-    return execution::WorkerTime(std::chrono::seconds(10) + m_elapsed);
-  }
-
-  execution::WorkerRecord RecordOf(const std::string& id,
-                                   const Worker& worker) const {
-    execution::WorkerRecord record = MakeWorker(id, worker.incarnation);
-    record.clock = Clock();
-    return record;
+  bool IsOfLeader(const execution::CommandDestination& to) const {
+    return !(to.token < core::FencingToken(m_token));
   }
 
-  void EndRun(Worker& worker, std::uint32_t index, job::RunOutcome outcome) {
-    const core::Attempt attempt = worker.runs.at(index);
-    worker.last_stopped[index] = attempt;
-    const core::RunEndNumber number(++worker.last_end);
-    worker.ended.push_back({number, Task(index), attempt, outcome, ""});
-    worker.runs.erase(index);
+  void List(const std::string& id, Worker& worker) {
+    worker.is_listed = true;
+    m_leader->scheduler.Handle(
+        scheduling::WorkerUpdated{worker.Record(id, m_elapsed)});
   }
 
   void EndRuns(Worker& worker, job::RunOutcome outcome) {
     while (!worker.runs.empty()) {
-      EndRun(worker, worker.runs.begin()->first, outcome);
+      worker.EndRun(Task(worker.runs.begin()->first), outcome);
     }
   }
 
-  void Extend(Worker& worker, execution::WorkerTime lease_until) {
-    worker.lease_until = std::max(worker.lease_until, lease_until);
-  }
-
-  execution::WorkerCallOutcome Receive(
-      Worker& worker,
-      const execution::CommandDestination& to) {
-    if (!worker.is_up) {
-      return execution::WorkerCallOutcome::kUnknown;
-    }
-    if (to.incarnation != core::Incarnation(worker.incarnation)) {
-      return execution::WorkerCallOutcome::kIncarnationMismatch;
-    }
-    if (to.token < worker.token) {
-      return execution::WorkerCallOutcome::kFenced;
-    }
-    worker.token = to.token;
-    return execution::WorkerCallOutcome::kDone;
-  }
-
   execution::WorkerCallOutcome Execute(const execution::StartCommand& command) {
     Worker& worker = m_workers.at(command.to.worker.Text());
-    const auto outcome = Receive(worker, command.to);
+    const auto outcome = worker.Receive(command.to.token);
     if (outcome != execution::WorkerCallOutcome::kDone) {
       return outcome;
     }
     const std::uint32_t index = command.task.key.index;
-    Extend(worker, command.lease_until);
+    worker.Extend(command.lease_until, m_elapsed);
     const auto known = worker.runs.find(index);
     if (known != worker.runs.end() && known->second == command.attempt) {
       return execution::WorkerCallOutcome::kDone;
@@ -324,7 +326,7 @@
     if (!(worker.last_stopped[index] < command.attempt)) {
       return execution::WorkerCallOutcome::kStaleAttempt;
     }
-    if (worker.lease_until <= Clock()) {
+    if (worker.lease_until <= worker.Clock(m_elapsed)) {
       return execution::WorkerCallOutcome::kLeaseExpiredOnArrival;
     }
     if (CountRuns(index) > 0) {
@@ -343,7 +345,7 @@
         Break("the start of " + Describe(start.task) + " on " +
               start.to.worker.Text() + " is sent before it is stored");
       }
-      m_starts.push_back(std::move(start));
+      m_starts.push_back({std::move(start), m_elapsed});
     }
     for (execution::StopCommand& stop : std::exchange(port.stops, {})) {
       m_stops.push_back(std::move(stop));
@@ -378,13 +380,16 @@
   std::map<std::string, Worker> m_workers;
   job::AcceptedJob m_job;
   std::unique_ptr<SchedulerFixture> m_leader;
+  /** @brief Revision of the store: of claims and commits. */
+  std::uint64_t m_revision = 0;
   std::uint64_t m_token = 0;
+  std::map<std::string, std::uint64_t> m_incarnations;  // as the term began
   std::chrono::milliseconds m_elapsed{};
   std::optional<job::JobProgress> m_progress;
   job::HandoverState m_handover;
   std::uint64_t m_last_commit = 0;
   std::size_t m_replied_commits = 0;
-  std::deque<execution::StartCommand> m_starts;
+  std::deque<StartInFlight> m_starts;
   std::deque<execution::StopCommand> m_stops;
   std::deque<execution::PollCommand> m_polls;
   std::string m_violation;
--- a/test/soak/checker.py
+++ b/test/soak/checker.py
@@ -70,7 +70,7 @@
         self.counts = collections.Counter()
         self.jobs = {}
         self.machines = {}      # machine -> its description
-        self.leaders = {}       # fencing token -> instance
+        self.leaders = {}       # store revision of a claim -> instance
         self.draining = {}      # worker -> when the store accepted the report
         self.disturbances = []  # [scope, start, end or None]
         self.lags = []          # (end, seconds) in which a stand-in was late
@@ -174,7 +174,7 @@
             return
         if checkpoint and not checkpoint.startswith(task + "/"):
             self.report("UNASKED", time, "%s with %s" % (task, checkpoint))
-        instance = self.leaders.get(token)
+        instance = self._leader_of(token)
         machine = self.machines[self._workers[worker]]
         where = "%s on %s by %s" % (task, worker, instance)
         timely = self.in_touch(instance, time, machine["zone"])
@@ -205,6 +205,15 @@
                     run[0] for other in self.jobs.values()
                     for run in other.runs if run[1] == worker]))
 
+    def _leader_of(self, token):
+        """Returns the leader that gave an order.
+
+        Its claim is the last one up to the token: a leader's commits, whose
+        revisions it uses as tokens too, come before its successor's claim.
+        """
+        claims = [claim for claim in self.leaders if claim <= token]
+        return self.leaders[max(claims)] if claims else None
+
     def _check_times(self, time, job, worker, where):
         if job.cancelled_at and time > job.cancelled_at + CANCEL + self.lag(
                 job.cancelled_at, time):
