Give workers back when no order needs them any more

Cause: the balancer drains a worker before it orders the move of its machine. Draining set Worker::is_cordoned, and only another incarnation or leader reset it: a rejected order ended the move, not the mark. Each idle machine of another kind was ordered in turn and rejected with 400. Withdrawn and rejected take-downs left the mark too.

Change: in each cycle the scheduler uses all drained workers again that neither the balancer's moves nor the waves' machines in progress need, once the handover state lists them. Rejected and refused moves end, but while an earlier request without a reply may take effect their worker stays drained. Two machines of a pool with 400 end further orders to that pool. Replies name their wave, so that a move's reply is told from a take-down's.

--- a/src/crocusmast/capacity/balancer.cc
+++ b/src/crocusmast/capacity/balancer.cc
@@ -28,12 +28,14 @@
   m_next_check_at = {};
   m_next_log_at = {};
   m_listed_at = {};
+  m_list_sent_at = {};
   m_list_requested_at = {};
   m_machines.clear();
   m_baseline.clear();
   m_moves.clear();
   m_idle_since.clear();
   m_cooldown_until.clear();
+  m_invalid_moves.clear();
   m_late_limits.clear();
 }
 
@@ -42,6 +44,7 @@
     return;
   }
   m_listed_at = m_ports.clock.Now();
+  m_list_sent_at = list.requested_at;
   const bool is_first = m_baseline.empty();
   m_machines.clear();
   for (const Machine& machine : list.machines) {
@@ -62,34 +65,6 @@
   return sizes;
 }
 
-void Balancer::RemoveFinishedMoves() {
-  for (auto move = m_moves.begin(); move != m_moves.end();) {
-    const auto machine = m_machines.find(move->first);
-    const bool is_finished =
-        machine == m_machines.end() ||
-        (move->second.is_done && machine->second.state == MachineState::kUp &&
-         machine->second.pool == move->second.to);
-    move = is_finished ? m_moves.erase(move) : std::next(move);
-  }
-}
-
-void Balancer::Handle(const upkeep::MachineCommandReply& reply) {
-  const auto move = m_moves.find(reply.machine);
-  if (!m_is_active || move == m_moves.end() || move->second.is_done) {
-    return;
-  }
-  const bool is_rejected = reply.outcome == MachineCommandOutcome::kBusy ||
-                           reply.outcome == MachineCommandOutcome::kNotInWave ||
-                           reply.outcome == MachineCommandOutcome::kFenced;
-  if (reply.outcome == MachineCommandOutcome::kDone) {
-    move->second.is_done = true;
-    m_idle_since.erase(reply.machine);
-  } else if (is_rejected) {
-    m_cooldown_until[reply.machine] = m_ports.clock.Now() + kFailedMoveCooldown;
-    m_moves.erase(move);
-  }
-}
-
 bool Balancer::RunCycle(bool is_lease_valid,
                         const ReservedPredicate& is_reserved) {
   const core::TimePoint now = m_ports.clock.Now();
@@ -97,6 +72,7 @@
     return false;
   }
   m_next_check_at = now + kCheckInterval;
+  RemoveRejectedMoves();
   std::map<core::PoolId, PoolView> views = BuildPoolViews(is_reserved);
   const bool has_standby = std::any_of(
       views.begin(), views.end(),
@@ -114,8 +90,9 @@
   LimitLateJobs(views);
   if (is_lease_valid && !m_machines.empty()) {
     for (const auto& [machine, move] : m_moves) {
-      if (!move.is_done && move.requested_at + kMoveRetryInterval <= now) {
-        RequestMove(machine, move.to);
+      if (!move.is_done && !move.is_rejected &&
+          move.requested_at + kMoveRetryInterval <= now) {
+        RequestMove(machine);
       }
     }
     BorrowMachines(views);
@@ -297,7 +274,8 @@
     std::map<core::PoolId, PoolView>& views) {
   PoolView* best = nullptr;
   for (auto& [pool, view] : views) {
-    if (&view == &borrower || view.idle.empty()) {
+    if (&view == &borrower || view.idle.empty() ||
+        IsBanned(pool, borrower.load.pool)) {
       continue;
     }
     if (view.load.is_standby) {
@@ -325,7 +303,7 @@
     PoolView* to = nullptr;
     for (auto& [other, candidate] : views) {
       const bool is_below_baseline = candidate.machines < BaselineOf(other);
-      if (&candidate != &view &&
+      if (&candidate != &view && !IsBanned(pool, other) &&
           (is_below_baseline || candidate.load.is_standby) &&
           (to == nullptr || !candidate.load.is_standby)) {
         to = &candidate;
@@ -338,42 +316,6 @@
   }
 }
 
-void Balancer::MoveMachine(PoolView& from, PoolView& to, const char* reason) {
-  const core::MachineId id = from.idle.back();
-  from.idle.pop_back();
-  --from.machines;
-  ++to.machines;
-  from.deficit += 1;
-  from.steady_deficit += 1;
-  to.deficit -= 1;
-  to.steady_deficit -= 1;
-  m_idle_since.erase(id);
-  if (const core::InstanceId& worker = m_machines[id].worker;
-      !worker.IsEmpty()) {
-    m_ports.workers.DrainWorker(worker);
-  }
-  const PoolLoad& load = to.load;
-  Log("Moving machine " + id.Text() + " from pool " + from.load.pool.Text() +
-          " to pool " + load.pool.Text() + ": " + reason + ".",
-      {{"event", "machine_sent"},
-       {"machine", id.Text()},
-       {"from", from.load.pool.Text()},
-       {"to", load.pool.Text()},
-       {"reason", reason},
-       {"waiting_core_seconds", std::to_string(load.waiting_core_seconds)},
-       {"arriving_cores", std::to_string(load.arriving_cores)},
-       {"running_cores", std::to_string(load.running_cores)},
-       {"capacity_cores", std::to_string(load.capacity_cores)}});
-  RequestMove(id, to.load.pool);
-}
-
-void Balancer::RequestMove(const core::MachineId& machine,
-                           const core::PoolId& to) {
-  const core::TimePoint now = m_ports.clock.Now();
-  m_moves[machine] = {to, now, false};
-  m_ports.machines.Move(m_token, machine, to);
-}
-
 void Balancer::Log(std::string sentence,
                    std::vector<core::LogField> fields) const {
   if (m_ports.logger.IsEnabled(core::Severity::kInfo)) {
--- a/src/crocusmast/capacity/balancer.h
+++ b/src/crocusmast/capacity/balancer.h
@@ -3,7 +3,9 @@
 
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "crocusmast/capacity/pool_load.h"
@@ -53,6 +55,16 @@
  * @brief After a rejected move the machine is not moved again for this long.
  */
 inline constexpr std::chrono::milliseconds kFailedMoveCooldown{3000};
+/**
+ * @brief A move without a response may take effect for this long, so that its
+ * worker is not used again before, even if a repeated request was rejected.
+ */
+inline constexpr std::chrono::milliseconds kMaxMoveDelay{5000};
+/**
+ * @brief After this many machines of one pool were rejected as invalid for
+ * another pool, no more are moved there.
+ */
+inline constexpr std::size_t kInvalidMovesBeforeBan = 2;
 
 /** @brief The interfaces that the balancer uses; all must outlive it. */
 struct BalancerPorts {
@@ -77,7 +89,8 @@
  * machines while none are lent. A pool with spare capacity and more machines
  * than its baseline returns idle machines to a pool below its baseline, or to a
  * standby pool. A machine is moved only if it is certain that nothing runs on
- * it.
+ * it. Its worker is out of use exactly as long as a move is in progress that
+ * may still take effect.
  */
 class Balancer {
  public:
@@ -142,13 +155,24 @@
     return m_moves.count(machine) > 0;
   }
 
+  /** @brief Returns the workers that are drained for moves in progress. */
+  std::set<core::InstanceId> DrainedWorkers() const;
+
  private:
   /** @brief A requested move. */
   struct Move {
+    core::PoolId from;
     core::PoolId to;
+    /** @brief The worker on the machine; empty if there was none. */
+    core::InstanceId worker;
     core::TimePoint requested_at;
+    /** @brief Until when a request without a response may take effect. */
+    core::TimePoint unanswered_until;
     /** @brief True once a response confirmed the move. */
     bool is_done = false;
+    core::TimePoint done_at;
+    /** @brief True once the move was rejected; it is not requested again. */
+    bool is_rejected = false;
   };
 
   /** @brief State of a pool in the current cycle. */
@@ -180,6 +204,10 @@
   };
 
   void RemoveFinishedMoves();
+  void RemoveRejectedMoves();
+  void HandleRejection(const core::MachineId& machine,
+                       upkeep::MachineCommandOutcome outcome);
+  bool IsBanned(const core::PoolId& from, const core::PoolId& to) const;
   std::map<core::PoolId, PoolView> BuildPoolViews(
       const ReservedPredicate& is_reserved);
   void FindIdleMachines(std::map<core::PoolId, PoolView>& views,
@@ -189,7 +217,7 @@
                        std::map<core::PoolId, PoolView>& views);
   void ReturnMachines(PoolView& view, std::map<core::PoolId, PoolView>& views);
   void MoveMachine(PoolView& from, PoolView& to, const char* reason);
-  void RequestMove(const core::MachineId& machine, const core::PoolId& to);
+  void RequestMove(const core::MachineId& machine);
   void LogLoads(const std::map<core::PoolId, PoolView>& views);
   bool HasSpareCapacity(const PoolView& view) const;
   void LimitLateJobs(const std::map<core::PoolId, PoolView>& views);
@@ -203,6 +231,8 @@
   core::TimePoint m_next_check_at;
   core::TimePoint m_next_log_at;
   core::TimePoint m_listed_at;
+  /** @brief When the last list was requested from the platform. */
+  core::TimePoint m_list_sent_at;
   core::TimePoint m_list_requested_at;
   std::map<core::MachineId, upkeep::Machine> m_machines;
   /** @brief Number of machines of each pool when none are lent. */
@@ -210,6 +240,10 @@
   std::map<core::MachineId, Move> m_moves;
   std::map<core::MachineId, core::TimePoint> m_idle_since;
   std::map<core::MachineId, core::TimePoint> m_cooldown_until;
+  /** @brief Machines that were rejected as invalid, by the pools they were to
+   * be moved between. */
+  std::map<std::pair<core::PoolId, core::PoolId>, std::set<core::MachineId>>
+      m_invalid_moves;
   LateLimits m_late_limits;
 };
 
--- a/src/crocusmast/manager/job_manager.cc
+++ b/src/crocusmast/manager/job_manager.cc
@@ -120,6 +120,11 @@
       m_upkeep.RunCycle(is_lease_valid, [this](const core::MachineId& machine) {
         return m_balancer.IsMoving(machine);
       });
+  if (m_scheduler.IsActive()) {
+    std::set<core::InstanceId> drained = m_balancer.DrainedWorkers();
+    drained.merge(m_upkeep.DrainedWorkers());
+    m_scheduler.ReleaseDrainedWorkers(drained);
+  }
   if (has_new_pool_sizes || has_new_wave_progress) {
     m_scheduler.SetFleetHandover(
         {m_upkeep.Progress(), m_balancer.PoolSizes(), std::nullopt});
--- a/src/crocusmast/scheduling/scheduler.cc
+++ b/src/crocusmast/scheduling/scheduler.cc
@@ -117,6 +117,7 @@
   m_final_jobs.clear();
   m_workers_to_retry.clear();
   m_workers_to_poll.clear();
+  m_drained_workers.clear();
   m_is_handover_outdated = false;
   m_next_sweep_at = {};
   m_next_placement_at = {};
--- a/src/crocusmast/scheduling/scheduler.h
+++ b/src/crocusmast/scheduling/scheduler.h
@@ -33,6 +33,7 @@
 #include "crocusmast/scheduling/messages.h"
 #include "crocusmast/scheduling/run_monitor.h"
 #include "crocusmast/scheduling/run_time_estimator.h"
+#include "crocusmast/scheduling/scheduling_term.h"
 #include "crocusmast/scheduling/ticket_cache.h"
 #include "crocusmast/scheduling/timing.h"
 #include "crocusmast/scheduling/waiting_jobs.h"
@@ -51,18 +52,6 @@
   core::Meter& meter;
 };
 
-/** @brief A leadership term of the scheduler. */
-struct SchedulingTerm {
-  core::FencingToken token;
-  /** @brief How long a leader may stay active after it was deposed. */
-  std::chrono::milliseconds deposed_leader_grace{};
-  /** @brief When the claim of the previous leader was known to be removed, no
-   * earlier than its handover state was stored; empty if unknown. */
-  std::optional<core::TimePoint> vacant_since{};
-  /** @brief The longest lease that a worker grants. */
-  std::chrono::milliseconds max_worker_lease{6000};
-};
-
 /**
  * @brief Runs accepted jobs on workers while this instance is the leader.
  *
@@ -158,6 +147,11 @@
 
   upkeep::WorkerUsage UsageOf(const core::InstanceId& worker) const override;
   void DrainWorker(const core::InstanceId& worker) override;
+  /**
+   * @brief Uses drained workers again.
+   * @param needed The workers that must stay drained.
+   */
+  void ReleaseDrainedWorkers(const std::set<core::InstanceId>& needed);
   bool IsConfirmedIdle(const core::InstanceId& worker) const override;
   std::vector<capacity::PoolLoad> PoolLoads() const override;
 
@@ -373,6 +367,7 @@
   std::set<core::InstanceId> m_workers_to_poll;
   /** @brief Workers with commands that may have to be retried. */
   std::set<core::InstanceId> m_workers_to_retry;
+  std::set<core::InstanceId> m_drained_workers;
   core::TimePoint m_next_sweep_at;
   core::TimePoint m_next_placement_at;
   /** @brief Pools in which tasks may have become placeable. */
--- a/src/crocusmast/scheduling/scheduler_upkeep.cc
+++ b/src/crocusmast/scheduling/scheduler_upkeep.cc
@@ -52,6 +52,7 @@
   if (worker == nullptr) {
     return;
   }
+  m_drained_workers.insert(id);
   const bool was_cordoned = std::exchange(worker->is_cordoned, true);
   if (!was_cordoned && IsConfirmedIdle(id)) {
     // The worker is empty, so the handover state no longer lists it.
@@ -60,6 +61,30 @@
   MoveLongRunningTasks(*worker);
 }
 
+void Scheduler::ReleaseDrainedWorkers(
+    const std::set<core::InstanceId>& needed) {
+  for (auto next = m_drained_workers.begin();
+       next != m_drained_workers.end();) {
+    if (needed.count(*next) > 0) {
+      ++next;
+      continue;
+    }
+    Worker* worker = FindWorker(*next);
+    if (worker != nullptr && std::exchange(worker->is_cordoned, false)) {
+      Log(core::Severity::kInfo,
+          "Worker " + next->Text() + " is used again; its machine stays.",
+          {{"event", "worker_released"}, {"worker", next->Text()}});
+      // The handover state may have left it out meanwhile.
+      worker->is_recorded_in_store = false;
+      if (m_has_worker_list) {
+        StoreHandover();
+      }
+      UpdateCapacity(*worker);
+    }
+    next = m_drained_workers.erase(next);
+  }
+}
+
 void Scheduler::MoveLongRunningTasks(Worker& worker) {
   std::vector<RunKey> keys;
   for (const auto& [key, run] : worker.Runs()) {
--- a/src/crocusmast/upkeep/machine_port.h
+++ b/src/crocusmast/upkeep/machine_port.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -97,6 +98,8 @@
 struct MachineCommandReply {
   core::MachineId machine;
   MachineCommandOutcome outcome = MachineCommandOutcome::kUnknown;
+  /** @brief The wave of a take-down command; empty for a move. */
+  std::optional<core::WaveNumber> wave{};
 };
 /** @brief Reply to a write of a wave's status. */
 struct WaveStatusReply {
--- a/src/crocusmast/upkeep/machine_wave.cc
+++ b/src/crocusmast/upkeep/machine_wave.cc
@@ -173,6 +173,12 @@
                                : std::optional(item->second.stage);
 }
 
+bool MachineWave::IsInProgress(const core::MachineId& machine) const {
+  const std::optional<MachineStage> stage = StageOf(machine);
+  return stage && *stage != MachineStage::kPending &&
+         *stage != MachineStage::kReturned;
+}
+
 std::vector<core::MachineId> MachineWave::MachinesAt(MachineStage stage) const {
   std::vector<core::MachineId> machines;
   for (const auto& [id, item] : m_items) {
--- a/src/crocusmast/upkeep/machine_wave.h
+++ b/src/crocusmast/upkeep/machine_wave.h
@@ -143,6 +143,12 @@
    * @param stage Stage to look up.
    */
   std::vector<core::MachineId> MachinesAt(MachineStage stage) const;
+  /**
+   * @brief Tells whether a machine is being drained, taken down or down for
+   * this wave.
+   * @param machine Machine to look up.
+   */
+  bool IsInProgress(const core::MachineId& machine) const;
   /**
    * @brief Tells whether another machine may be taken down within the limit.
    */
--- a/src/crocusmast/upkeep/upkeep_controller.cc
+++ b/src/crocusmast/upkeep/upkeep_controller.cc
@@ -140,12 +140,23 @@
 }
 
 bool UpkeepController::IsReserved(const core::MachineId& machine) const {
-  return std::any_of(
-      m_waves.begin(), m_waves.end(), [&machine](const auto& entry) {
-        const std::optional<MachineStage> stage = entry.second.StageOf(machine);
-        return stage && *stage != MachineStage::kPending &&
-               *stage != MachineStage::kReturned;
-      });
+  return std::any_of(m_waves.begin(), m_waves.end(),
+                     [&machine](const auto& entry) {
+                       return entry.second.IsInProgress(machine);
+                     });
+}
+
+std::set<core::InstanceId> UpkeepController::DrainedWorkers() const {
+  std::set<core::InstanceId> workers;
+  for (const auto& [number, wave] : m_waves) {
+    for (const core::MachineId& id : wave.Request().machines) {
+      const auto machine = m_machines.find(id);
+      if (machine != m_machines.end() && wave.IsInProgress(id)) {
+        workers.insert(machine->second.worker);
+      }
+    }
+  }
+  return workers;
 }
 
 void UpkeepController::Advance(MachineWave& wave,
--- a/src/crocusmast/upkeep/upkeep_controller.h
+++ b/src/crocusmast/upkeep/upkeep_controller.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -93,6 +94,9 @@
    */
   bool IsReserved(const core::MachineId& machine) const;
 
+  /** @brief Returns the workers that are drained for waves. */
+  std::set<core::InstanceId> DrainedWorkers() const;
+
   /** @brief Returns the progress of the waves for a successor. */
   std::vector<job::WaveProgress> Progress() const;
 
--- a/test/capacity/balancer_test.cc
+++ b/test/capacity/balancer_test.cc
@@ -102,6 +102,10 @@
   CPPUNIT_TEST(LateJobsLeaveLentMachinesToPoolsThatLackThem);
   CPPUNIT_TEST(UnansweredMoveIsRequestedAgain);
   CPPUNIT_TEST(NothingMovesWithoutLeaseOrDuringCooldown);
+  CPPUNIT_TEST(RejectedMoveGivesItsWorkerBack);
+  CPPUNIT_TEST(InvalidMovesAreNotRequestedAgain);
+  CPPUNIT_TEST(WorkerStaysDrainedWhileAnEarlierRequestMayTakeEffect);
+  CPPUNIT_TEST(RepliesToTakeDownCommandsEndNoMove);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -239,7 +243,73 @@
     CPPUNIT_ASSERT(m_fleet.moves.empty());
   }
 
+  // Review case 7, LOST: rejected moves left all workers of a pool out of use.
+  void RejectedMoveGivesItsWorkerBack() {
+    for (const MachineCommandOutcome outcome :
+         {MachineCommandOutcome::kNotInWave, MachineCommandOutcome::kBusy,
+          MachineCommandOutcome::kRefused, MachineCommandOutcome::kFenced}) {
+      m_outcome = outcome;
+      m_fleet.drained.clear();
+      LendOnlyFromShop();
+      CPPUNIT_ASSERT(!m_fleet.drained.empty());
+      CPPUNIT_ASSERT(m_balancer.DrainedWorkers().empty());
+      CPPUNIT_ASSERT(!m_balancer.IsMoving(m_fleet.moves.back().first));
+      m_balancer.BeginTerm(core::FencingToken(5), {});
+    }
+  }
+
+  void InvalidMovesAreNotRequestedAgain() {
+    m_outcome = MachineCommandOutcome::kNotInWave;
+    LendOnlyFromShop();
+    RunFor(std::chrono::seconds(60));
+    CPPUNIT_ASSERT_EQUAL(capacity::kInvalidMovesBeforeBan,
+                         m_fleet.moves.size());
+  }
+
+  void WorkerStaysDrainedWhileAnEarlierRequestMayTakeEffect() {
+    m_outcome = MachineCommandOutcome::kUnknown;
+    LendOnlyFromShop();
+    const core::MachineId machine = m_fleet.moves.back().first;
+    m_fleet.other_load = {};
+    m_fleet.other_load.pool = kOtherPool;
+    m_outcome = MachineCommandOutcome::kBusy;
+    RunFor(capacity::kMoveRetryInterval + std::chrono::milliseconds(200));
+    CPPUNIT_ASSERT(m_balancer.IsMoving(machine));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_balancer.DrainedWorkers().size());
+    RunFor(capacity::kMaxMoveDelay);
+    CPPUNIT_ASSERT(!m_balancer.IsMoving(machine));
+    CPPUNIT_ASSERT(m_balancer.DrainedWorkers().empty());
+  }
+
+  void RepliesToTakeDownCommandsEndNoMove() {
+    m_outcome = MachineCommandOutcome::kUnknown;
+    LendOnlyFromShop();
+    const core::MachineId machine = m_fleet.moves.back().first;
+    m_balancer.Handle(upkeep::MachineCommandReply{
+        machine, MachineCommandOutcome::kNotInWave, core::WaveNumber(1)});
+    CPPUNIT_ASSERT(m_balancer.IsMoving(machine));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_balancer.DrainedWorkers().size());
+  }
+
  private:
+  /** @brief Makes a pool lack machines that only another busy pool has, until a
+   * machine of that one is to be moved. */
+  void LendOnlyFromShop() {
+    for (auto& [id, machine] : m_fleet.machines) {
+      if (machine.pool == kStandbyPool) {
+        machine.state = MachineState::kDown;
+      }
+    }
+    m_fleet.other_load.steady_cores = 100;
+    m_fleet.other_load.arriving_cores = 100;
+    const std::size_t before = m_fleet.moves.size();
+    for (int count = 0; count < 100 && m_fleet.moves.size() == before;
+         ++count) {
+      RunFor(std::chrono::milliseconds(100));
+    }
+    CPPUNIT_ASSERT(before < m_fleet.moves.size());
+  }
+
   void RunFor(core::Duration time) {
     const core::TimePoint end = m_clock.Now() + time;
     while (m_clock.Now() < end) {
