Count an upkeep for the wave that it was ordered for

Cause: MachineWave::Update took a machine that is listed in upkeep as begun in every wave that names it, and UpkeepController handed each reply to all waves.

Change: a reply reaches the wave that it names. One wave at a time drains and takes down a machine.

--- a/src/crocusmast/upkeep/machine_wave.cc
+++ b/src/crocusmast/upkeep/machine_wave.cc
@@ -23,6 +23,7 @@
 }
 
 bool MachineWave::Update(const std::map<core::MachineId, Machine>& machines,
+                         const std::set<core::MachineId>& shared,
                          core::TimePoint now) {
   bool is_changed = false;
   for (auto& [id, item] : m_items) {
@@ -32,11 +33,13 @@
       continue;
     }
     const MachineState state = machine->second.state;
-    if (state == MachineState::kMaintenance && !item.has_started) {
+    const bool is_down_for_wave = state == MachineState::kMaintenance &&
+                                  (item.has_started || shared.count(id) == 0);
+    if (is_down_for_wave && !item.has_started) {
       item.has_started = true;
       is_changed = true;
     }
-    if (state == MachineState::kMaintenance) {
+    if (is_down_for_wave && item.stage != MachineStage::kReturned) {
       item.stage = MachineStage::kDown;
       item.was_listed_down = true;
     }
--- a/src/crocusmast/upkeep/machine_wave.h
+++ b/src/crocusmast/upkeep/machine_wave.h
@@ -91,12 +91,18 @@
 
   /**
    * @brief Updates the stages from a list of machines.
+   *
+   * A machine that other waves name too may be in maintenance for one of them,
+   * so that only the reply to a command of this wave tells that its own has
+   * started.
    * @param machines All machines of the platform.
+   * @param shared Machines that other waves name too.
    * @param now Current time.
    * @return True if the maintenance of more machines is now known to have
    * started.
    */
   bool Update(const std::map<core::MachineId, Machine>& machines,
+              const std::set<core::MachineId>& shared,
               core::TimePoint now);
 
   /**
--- a/src/crocusmast/upkeep/upkeep_controller.cc
+++ b/src/crocusmast/upkeep/upkeep_controller.cc
@@ -48,7 +48,13 @@
 }
 
 void UpkeepController::Handle(const WaveRemoved& message) {
-  m_requested.erase(message.number);
+  const auto requested = m_requested.find(message.number);
+  if (requested != m_requested.end()) {
+    const std::vector<core::MachineId>& machines =
+        requested->second.request.machines;
+    m_withdrawn_machines.insert(machines.begin(), machines.end());
+    m_requested.erase(requested);
+  }
   m_waves.erase(message.number);
 }
 
@@ -64,13 +70,29 @@
     m_machines.emplace(id, std::move(machine));
   }
   for (auto& [number, wave] : m_waves) {
-    m_has_new_progress =
-        wave.Update(m_machines, m_ports.clock.Now()) || m_has_new_progress;
+    m_has_new_progress = UpdateWave(wave) || m_has_new_progress;
   }
 }
 
+bool UpkeepController::UpdateWave(MachineWave& wave) {
+  return wave.Update(m_machines, MachinesOfOtherWaves(wave.Request().number),
+                     m_ports.clock.Now());
+}
+
+std::set<core::MachineId> UpkeepController::MachinesOfOtherWaves(
+    core::WaveNumber number) const {
+  std::set<core::MachineId> machines = m_withdrawn_machines;
+  for (const auto& [other, requested] : m_requested) {
+    if (other != number) {
+      machines.insert(requested.request.machines.begin(),
+                      requested.request.machines.end());
+    }
+  }
+  return machines;
+}
+
 void UpkeepController::Handle(const MachineCommandReply& reply) {
-  if (!m_is_active) {
+  if (!m_is_active || !reply.wave) {
     return;
   }
   Log(core::Severity::kInfo,
@@ -78,11 +100,13 @@
           std::string(MachineCommandOutcomeName(reply.outcome)) + ".",
       {{"event", "machine_answered"},
        {"machine", reply.machine.Text()},
+       {"wave", std::to_string(reply.wave->Count())},
        {"outcome", std::string(MachineCommandOutcomeName(reply.outcome))}});
-  for (auto& [number, wave] : m_waves) {
-    m_has_new_progress =
-        wave.HandleReply(reply.machine, reply.outcome, m_ports.clock.Now()) ||
-        m_has_new_progress;
+  const auto wave = m_waves.find(*reply.wave);
+  if (wave != m_waves.end()) {
+    m_has_new_progress = wave->second.HandleReply(reply.machine, reply.outcome,
+                                                  m_ports.clock.Now()) ||
+                         m_has_new_progress;
   }
 }
 
@@ -126,14 +150,12 @@
 void UpkeepController::CreateWaves() {
   for (const auto& [number, requested] : m_requested) {
     if (m_waves.count(number) == 0) {
-      const core::TimePoint now = m_ports.clock.Now();
       MachineWave wave(requested.request, m_started_earlier[number],
                        requested.requested_at);
       // The last machine list may be older than the wave, but it shows which
       // worker runs on which machine.
       m_has_new_progress =
-          (!m_machines.empty() && wave.Update(m_machines, now)) ||
-          m_has_new_progress;
+          (!m_machines.empty() && UpdateWave(wave)) || m_has_new_progress;
       m_waves.emplace(number, std::move(wave));
     }
   }
@@ -190,7 +212,8 @@
   }
   std::map<core::MachineId, Machine> machines = m_machines;
   for (auto& [id, machine] : machines) {
-    if (is_moving(id)) {
+    // One order at a time: its machine is in no other wave's hands.
+    if (is_moving(id) || (!wave.IsInProgress(id) && IsReserved(id))) {
       machine.state = MachineState::kMoving;
     }
   }
--- a/src/crocusmast/upkeep/upkeep_controller.h
+++ b/src/crocusmast/upkeep/upkeep_controller.h
@@ -102,6 +102,8 @@
 
  private:
   void CreateWaves();
+  bool UpdateWave(MachineWave& wave);
+  std::set<core::MachineId> MachinesOfOtherWaves(core::WaveNumber number) const;
   void DrainNext(MachineWave& wave, const MovingPredicate& is_moving);
   void Advance(MachineWave& wave, const MovingPredicate& is_moving);
   void MaybeSendTakeDown(MachineWave& wave, const core::MachineId& machine);
@@ -122,6 +124,8 @@
     core::TimePoint requested_at;
   };
   std::map<core::WaveNumber, RequestedWave> m_requested;
+  /** @brief Machines of withdrawn waves, which may be in maintenance still. */
+  std::set<core::MachineId> m_withdrawn_machines;
   /** @brief Machines whose maintenance started in an earlier term. */
   std::map<core::WaveNumber, std::vector<core::MachineId>> m_started_earlier;
   std::map<core::WaveNumber, MachineWave> m_waves;
--- a/test/upkeep/upkeep_controller_test.cc
+++ b/test/upkeep/upkeep_controller_test.cc
@@ -162,8 +162,8 @@
       while (m_reply_count < m_fake_machines.take_downs.size()) {
         const core::MachineId id = m_fake_machines.take_downs[m_reply_count++];
         m_fake_machines.ExecuteTakeDown(id);
-        m_upkeep.Handle(
-            upkeep::MachineCommandReply{id, MachineCommandOutcome::kDone});
+        m_upkeep.Handle(upkeep::MachineCommandReply{
+            id, MachineCommandOutcome::kDone, kWave});
       }
       upkeep::MachineListReceived old;
       old.is_known = true;
@@ -269,8 +269,10 @@
         const core::MachineId id = m_fake_machines.take_downs[m_reply_count];
         m_fake_machines.ExecuteTakeDown(id);
         m_upkeep.Handle(upkeep::MachineCommandReply{
-            id, is_delivered(m_reply_count) ? MachineCommandOutcome::kDone
-                                            : MachineCommandOutcome::kUnknown});
+            id,
+            is_delivered(m_reply_count) ? MachineCommandOutcome::kDone
+                                        : MachineCommandOutcome::kUnknown,
+            kWave});
         ++m_reply_count;
       }
       if (!m_fake_machines.statuses.empty()) {
