--- a/src/crocusmast/execution/worker.h
+++ b/src/crocusmast/execution/worker.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "crocusmast/core/clock.h"
+#include "crocusmast/execution/assigned_run.h"
 #include "crocusmast/execution/commands.h"
 #include "crocusmast/execution/worker_record.h"
 
@@ -36,96 +37,6 @@
  * above the delays of seconds that the worker interface allows. */
 inline constexpr std::chrono::seconds kMaxCommandDelay{15};
 
-/** @brief A run that is assigned to a worker and may be active there. */
-struct AssignedRun {
-  /** @brief Resources it reserves; best-effort runs reserve no processor. */
-  job::Resources resources;
-  /** @brief It only uses processor time that other runs leave idle. */
-  bool is_best_effort = false;
-  /** @brief It runs until its job is cancelled. */
-  bool is_long_running = false;
-  /** @brief What it uses is not known, so it reserves the whole worker. */
-  bool reserves_whole_worker = false;
-  /** @brief The worker has confirmed the run. */
-  bool is_confirmed = false;
-  /** @brief A reply to a poll has listed it. Other than a reply to a start
-   * command, such a reply tells which incarnation sent it. */
-  bool is_listed = false;
-  /** @brief A start command is in flight. */
-  bool has_start_in_flight = false;
-  /** @brief A start command got no reply and may still be executed. */
-  bool has_unanswered_start = false;
-  /** @brief The last repeat of that command could not be sent. */
-  bool is_repeat_unsent = false;
-  /** @brief The start command has not been sent, because a commit that a
-   * successor needs to know of the run is not stored yet. */
-  bool is_waiting_for_commit = false;
-  /** @brief The start command has not been sent, because the known state of
-   * the store was too old. */
-  bool is_start_deferred = false;
-  /** @brief A stop command was sent. */
-  bool is_stopping = false;
-  /** @brief The worker was sent the current best-effort share for it. */
-  bool has_cpu_share = false;
-  /** @brief The last CPU share command for it got no reply. */
-  bool has_unanswered_cpu_share = false;
-  /** @brief The worker has accepted the stop command. */
-  bool is_stop_acknowledged = false;
-  /** @brief Its incarnation has ended, but a later one may run it or start it
-   * yet. */
-  bool is_held = false;
-  /** @brief When the last start command for it was sent. */
-  core::TimePoint start_sent_at;
-  /** @brief Until when a start command that got no reply may be executed. */
-  core::TimePoint unanswered_start_until;
-  /** @brief When it was placed; unset for a run that an earlier leader started.
-   */
-  core::TimePoint placed_at;
-  /** @brief When the worker's confirmation of its start was handled. */
-  core::TimePoint confirmed_at;
-  /** @brief Replies to polls with a higher sequence number must list it. */
-  std::uint64_t confirmed_at_poll = 0;
-  /** @brief When the last command for it was sent. */
-  core::TimePoint command_sent_at;
-  /** @brief A command for it is in flight. */
-  bool is_command_pending = false;
-  /** @brief Reading of the worker's clock by which the run was active; absent
-   * before. */
-  std::optional<WorkerTime> active_since;
-  /** @brief Reading of the worker's clock in the last reply that listed it. */
-  std::optional<WorkerTime> listed_at;
-  /** @brief Its job was told that the worker survived its start. */
-  bool has_survived_start = false;
-
-  /** @brief Tells whether no command for it was sent, so that it can't be
-   * active. */
-  bool IsUnsent() const {
-    return !is_confirmed && command_sent_at == core::TimePoint();
-  }
-
-  /**
-   * @brief Tells whether a later incarnation of the worker may run it: it may
-   * have been the one that confirmed the start, or a start command may still
-   * reach it.
-   * @param now The current time.
-   */
-  bool MayRunOnLaterIncarnation(core::TimePoint now) const {
-    return has_start_in_flight || now < unanswered_start_until ||
-           (is_confirmed && !is_listed && !is_stop_acknowledged);
-  }
-};
-
-/** @brief Identifies one run of a task. */
-struct RunKey {
-  job::TaskId task;
-  core::Attempt attempt;
-
-  friend bool operator<(const RunKey& left, const RunKey& right) {
-    return left.task == right.task ? left.attempt < right.attempt
-                                   : left.task < right.task;
-  }
-};
-
 /**
  * @brief One worker: its resources, its lease, and the runs assigned to it.
  *
--- a/src/crocusmast/scheduling/scheduler_incarnations.cc
+++ b/src/crocusmast/scheduling/scheduler_incarnations.cc
@@ -34,13 +34,11 @@
          {"held", std::to_string(worker.Runs().size() - ended.size())}});
   }
   Blame blame;
-  if (is_known) {
-    blame = {};
-  } else if (end == IncarnationEnd::kLeaseExpired) {
+  if (end != IncarnationEnd::kLeaseExpired && !is_known) {
+    blame = m_crashes.FindBlame(worker, now);
+  } else if (!is_known) {
     // The worker may be cut off rather than crashed.
     m_crashes.HandleLeaseExpiry(worker, now);
-  } else {
-    blame = m_crashes.FindBlame(worker, now);
   }
   for (const RunKey& key : ended) {
     const bool is_blamed = std::any_of(
