--- a/src/crocusmast/capacity/balancer.cc
+++ b/src/crocusmast/capacity/balancer.cc
@@ -7,7 +7,6 @@
 namespace crocusmast::capacity {
 
 using upkeep::Machine;
-using upkeep::MachineCommandOutcome;
 using upkeep::MachineState;
 
 Balancer::Balancer(const BalancerPorts& ports) : m_ports(ports) {}
