--- a/src/crocusmast/execution/assigned_run.h
+++ b/src/crocusmast/execution/assigned_run.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <string_view>
 
 #include "crocusmast/core/clock.h"
 #include "crocusmast/core/units.h"
@@ -12,6 +13,25 @@
 
 namespace crocusmast::execution {
 
+/** @brief What is known of the start of a run. */
+enum class StartState {
+  kUnsent,
+  /** @brief A start command is in flight. */
+  kInFlight,
+  /** @brief A start command got no reply and may still be executed. */
+  kUnanswered,
+  /** @brief A reply to a start or stop command has confirmed the run. */
+  kConfirmed,
+  /** @brief A reply to a poll has listed the run. */
+  kListed,
+};
+
+/**
+ * @brief Returns the name of a state for logs.
+ * @param state The state.
+ */
+std::string_view StartStateName(StartState state);
+
 /** @brief A run that is assigned to a worker and may be active there. */
 struct AssignedRun {
   /** @brief Resources it reserves; best-effort runs reserve no processor. */
@@ -79,6 +99,20 @@
     return !is_confirmed && command_sent_at == core::TimePoint();
   }
 
+  /** @brief Returns what is known of its start. */
+  StartState GetStartState() const {
+    if (has_start_in_flight) {
+      return StartState::kInFlight;
+    }
+    if (is_listed) {
+      return StartState::kListed;
+    }
+    if (is_confirmed) {
+      return StartState::kConfirmed;
+    }
+    return IsUnsent() ? StartState::kUnsent : StartState::kUnanswered;
+  }
+
   /**
    * @brief Tells whether a later incarnation of the worker may run it: it may
    * have been the one that confirmed the start, or a start command may still
--- a/src/crocusmast/scheduling/scheduler.h
+++ b/src/crocusmast/scheduling/scheduler.h
@@ -31,6 +31,7 @@
 #include "crocusmast/scheduling/job_monitor.h"
 #include "crocusmast/scheduling/machine_evidence.h"
 #include "crocusmast/scheduling/messages.h"
+#include "crocusmast/scheduling/run_end.h"
 #include "crocusmast/scheduling/run_monitor.h"
 #include "crocusmast/scheduling/run_time_estimator.h"
 #include "crocusmast/scheduling/scheduling_term.h"
@@ -224,8 +225,10 @@
   void HandleFinalState(ActiveJob& active, const job::TaskId& last);
   void EndRun(execution::Worker& worker,
               const execution::RunKey& key,
-              job::RunOutcome outcome,
-              const std::string& checkpoint);
+              const RunEnd& end);
+  void LogRunEnd(execution::Worker& worker,
+                 const execution::RunKey& key,
+                 const RunEnd& end) const;
   void ProcessEndedRuns(execution::Worker& worker,
                         const execution::PollReply& reply);
   void MeasureRun(execution::Worker& worker,
--- a/src/crocusmast/scheduling/scheduler_incarnations.cc
+++ b/src/crocusmast/scheduling/scheduler_incarnations.cc
@@ -45,9 +45,10 @@
         blame.runs.begin(), blame.runs.end(), [&key](const RunKey& run) {
           return run.task == key.task && run.attempt == key.attempt;
         });
-    EndRun(worker, key,
-           is_blamed ? job::RunOutcome::kWorkerCrashed : job::RunOutcome::kLost,
-           "");
+    EndRun(
+        worker, key,
+        {is_blamed ? job::RunOutcome::kWorkerCrashed : job::RunOutcome::kLost,
+         reason});
   }
   CountCrashes(id, blame);
   if (end != IncarnationEnd::kReplaced) {
@@ -180,10 +181,10 @@
       continue;
     }
     if (rejects_starts) {
-      EndRun(
-          worker, key,
-          run->is_stopping ? job::RunOutcome::kStopped : job::RunOutcome::kLost,
-          "");
+      EndRun(worker, key,
+             {run->is_stopping ? job::RunOutcome::kStopped
+                               : job::RunOutcome::kLost,
+              "the later incarnation does not list it"});
     } else {
       run->is_held = false;
       m_workers_to_retry.insert(worker.Record().id);
--- a/src/crocusmast/scheduling/scheduler_polls.cc
+++ b/src/crocusmast/scheduling/scheduler_polls.cc
@@ -126,7 +126,8 @@
     worker.received_end = end.number;
     TrackFailures(worker, end.outcome);
     MeasureRun(worker, end, reply);
-    EndRun(worker, {end.task, end.attempt}, end.outcome, end.checkpoint);
+    EndRun(worker, {end.task, end.attempt},
+           {end.outcome, "the worker reported its end", end.checkpoint});
     ends += (ends.empty() ? "" : " ") + Describe(end.task) + '#' +
             std::to_string(end.attempt.Count()) + '=' +
             std::string(job::RunOutcomeName(end.outcome));
@@ -308,10 +309,10 @@
       continue;
     }
     if (!reply.IsRunning(key.task, key.attempt)) {
-      EndRun(
-          worker, key,
-          run->is_stopping ? job::RunOutcome::kStopped : job::RunOutcome::kLost,
-          "");
+      EndRun(worker, key,
+             {run->is_stopping ? job::RunOutcome::kStopped
+                               : job::RunOutcome::kLost,
+              "the worker does not list it any more"});
     }
   }
 }
--- /dev/null
+++ b/src/crocusmast/scheduling/scheduler_run_ends.cc
@@ -0,0 +1,109 @@
+#include <algorithm>
+#include <utility>
+
+#include "crocusmast/scheduling/scheduler.h"
+
+// The end of runs.
+
+namespace crocusmast::scheduling {
+
+using execution::RunKey;
+using execution::Worker;
+
+// Run ends that a worker reports in a poll are logged together.
+void Scheduler::LogRunEnd(Worker& worker,
+                          const RunKey& key,
+                          const RunEnd& end) const {
+  const execution::AssignedRun* run = worker.Find(key);
+  const bool is_reported = end.outcome != job::RunOutcome::kLost &&
+                           end.outcome != job::RunOutcome::kWorkerCrashed &&
+                           end.outcome != job::RunOutcome::kRejected;
+  if (run == nullptr || is_reported ||
+      !m_ports.logger.IsEnabled(core::Severity::kInfo)) {
+    return;
+  }
+  const core::TimePoint now = m_ports.clock.Now();
+  const auto milliseconds = [](core::Duration time) {
+    return std::to_string(
+        std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
+  };
+  const bool is_sent = run->start_sent_at != core::TimePoint();
+  const bool has_lease = worker.LeaseExpiresAt() != core::TimePoint();
+  Log(core::Severity::kInfo,
+      "Task " + Describe(key.task) + " ended on " + worker.Record().id.Text() +
+          ": " + std::string(job::RunOutcomeName(end.outcome)) + ", because " +
+          std::string(end.evidence) + ".",
+      {{"event", "task_ended"},
+       {"job", key.task.job.Text()},
+       {"task", Describe(key.task)},
+       {"attempt", std::to_string(key.attempt.Count())},
+       {"worker", worker.Record().id.Text()},
+       {"incarnation", std::to_string(worker.Record().incarnation.Count())},
+       {"end", std::string(job::RunOutcomeName(end.outcome))},
+       {"evidence", std::string(end.evidence)},
+       {"start", std::string(StartStateName(run->GetStartState()))},
+       {"sent_ms", is_sent ? milliseconds(now - run->start_sent_at) : ""},
+       {"lease_left_ms",
+        has_lease ? milliseconds(worker.LeaseExpiresAt() - now) : ""},
+       {"failed_polls", std::to_string(worker.failed_polls)},
+       {"token", std::to_string(m_term.token.Count())}});
+}
+
+void Scheduler::EndRun(Worker& worker, const RunKey& key, const RunEnd& end) {
+  const execution::AssignedRun* assigned = worker.Find(key);
+  const bool was_stopped =
+      assigned != nullptr && assigned->is_stop_acknowledged;
+  LogRunEnd(worker, key, end);
+  worker.Remove(key);
+  UpdateCapacity(worker);
+  m_crashes.EndProbation(worker.Record().id, key);
+  m_pools_to_place.insert(worker.Record().pool);
+  ActiveJob* active = FindJob(key.task.job);
+  if (active == nullptr) {
+    return;
+  }
+  const bool is_changed =
+      active->job.EndRun(key.task.key, key.attempt, end.outcome, end.checkpoint,
+                         active->max_attempts);
+  if (MayHaveMadeReady(*active, key.task.key, end.outcome)) {
+    MarkForPlacement(*active);
+  }
+  if (!was_stopped) {
+    ReportCancelSettled(*active);
+  }
+  const bool was_presumed_crash = !job::IsFinal(active->job.State()) &&
+                                  active->job.CrashCount(key.task.key) > 0;
+  if (is_changed || was_presumed_crash) {
+    m_committer.MarkChanged(key.task.job);
+  }
+  if (job::IsFinal(active->job.State())) {
+    HandleFinalState(*active, key.task);
+    return;
+  }
+  if (end.outcome == job::RunOutcome::kRejected) {
+    GiveUpOtherGangMembers(key);
+  }
+  // Speculative copies of a finished task are stopped.
+  const job::Task* task = active->job.Find(key.task.key);
+  if (task != nullptr && task->is_done) {
+    for (const job::Run& run : std::vector<job::Run>(task->runs)) {
+      if (Worker* other = FindWorker(run.worker); other != nullptr) {
+        SendStop(*other, {key.task, run.attempt});
+      }
+    }
+  }
+}
+
+bool Scheduler::MayHaveMadeReady(const ActiveJob& active,
+                                 const job::TaskKey& ended,
+                                 job::RunOutcome outcome) {
+  const auto occurrence = active.job.OpenOccurrences().find(ended.occurrence);
+  // The end of one of several tasks of a step lets no other task start.
+  return outcome != job::RunOutcome::kDone ||
+         job::IsFinal(active.job.State()) ||
+         occurrence == active.job.OpenOccurrences().end() ||
+         active.job.StepOf(ended).is_long_running ||
+         occurrence->second.steps[ended.step].IsDone();
+}
+
+}  // namespace crocusmast::scheduling
--- a/src/crocusmast/scheduling/scheduler_runs.cc
+++ b/src/crocusmast/scheduling/scheduler_runs.cc
@@ -3,7 +3,7 @@
 
 #include "crocusmast/scheduling/scheduler.h"
 
-// Start and stop commands, their retries, and the end of runs.
+// Stop commands, replies to start and stop commands, and retries.
 
 namespace crocusmast::scheduling {
 using execution::AssignedRun;
@@ -11,86 +11,13 @@
 using execution::Worker;
 using execution::WorkerCallOutcome;
 
-void Scheduler::EndRun(Worker& worker,
-                       const RunKey& key,
-                       job::RunOutcome outcome,
-                       const std::string& checkpoint) {
-  const AssignedRun* assigned = worker.Find(key);
-  const bool was_stopped =
-      assigned != nullptr && assigned->is_stop_acknowledged;
-  worker.Remove(key);
-  UpdateCapacity(worker);
-  m_crashes.EndProbation(worker.Record().id, key);
-  m_pools_to_place.insert(worker.Record().pool);
-  ActiveJob* active = FindJob(key.task.job);
-  if (active == nullptr) {
-    return;
-  }
-  const bool is_changed = active->job.EndRun(key.task.key, key.attempt, outcome,
-                                             checkpoint, active->max_attempts);
-  if (MayHaveMadeReady(*active, key.task.key, outcome)) {
-    MarkForPlacement(*active);
-  }
-  if (!was_stopped) {
-    ReportCancelSettled(*active);
-  }
-  const bool was_presumed_crash = !job::IsFinal(active->job.State()) &&
-                                  active->job.CrashCount(key.task.key) > 0;
-  if (is_changed || was_presumed_crash) {
-    m_committer.MarkChanged(key.task.job);
-  }
-  // Run ends that a worker reports in a poll are logged together.
-  if (outcome == job::RunOutcome::kLost ||
-      outcome == job::RunOutcome::kWorkerCrashed ||
-      outcome == job::RunOutcome::kRejected) {
-    Log(core::Severity::kInfo,
-        "Task " + Describe(key.task) + " ended on " +
-            worker.Record().id.Text() + ": " +
-            std::string(job::RunOutcomeName(outcome)) + ".",
-        {{"event", "task_ended"},
-         {"job", key.task.job.Text()},
-         {"task", Describe(key.task)},
-         {"attempt", std::to_string(key.attempt.Count())},
-         {"worker", worker.Record().id.Text()},
-         {"end", std::string(job::RunOutcomeName(outcome))}});
-  }
-  if (job::IsFinal(active->job.State())) {
-    HandleFinalState(*active, key.task);
-    return;
-  }
-  if (outcome == job::RunOutcome::kRejected) {
-    GiveUpOtherGangMembers(key);
-  }
-  // Speculative copies of a finished task are stopped.
-  const job::Task* task = active->job.Find(key.task.key);
-  if (task != nullptr && task->is_done) {
-    for (const job::Run& run : std::vector<job::Run>(task->runs)) {
-      if (Worker* other = FindWorker(run.worker); other != nullptr) {
-        SendStop(*other, {key.task, run.attempt});
-      }
-    }
-  }
-}
-
-bool Scheduler::MayHaveMadeReady(const ActiveJob& active,
-                                 const job::TaskKey& ended,
-                                 job::RunOutcome outcome) {
-  const auto occurrence = active.job.OpenOccurrences().find(ended.occurrence);
-  // The end of one of several tasks of a step lets no other task start.
-  return outcome != job::RunOutcome::kDone ||
-         job::IsFinal(active.job.State()) ||
-         occurrence == active.job.OpenOccurrences().end() ||
-         active.job.StepOf(ended).is_long_running ||
-         occurrence->second.steps[ended.step].IsDone();
-}
-
 void Scheduler::GiveUpRun(Worker& worker, const RunKey& key) {
   const AssignedRun* run = worker.Find(key);
   if (run == nullptr || run->is_stopping) {
     return;
   }
   if (run->IsUnsent()) {
-    EndRun(worker, key, job::RunOutcome::kRejected, "");
+    EndRun(worker, key, {job::RunOutcome::kRejected, "it was not sent"});
   } else {
     SendStop(worker, key);
     GiveUpOtherGangMembers(key);
@@ -276,7 +203,8 @@
     GiveUpOtherGangMembers(key);
     return;
   }
-  EndRun(worker, key, job::RunOutcome::kRejected, "");
+  EndRun(worker, key,
+         {job::RunOutcome::kRejected, "the worker rejected its start"});
 }
 
 void Scheduler::HandleStopReply(const execution::WorkerCommandReply& reply) {
--- a/src/crocusmast/scheduling/scheduler_starts.cc
+++ b/src/crocusmast/scheduling/scheduler_starts.cc
@@ -111,7 +111,8 @@
          (step.is_gang &&
           startable[{task.occurrence, task.step}] < step.count));
     if (is_withdrawn) {
-      EndRun(*worker, key, job::RunOutcome::kRejected, "");
+      EndRun(*worker, key,
+             {job::RunOutcome::kRejected, "its worker is leaving"});
     } else {
       SendStart(*worker, key);
     }
@@ -140,7 +141,8 @@
     // The worker would reject it, but a later incarnation, whose clock starts
     // anew, would not.
     if (run->IsUnsent()) {
-      EndRun(worker, key, job::RunOutcome::kRejected, "");
+      EndRun(worker, key,
+             {job::RunOutcome::kRejected, "the lease of its worker ends"});
     }
     return;
   }
--- a/src/crocusmast/scheduling/scheduler_workers.cc
+++ b/src/crocusmast/scheduling/scheduler_workers.cc
@@ -264,6 +264,11 @@
        {"worker", id.Text()},
        {"pool", reconciled->pool.Text()},
        {"evidence", reason},
+       {"incarnation", std::to_string(reconciled->incarnation.Count())},
+       {"lease_left_ms",
+        std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(
+                           reconciled->leased_until - m_ports.clock.Now())
+                           .count())},
        {"waited_ms", std::to_string(waited.count())}});
   m_pools_to_place.insert(reconciled->pool);
 }
