Acknowledge ends once, and not to a worker that was silent

Each poll carried the number of the last recorded end. A worker that had started again under its id and got such a poll forgot as many ends of its own, also the one of a start that it had executed for the earlier incarnation; its first fenced reply then listed the run neither as running nor as ended, and the task ran again after an end that was taken note of (TWICE). Now only the poll that acknowledges new ends carries a number, and only if the poll before was answered.

HeldRunTest::PollAfterSilenceAcknowledgesNoEnds: before the change the poll after a silence carried 7.

--- a/src/crocusmast/scheduling/scheduler_poll_commands.cc
+++ b/src/crocusmast/scheduling/scheduler_poll_commands.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <utility>
 
 #include "crocusmast/scheduling/scheduler.h"
@@ -46,7 +47,13 @@
   command.to = worker.Address(now);
   worker.poll_sequence = ++m_last_poll_sequence;
   command.sequence = worker.poll_sequence;
-  command.recorded = worker.recorded_end;
+  // The numbers are those of one incarnation; a later one would forget ends of
+  // its own. So they are sent once, and not to a worker that may have
+  // restarted.
+  if (worker.failed_polls == 0 &&
+      worker.acknowledged_end < worker.recorded_end) {
+    command.recorded = worker.recorded_end;
+  }
   const bool may_wait = worker.is_reconciled && !worker.Runs().empty() &&
                         worker.received_end == worker.recorded_end &&
                         !worker.HasOnlyHeldRuns();
@@ -65,7 +72,8 @@
     command.lease_until = worker.ExtendLease(kWorkerLeaseLength, now);
   }
   worker.is_poll_pending = true;
-  worker.acknowledging_end = worker.recorded_end;
+  worker.acknowledging_end =
+      std::max(worker.acknowledged_end, command.recorded);
   m_ports.workers.PollStatus(std::move(command));
 }
 
--- a/test/scheduling/held_run_test.cc
+++ b/test/scheduling/held_run_test.cc
@@ -169,7 +169,8 @@
     const execution::StartCommand start = BeginWithOneTask();
     m_fixture.ReplyToStart(start, WorkerCallOutcome::kDone);
     ReplyToPollOf("w-1", {Fixture::EndedRun(start, 7, RunOutcome::kDone)});
-    m_fixture.clock.Advance(scheduling::kUnrecordedPollDelay);
+    m_fixture.RunCycles();
+    m_fixture.clock.Advance(scheduling::kAcknowledgeDelay);
     m_fixture.RunCycles();
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, LastPollOf("w-1").recorded.Count());
     ReplyToPollOf("w-1", {}, WorkerCallOutcome::kUnknown);
