Send no start that waited for a commit to a silent worker

A start that waits for a commit was sent when the commit was stored, also if polls of its worker had failed meanwhile. That worker may be starting again under its id; the later incarnation executes the start, and the leader takes it for the earlier one's. The task is placed on another worker instead, and a repeat waits for a reply, as repeats after lost replies did before.

HeldRunTest::DeferredStartIsNotSentToASilentWorker failed before: the start was sent.

--- a/src/crocusmast/scheduling/scheduler_starts.cc
+++ b/src/crocusmast/scheduling/scheduler_starts.cc
@@ -137,12 +137,15 @@
     return;
   }
   const core::TimePoint now = m_ports.clock.Now();
-  if (worker.is_lease_frozen || worker.HasLeaseExpired(now)) {
-    // The worker would reject it, but a later incarnation, whose clock starts
-    // anew, would not.
+  // The known incarnation may have ended. A later one, whose clock starts anew,
+  // would execute the command also after the lease.
+  const bool is_silent = worker.failed_polls > 0;
+  if (is_silent || worker.is_lease_frozen || worker.HasLeaseExpired(now)) {
     if (run->IsUnsent()) {
       EndRun(worker, key,
-             {job::RunOutcome::kRejected, "the lease of its worker ends"});
+             {job::RunOutcome::kRejected,
+              is_silent ? "its worker does not reply"
+                        : "the lease of its worker ends"});
     }
     return;
   }
