Keep the ports of the soak's workers free while they are down

All soaks listen on one address and let the kernel choose the ports, so that they may take the port of a worker that is down.

Each host of workers has an address of its own now, from its process id, as the instances have.

--- a/test/soak/workers.py
+++ b/test/soak/workers.py
@@ -3,11 +3,15 @@
 import asyncio
 import base64
 import json
+import os
 
 from http_server import Reply, serve
 
 MAX_LEASE_SECONDS = 6.0
 MAX_ENDS_PER_REPLY = 500
+# An address of this process: the port of a worker that is down for a moment
+# must stay free, also beside other soaks.
+HOST = "127.%d.%d.250" % (os.getpid() % 250 + 1, os.getpid() // 250 % 250)
 
 
 class TaskRun:
@@ -52,7 +56,7 @@
     async def start(self, previous=None):
         """Starts the server, at the address of a previous incarnation if any."""
         self._server, address = await serve(
-            self._handle, port=previous.port if previous else 0)
+            self._handle, HOST, previous.port if previous else 0)
         self.port = int(address.rsplit(":", 1)[1])
         self.address = (previous.address if previous
                         else await self._simulation.expose(address))
