Cut workers off right after they start again, in the soak

Scenario reborn_cut: in series that overlap, workers crash and are back under their ids after 0.05 to 0.6 s; 0 to 0.3 s later all calls to them are lost for 4 to 12 s while they run on. No entry of the later incarnation appears before the cut ends; the old one expires. On three in ten, replies to starts are lost before. Jobs of 7 to 10 s start while the workers are down, and up to three leaders are stopped or killed. reborn_one_way: only what workers send is lost. Worker.is_partitioned, which nothing set, is gone.

--- a/test/soak/deployment.py
+++ b/test/soak/deployment.py
@@ -226,11 +226,11 @@
         self._host_of(self.checker.machines[machine]).stdin.write(
             json.dumps({**command, "machine": machine}).encode() + b"\n")
 
-    def _start_worker(self, machine, keeps=None):
+    def _start_worker(self, machine, keeps=None, cut=None):
         self._workers += 1
         self._host_of(machine).stdin.write(json.dumps(
             {"do": "start", "worker": self._workers, "machine": machine,
-             "keeps": keeps}).encode() + b"\n")
+             "keeps": keeps, "cut": cut}).encode() + b"\n")
 
     async def replace_worker(self, machine, how, seconds):
         """Ends a worker and starts another on its machine."""
@@ -241,13 +241,16 @@
         self._start_worker(self.checker.machines[machine])
         disturbance[2] = time.monotonic()
 
-    async def interrupt_worker(self, machine, seconds):
-        """Crashes a worker; another starts on its machine some seconds later."""
+    async def interrupt_worker(self, machine, seconds, cut=None):
+        """Crashes a worker; another starts on its machine some seconds later.
+
+        It may be cut off then, as Worker.start() describes.
+        """
         worker = self.checker.machines[machine]["worker"]
         if not worker:
             return
         self.tell_machine(machine, do="crash")
-        await self.restore_worker(machine, worker, seconds)
+        await self.restore_worker(machine, worker, seconds, cut)
 
     def _restart_crashed(self, worker):
         machine = next(m["id"] for m in self.checker.machines.values()
@@ -255,20 +258,23 @@
         self._spawn(self.restore_worker(
             machine, worker, self._restarts.uniform(*RESTART_SECONDS)))
 
-    async def restore_worker(self, machine, worker, seconds):
+    async def restore_worker(self, machine, worker, seconds, cut=None):
         """Lets the entry of a crashed worker expire, and starts another."""
         now = time.monotonic()
         self.checker.disturb("worker", now)[2] = now
 
         keeps = self._restarts.choice(self.restart_keeps)
+        silent_s = seconds
+        if cut:
+            silent_s += cut["after_s"] + cut["seconds"]
 
         async def expire():
             await asyncio.sleep(ENTRY_SECONDS)
-            if seconds > ENTRY_SECONDS or keeps != "id":
+            if silent_s > ENTRY_SECONDS or keeps != "id":
                 self.store.remove("servers/" + worker)
         expiry = asyncio.ensure_future(expire())
         await asyncio.sleep(seconds)
-        self._start_worker(self.checker.machines[machine], keeps)
+        self._start_worker(self.checker.machines[machine], keeps, cut)
         await expiry
 
     # The operator.
--- a/test/soak/scenarios.py
+++ b/test/soak/scenarios.py
@@ -11,6 +11,8 @@
 LONG_RUNNING_JOBS = 12
 BURST_SHARE = 0.08           # of a core, for a burst every four seconds
 DEADLY_SECONDS = (2.0, 12.0)   # in which deadly jobs are submitted
+REBORN_SHARE = 0.6             # of the machines may be cut off at a time
+LASTING_JOBS = 6               # that outlast a lease, for each series of cuts
 
 
 class ScenarioInjector(Injector):
@@ -47,6 +49,66 @@
                                                   rng.uniform(0.5, 3.0))))
         await asyncio.gather(*restarts)
 
+    async def play_reborn_cut(self):
+        """Cuts workers off right after they start again under their ids.
+
+        A start that was meant for the earlier incarnation may reach the later
+        one before the leader knows of it, and the leader can't learn of it.
+        """
+        await self._play_reborn("cut")
+
+    async def play_reborn_one_way(self):
+        """As reborn_cut, but calls still reach the workers; replies don't."""
+        await self._play_reborn("cut-out")
+
+    async def _play_reborn(self, how):
+        self._deployment.restart_keeps = ["id"]
+        for _ in range(LONG_RUNNING_JOBS):
+            self._deployment.load.add_long_running(self._rng)
+        await asyncio.gather(
+            self._cut_reborn(how, random.Random(self._rng.getrandbits(32))),
+            self._replace_leaders())
+
+    async def _cut_reborn(self, how, rng):
+        machines = sorted(self._checker.machines)
+        idle, cuts = set(machines), []
+        for _ in range(int(self._seconds)):
+            await asyncio.sleep(rng.uniform(0.3, 1.2))
+            down_s = rng.uniform(0.05, 0.6)
+            cuts.append(asyncio.ensure_future(
+                self._add_lasting(rng.getrandbits(32), down_s)))
+            for machine in rng.sample(machines, rng.randint(
+                    1, len(machines) // 6)):
+                cut = {"after_s": rng.uniform(0.0, 0.3), "how": how,
+                       "seconds": rng.uniform(4.0, 12.0),
+                       "loses_starts": rng.random() < 0.3}
+                if machine in idle and len(idle) > len(machines) * (
+                        1 - REBORN_SHARE):
+                    idle.discard(machine)
+                    cuts.append(asyncio.ensure_future(
+                        self._cut_off(machine, down_s, cut, idle)))
+        await asyncio.gather(*cuts)
+
+    async def _cut_off(self, machine, down_s, cut, idle):
+        self._note("reborn_cut", "%s down %.2f s, %s after %.3f s for %.1f s, "
+                   "replies to starts lost: %s" % (
+                       machine, down_s, cut["how"], cut["after_s"],
+                       cut["seconds"], cut["loses_starts"]))
+        zone = self._checker.machines[machine]["zone"]
+        with self._disturbance("workers " + zone):
+            restart = asyncio.ensure_future(
+                self._deployment.interrupt_worker(machine, down_s, cut))
+            await asyncio.sleep(down_s + cut["after_s"] + cut["seconds"])
+            await restart
+        idle.add(machine)
+
+    async def _add_lasting(self, seed, down_s):
+        """Submits jobs that start until the workers are back."""
+        rng = random.Random(seed)
+        for _ in range(LASTING_JOBS):
+            self._deployment.load.add_lasting(rng)
+            await asyncio.sleep(down_s / LASTING_JOBS)
+
     async def play_capacity(self):
         """Shrinks and grows capacities of workers, beside bursts and stops."""
         await asyncio.gather(self._change_capacities(), self._replace_leaders(),
@@ -169,4 +231,6 @@
 SCENARIOS = {"planned_stops": ScenarioInjector.play_planned_stops,
              "deadly": ScenarioInjector.play_deadly,
              "capacity": ScenarioInjector.play_capacity,
-             "same_ids": ScenarioInjector.play_same_ids}
+             "same_ids": ScenarioInjector.play_same_ids,
+             "reborn_cut": ScenarioInjector.play_reborn_cut,
+             "reborn_one_way": ScenarioInjector.play_reborn_one_way}
--- a/test/soak/traffic.py
+++ b/test/soak/traffic.py
@@ -8,6 +8,9 @@
 
 BURST_JOBS = (4, 10)
 BURST_TASKS = (60, 160)   # in a wide step
+LASTING_TASKS = (3, 8)
+LASTING_MS = (7000, 10000)
+LASTING_CPU = 250
 READS_PER_S = 15
 CANCELLED_SHARE = 0.15
 BURST_CANCELLED_SHARE = 0.4
@@ -87,6 +90,12 @@
         self._spawn(self._handle(self._make_job(rng, [self._step(
             rng, rng.randint(1, 3), 0, long_running=True)]), None))
 
+    def add_lasting(self, rng):
+        """Submits a job whose tasks take longer than a lease of a worker."""
+        self._spawn(self._handle(self._make_job(rng, [self._step(
+            rng, rng.randint(*LASTING_TASKS), rng.randint(*LASTING_MS),
+            cpu=LASTING_CPU)]), None))
+
     def add_deadly(self, rng):
         """Submits a job with a task that crashes each worker that starts it."""
         count = rng.randint(1, 8)
--- a/test/soak/worker_host.py
+++ b/test/soak/worker_host.py
@@ -112,7 +112,7 @@
 
     # Commands.
 
-    async def _start(self, number, spec, keeps):
+    async def _start(self, number, spec, keeps, cut):
         machine = self._machines.get(spec["id"])
         if machine is None:
             machine = Machine(spec["number"], spec["pool"], spec["zone"],
@@ -126,7 +126,7 @@
         machine.worker = Worker(
             self, machine, previous.number if keeps == "id" else number, number)
         self._emit("up", machine.worker.id, machine.id)
-        await machine.worker.start(previous)
+        await machine.worker.start(previous, cut)
 
     def _end_worker(self, machine, graceful):
         worker, machine.worker = machine.worker, None
@@ -146,7 +146,7 @@
         kind = command["do"]
         if kind == "start":
             await self._start(command["worker"], command["machine"],
-                              command.get("keeps"))
+                              command.get("keeps"), command.get("cut"))
         elif kind == "link":
             self.link.apply(command["how"], command.get("delay_s", 0.0))
         else:
--- a/test/soak/workers.py
+++ b/test/soak/workers.py
@@ -12,6 +12,7 @@
 # An address of this process: the port of a worker that is down for a moment
 # must stay free, also beside other soaks.
 HOST = "127.%d.%d.250" % (os.getpid() % 250 + 1, os.getpid() // 250 % 250)
+LOST_SECONDS = 30.0  # for which a caller may wait for a reply that is lost
 
 
 class TaskRun:
@@ -39,10 +40,11 @@
         self.pool = machine.pool
         self.is_draining = False
         self.is_alive = True
-        self.is_partitioned = False
+        self.cut = ""  # calls are lost: "cut"; replies are: "cut-out"
         self.address = None
         self.port = 0
         self._server = None
+        self._loses_starts = False
         self._highest_token = 0
         self._lease_end = 0.0
         self._expired_lease_end = 0.0  # of the last lease seen to expire
@@ -53,14 +55,32 @@
         self._sequence = 0
         self._end_event = asyncio.Event()
 
-    async def start(self, previous=None):
-        """Starts the server, at the address of a previous incarnation if any."""
+    async def start(self, previous=None, cut=None):
+        """Starts the server, at the address of a previous incarnation if any.
+
+        A cut says after which time the worker is cut off, how and for how long,
+        and whether replies to starts are lost before. No entry appears until
+        its end.
+        """
         self._server, address = await serve(
             self._handle, HOST, previous.port if previous else 0)
         self.port = int(address.rsplit(":", 1)[1])
         self.address = (previous.address if previous
                         else await self._simulation.expose(address))
-        asyncio.ensure_future(self._heartbeat())
+        asyncio.ensure_future(self._live(cut))
+
+    async def _live(self, cut):
+        if cut:
+            await self._cut_off(cut)
+        await self._heartbeat()
+
+    async def _cut_off(self, cut):
+        self._loses_starts = cut["loses_starts"]
+        await asyncio.sleep(cut["after_s"])
+        self._loses_starts = False
+        self.cut = cut["how"]
+        await asyncio.sleep(cut["seconds"])
+        self.cut = ""
 
     def clock_ms(self):
         """Returns the worker's local time in milliseconds."""
@@ -81,24 +101,36 @@
 
     async def _heartbeat(self):
         while self.is_alive:
-            if not self.is_partitioned:
-                self._sequence += 1
-                entry = {
-                    "service": self.pool, "address": self.address,
-                    "zone": self._machine.zone, "version": "v1", "slots": 8,
-                    "state": "draining" if self.is_draining else "ready",
-                    "cold_left_ms": 0, "capacity": self._machine.capacity,
-                    "labels": self._machine.labels, "clock_ms": self.clock_ms(),
-                    "seq": self._sequence, "born": self.incarnation}
-                if self.is_draining:
-                    entry["remaining_ms"] = 2000
-                self._simulation.store.put("servers/" + self.id, base64.b64encode(
-                    json.dumps(entry).encode()).decode())
+            self._sequence += 1
+            entry = {
+                "service": self.pool, "address": self.address,
+                "zone": self._machine.zone, "version": "v1", "slots": 8,
+                "state": "draining" if self.is_draining else "ready",
+                "cold_left_ms": 0, "capacity": self._machine.capacity,
+                "labels": self._machine.labels, "clock_ms": self.clock_ms(),
+                "seq": self._sequence, "born": self.incarnation}
+            if self.is_draining:
+                entry["remaining_ms"] = 2000
+            self._simulation.store.put("servers/" + self.id, base64.b64encode(
+                json.dumps(entry).encode()).decode())
             await asyncio.sleep(1.5)
 
     async def _handle(self, request):
-        if self.is_partitioned or not self.is_alive:
+        if not self.is_alive:
             return None
+        loses_reply = self.cut or (
+            self._loses_starts and request.path.endswith("run-start"))
+        if self.cut != "cut":
+            try:
+                reply = await self._execute(request)
+            except Reply as early:
+                reply = early
+            if not (loses_reply or self.cut):
+                return reply
+        await asyncio.sleep(LOST_SECONDS)
+        return None
+
+    async def _execute(self, request):
         if request.headers.get("expected-instance", self.id) != self.id:
             return Reply(421)
         body = request.json()
@@ -189,7 +221,7 @@
                                        body["wait_ms"] / 1000)
             except asyncio.TimeoutError:
                 pass  # no run has ended; the response lists no ends
-        if self.is_partitioned or not self.is_alive:
+        if not self.is_alive:
             return None
         return self._reply(
             running=[[run.task, run.attempt, self._simulation.checkpoint(run), 100]
