Let a task go on whose worker replied and can't repeat its start

By reading: the successor waited until 15 s after the beginning of its term for an open start, though the worker had replied, which makes it reject the start, and could not repeat it: it was leaving, in another pool, or full. Only a later incarnation could execute that start.

OpenStartTest::SuccessorDoesNotWaitForAWorkerThatLeaves fails without it.

--- a/src/crocusmast/scheduling/scheduler.h
+++ b/src/crocusmast/scheduling/scheduler.h
@@ -92,7 +92,6 @@
 
   /** @brief Tells whether a leadership term is in progress. */
   bool IsActive() const { return m_is_active; }
-
   /**
    * @brief Sets the configured queues and pools.
    * @param catalog The queues and pools.
@@ -114,11 +113,10 @@
    */
   void CancelJob(const core::JobId& id);
 
-  /** @brief Handles changes of the membership list. */
+  /** @brief Handles changes of the membership list, and lists of machines. */
   void Handle(WorkerListReceived&& list);
   void Handle(WorkerUpdated&& update);
   void Handle(const WorkerRemoved& removal);
-  /** @brief Looks for workers whose machines are gone. */
   void Handle(const upkeep::MachineListReceived& list);
   /**
    * @brief Tells whether a list of machines may show that a worker is gone.
@@ -159,7 +157,6 @@
 
   /** @brief Tells whether the handover state of this term is stored. */
   bool HasStoredHandover() const { return m_has_stored_handover; }
-
   /** @brief Tells whether a worker or the store rejected the fencing token. */
   bool WasFenced() const { return m_was_fenced; }
 
@@ -245,6 +242,9 @@
   bool MayStillStart(const ActiveJob& active,
                      const job::TaskPlacement& placement) const;
   void RepeatEarlierStarts(ActiveJob& active);
+  static bool IsSettledWithoutRepeat(const execution::Worker& worker,
+                                     const ActiveJob& active,
+                                     const job::Step& step);
   static bool MayRepeatOn(const execution::Worker& worker,
                           const ActiveJob& active,
                           const job::Step& step);
--- a/src/crocusmast/scheduling/scheduler_incarnations.cc
+++ b/src/crocusmast/scheduling/scheduler_incarnations.cc
@@ -196,10 +196,15 @@
         (run->HasOpenStart(now) && RepeatStart(worker, key))) {
       continue;
     }
+    // It reserves what it needs, so that room is left out of account.
+    const ActiveJob* active = FindJob(key.task.job);
+    const bool is_settled =
+        active != nullptr && worker.IsListed() && !run->is_stopping &&
+        !MayRepeatOn(worker, *active, active->job.StepOf(key.task.key));
     EndRun(
         worker, key,
         {run->is_stopping ? job::RunOutcome::kStopped : job::RunOutcome::kLost,
-         "its worker does not list it"});
+         "its worker does not list it", "", is_settled});
   }
 }
 
--- a/src/crocusmast/scheduling/scheduler_open_starts.cc
+++ b/src/crocusmast/scheduling/scheduler_open_starts.cc
@@ -74,6 +74,16 @@
          (m_crashes.MustWait(task) || m_crashes.IsReserved(worker.Record().id));
 }
 
+// The worker rejects the command, and only if it started once more could a
+// later incarnation execute it: its task, which can't be repeated there, does
+// not wait for that.
+bool Scheduler::IsSettledWithoutRepeat(const Worker& worker,
+                                       const ActiveJob& active,
+                                       const job::Step& step) {
+  return worker.IsListed() && (!MayRepeatOn(worker, active, step) ||
+                               !worker.CanFit(MakeAssignedRun(step).resources));
+}
+
 bool Scheduler::MayRepeatOn(const Worker& worker,
                             const ActiveJob& active,
                             const job::Step& step) {
@@ -108,6 +118,10 @@
   const bool is_replying = found != m_workers.end() &&
                            found->second->is_reconciled &&
                            found->second->failed_polls == 0;
+  const job::Step& step = active.job.StepOf(placement.task);
+  if (is_replying && IsSettledWithoutRepeat(*found->second, active, step)) {
+    return false;
+  }
   const core::Duration lease =
       is_replying ? core::Duration::zero()
                   : execution::WithClockDrift(m_term.max_worker_lease);
@@ -118,14 +132,11 @@
 void Scheduler::RepeatEarlierStarts(ActiveJob& active) {
   for (const job::TaskPlacement& placement : active.job.Earlier().Open()) {
     Worker* worker = FindWorker(placement.worker);
-    const job::Step& step = active.job.StepOf(placement.task);
     const bool may_repeat =
         worker != nullptr && !m_inherited_workers.MayStillRun(placement) &&
         MayStillStart(active, placement) &&
         !MustStartAlone(*worker, {active.job.Id(), placement.task}) &&
-        IsUsable(*worker, m_ports.clock.Now()) &&
-        MayRepeatOn(*worker, active, step) &&
-        worker->CanFit(MakeAssignedRun(step).resources);
+        IsUsable(*worker, m_ports.clock.Now());
     if (!may_repeat) {
       continue;
     }
--- a/test/scheduling/open_start_test.cc
+++ b/test/scheduling/open_start_test.cc
@@ -29,6 +29,7 @@
   CPPUNIT_TEST(SuccessorRepeatsAnOpenStart);
   CPPUNIT_TEST(SuccessorWaitsForAnOpenStartOnALostWorker);
   CPPUNIT_TEST(SuccessorDoesNotWaitForAnAnsweredStart);
+  CPPUNIT_TEST(SuccessorDoesNotWaitForAWorkerThatLeaves);
   CPPUNIT_TEST(AdoptedRunKeepsAnOpenStart);
   CPPUNIT_TEST_SUITE_END();
 
@@ -167,6 +168,23 @@
     CPPUNIT_ASSERT(core::Attempt(7) < m_fixture.worker_port.starts[0].attempt);
   }
 
+  // LOST: the worker has replied, which makes it reject the start, and takes no
+  // task any more.
+  void SuccessorDoesNotWaitForAWorkerThatLeaves() {
+    BeginAsSuccessor(core::Attempt(7));
+    execution::WorkerRecord leaving = MakeWorker("w-1");
+    leaving.is_draining = true;
+    m_fixture.scheduler.Handle(scheduling::WorkerUpdated{leaving});
+    ReplyToPollOf("w-2", {});
+    m_fixture.RunCycles();
+    CPPUNIT_ASSERT(m_fixture.worker_port.starts.empty());
+    ReplyToPollOf("w-1", {});
+    m_fixture.RunCycles();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_fixture.worker_port.starts.size());
+    CPPUNIT_ASSERT(MakeId<core::InstanceId>("w-2") ==
+                   m_fixture.worker_port.starts[0].to.worker);
+  }
+
   void AdoptedRunKeepsAnOpenStart() {
     BeginAsSuccessor(core::Attempt(7));
     ReplyToPollOf("w-2", {});
