Hold an open start on a gone worker for the longest lease only

Where a list of machines has no machine for the worker, no incarnation existed that could have executed the start. Only one that starts again under the same id could, with an order that is later than that; the task now waits for the longest lease after its start was sent (6.2 s) there, in a successor's term after its beginning. A worker that has a machine, so that it may be cut off, is waited for as before.

--- a/src/crocusmast/execution/worker.cc
+++ b/src/crocusmast/execution/worker.cc
@@ -202,8 +202,13 @@
         run.IsOnUnknownIncarnation() &&
         (!ran_nothing_at || *ran_nothing_at < run.confirmed_at);
     run.held_until = {};
-    if (run.HasOpenStart(ran_nothing_at.value_or(now))) {
-      run.held_until = run.StartableUntil() + WithClockDrift(max_lease);
+    if (run.HasOpenStart(now)) {
+      // Where no incarnation existed after the command was sent, only one that
+      // started even later could execute it: longer than the lease is not
+      // waited for that.
+      run.held_until =
+          (ran_nothing_at ? run.start_sent_at : run.StartableUntil()) +
+          WithClockDrift(max_lease);
     }
     if (may_be_active) {
       run.held_until =
--- a/src/crocusmast/scheduling/inherited_workers.h
+++ b/src/crocusmast/scheduling/inherited_workers.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "crocusmast/core/clock.h"
@@ -74,11 +75,24 @@
    */
   std::optional<Worker> Remove(const core::InstanceId& id);
 
+  /**
+   * @brief Registers that no machine has a worker any more.
+   * @param id The worker.
+   */
+  void MarkGone(const core::InstanceId& id) { m_gone.insert(id); }
+
+  /**
+   * @brief Tells whether no machine had a worker any more.
+   * @param id The worker.
+   */
+  bool IsGone(const core::InstanceId& id) const { return m_gone.count(id) > 0; }
+
   /** @brief Returns the workers that are not reconciled. */
   const std::map<core::InstanceId, Worker>& All() const { return m_workers; }
 
  private:
   std::map<core::InstanceId, Worker> m_workers;
+  std::set<core::InstanceId> m_gone;
 };
 
 }  // namespace crocusmast::scheduling
--- a/src/crocusmast/scheduling/scheduler_machines.cc
+++ b/src/crocusmast/scheduling/scheduler_machines.cc
@@ -58,6 +58,7 @@
     const std::optional<core::TimePoint> absent_at =
         m_machine_evidence.AbsentAt(id, KnownSince(*worker), confirmed_at);
     if (may_have_runs && worker->failed_polls > 0 && absent_at) {
+      m_inherited_workers.MarkGone(id);
       EndIncarnation(*worker, {IncarnationEnd::Evidence::kMachineGone,
                                internal::kNoMachine, absent_at});
     }
@@ -79,6 +80,7 @@
     }
   }
   for (const core::InstanceId& id : gone) {
+    m_inherited_workers.MarkGone(id);
     MarkReconciled(id, internal::kNoMachine);
   }
 }
--- a/src/crocusmast/scheduling/scheduler_open_starts.cc
+++ b/src/crocusmast/scheduling/scheduler_open_starts.cc
@@ -122,11 +122,16 @@
   if (is_replying && IsSettledWithoutRepeat(*found->second, active, step)) {
     return false;
   }
+  const bool is_listed = found != m_workers.end() && found->second->IsListed();
   const core::Duration lease =
-      is_replying ? core::Duration::zero()
-                  : execution::WithClockDrift(m_term.max_worker_lease);
-  return m_ports.clock.Now() <
-         m_term_began_at + execution::kMaxCommandDelay + lease;
+      execution::WithClockDrift(m_term.max_worker_lease);
+  core::Duration wait = execution::kMaxCommandDelay + lease;
+  if (is_replying) {
+    wait = execution::kMaxCommandDelay;
+  } else if (m_inherited_workers.IsGone(placement.worker) && !is_listed) {
+    wait = lease;
+  }
+  return m_ports.clock.Now() < m_term_began_at + wait;
 }
 
 void Scheduler::RepeatEarlierStarts(ActiveJob& active) {
--- a/test/scheduling/open_start_test.cc
+++ b/test/scheduling/open_start_test.cc
@@ -28,6 +28,7 @@
   CPPUNIT_TEST(SuspectsAreRepeatedOneByOne);
   CPPUNIT_TEST(SuccessorRepeatsAnOpenStart);
   CPPUNIT_TEST(SuccessorWaitsForAnOpenStartOnALostWorker);
+  CPPUNIT_TEST(SuccessorWaitsForTheLongestLeaseOfAGoneWorker);
   CPPUNIT_TEST(SuccessorDoesNotWaitForAnAnsweredStart);
   CPPUNIT_TEST(SuccessorDoesNotWaitForAWorkerThatLeaves);
   CPPUNIT_TEST(AdoptedRunKeepsAnOpenStart);
@@ -160,6 +161,24 @@
     CPPUNIT_ASSERT(began_at + longest - kReplyDelay <= m_fixture.clock.Now());
   }
 
+  // LOST: the machine of its worker is down.
+  void SuccessorWaitsForTheLongestLeaseOfAGoneWorker() {
+    BeginAsSuccessor(core::Attempt(7));
+    const core::TimePoint began_at = m_fixture.clock.Now();
+    ReplyToPollOf("w-2", {});
+    m_fixture.scheduler.Handle(
+        scheduling::WorkerRemoved{MakeId<core::InstanceId>("w-1")});
+    ReplyToPollOf("w-1", {}, WorkerCallOutcome::kUnknown);
+    ListMachineWithoutWorker();
+    ListMachineWithoutWorker();
+    while (m_fixture.worker_port.starts.empty()) {
+      KeepSilentFor(kStep);
+      CPPUNIT_ASSERT(m_fixture.clock.Now() < began_at + kLongestLease + kSlack);
+    }
+    CPPUNIT_ASSERT(began_at + kLongestLease - kReplyDelay <=
+                   m_fixture.clock.Now());
+  }
+
   void SuccessorDoesNotWaitForAnAnsweredStart() {
     BeginAsSuccessor(std::nullopt);
     ReplyToPollOf("w-1", {});
