Log the idle machines that may not be commanded yet

After a lost leader its successor may command no machine for 3.5 s. The last column of pool_loads now counts the idle machines that are held back.

--- a/src/crocusmast/capacity/balancer.cc
+++ b/src/crocusmast/capacity/balancer.cc
@@ -163,8 +163,10 @@
                          (view.load.is_standby ||
                           (!machine.worker.IsEmpty() &&
                            m_ports.workers.IsConfirmedIdle(machine.worker))) &&
-                         !is_reserved(id) && m_ports.machines.MayCommand(id);
-    if (is_idle) {
+                         !is_reserved(id);
+    const bool is_held = is_idle && !m_ports.machines.MayCommand(id);
+    view.held_machines += is_held ? 1 : 0;
+    if (is_idle && !is_held) {
       m_idle_since.emplace(id, now);
       view.idle.push_back(id);
     } else {
@@ -209,12 +211,14 @@
              std::to_string(load.waiting_expired) + " " +
              std::to_string(load.ready_workers) + " " +
              std::to_string(view.arriving_machines) + " " +
-             rounded(view.deficit) + " " + rounded(view.steady_deficit)});
+             rounded(view.deficit) + " " + rounded(view.steady_deficit) + " " +
+             std::to_string(view.held_machines)});
   }
   Log("Pool loads, as: machines, idle machines, cores, cores in use, cores "
       "needed by waiting tasks, cores needed by recent arrivals, waiting jobs "
       "in time, late and expired, ready workers, arriving machines, missing "
-      "machines by the peak and by the steady arrival rate.",
+      "machines by the peak and by the steady arrival rate, idle machines "
+      "that may not be commanded yet.",
       std::move(fields));
 }
 
--- a/src/crocusmast/capacity/balancer.h
+++ b/src/crocusmast/capacity/balancer.h
@@ -201,6 +201,9 @@
      * comes last.
      */
     std::vector<core::MachineId> idle;
+    /** @brief Further idle machines, which an earlier leader may have commanded
+     * too recently. */
+    std::size_t held_machines = 0;
   };
 
   void RemoveFinishedMoves();
