--- a/src/crocusmast/scheduling/committer.cc
+++ b/src/crocusmast/scheduling/committer.cc
@@ -94,17 +94,6 @@
   }
 }
 
-void Committer::AddEndedJob(const core::JobId& id,
-                            const core::QueueId& queue,
-                            job::JobState state) {
-  job::ProgressWrite end;
-  end.id = id;
-  end.queue = queue;
-  end.progress.state = state;
-  m_ended.insert_or_assign(id, std::move(end));
-  m_ended_order.push_back(id);
-}
-
 void Committer::MarkChanged(const core::JobId& id) {
   if (m_positions.emplace(id, m_last_position + 1).second) {
     m_changed.emplace_back(++m_last_position, id);
@@ -128,13 +117,6 @@
   return !m_changed.empty() || !m_pending_ends.empty() || m_handover;
 }
 
-bool Committer::IsBatchDue(core::TimePoint now) const {
-  const auto& batches = m_batches.Batches();
-  return !batches.empty() &&
-         (kManyBatches < batches.size() ||
-          batches.begin()->second.stored_at + kBatchAge <= now);
-}
-
 std::optional<job::Commit> Committer::NextCommit(core::FencingToken token,
                                                  core::TimePoint now,
                                                  const ProgressReader& read) {
@@ -224,66 +206,6 @@
   commit.progress.push_back(std::move(change.write));
 }
 
-void Committer::EmptyBatches(core::TimePoint now,
-                             const ProgressReader& read,
-                             std::size_t free_entries,
-                             job::Commit& commit) {
-  commit.removed_batches = m_batches.FindUnused(free_entries);
-  m_in_flight_removed = commit.removed_batches;
-  free_entries -= commit.removed_batches.size();
-  MoveEndedJobs(free_entries, commit);
-  if (!IsBatchDue(now)) {
-    return;
-  }
-  std::vector<core::JobId> jobs;
-  for (const auto& [batch, content] : m_batches.Batches()) {
-    const bool is_old = content.stored_at + kBatchAge <= now ||
-                        kManyBatches < m_batches.Batches().size();
-    if (!is_old || free_entries <= jobs.size()) {
-      break;
-    }
-    std::copy_if(content.jobs.begin(), content.jobs.end(),
-                 std::back_inserter(jobs), [this](const core::JobId& id) {
-                   return !IsChanged(id) && m_ended.count(id) == 0;
-                 });
-  }
-  for (const core::JobId& id : jobs) {
-    if (free_entries == 0) {
-      return;
-    }
-    std::optional<job::ProgressWrite> write = Read(id, read);
-    if (!write) {
-      m_batches.RemoveJob(id);
-    } else if (EntriesOf(*write) <= free_entries && !IsChanged(id)) {
-      free_entries -= EntriesOf(*write);
-      AddToCommit({++m_last_position, std::move(*write)}, false, commit);
-    }
-  }
-}
-
-void Committer::MoveEndedJobs(std::size_t& free_entries, job::Commit& commit) {
-  while (!m_ended_order.empty()) {
-    const core::JobId id = m_ended_order.front();
-    const auto ended = m_ended.find(id);
-    // A job that changed again is stored anew in any case, and may have been
-    // added again.
-    const bool is_moved =
-        std::find(m_in_flight_ended.begin(), m_in_flight_ended.end(), id) !=
-        m_in_flight_ended.end();
-    if (ended != m_ended.end() && !is_moved && !IsChanged(id)) {
-      ended->second.may_have_own_record = m_own_records.count(id) > 0;
-      const std::size_t entries = EntriesOf(ended->second);
-      if (free_entries < entries) {
-        return;
-      }
-      free_entries -= entries;
-      commit.progress.push_back(ended->second);
-      m_in_flight_ended.push_back(id);
-    }
-    m_ended_order.pop_front();
-  }
-}
-
 bool Committer::Handle(const job::CommitReply& reply,
                        core::TimePoint now,
                        const StoredCallback& on_stored,
@@ -325,35 +247,6 @@
   return reply.is_still_leader;
 }
 
-void Committer::HandleBatchesStored(core::TimePoint now) {
-  if (m_in_flight_batch) {
-    m_batches.AddBatch(*m_in_flight_batch, now);
-  }
-  for (const auto& [id, job] : m_in_flight) {
-    m_batches.RemoveJob(id);
-    if (job.is_in_batch) {
-      m_batches.AddJob(*m_in_flight_batch, id);
-    }
-    if (job::IsFinal(job.state)) {
-      m_ended.erase(id);
-      if (job.is_in_batch) {
-        AddEndedJob(id, job.queue, job.state);
-      } else {
-        m_own_records.erase(id);
-      }
-    }
-  }
-  for (const core::JobId& id : std::exchange(m_in_flight_ended, {})) {
-    m_batches.RemoveJob(id);
-    m_ended.erase(id);
-    m_own_records.erase(id);
-  }
-  for (const job::BatchId& batch : std::exchange(m_in_flight_removed, {})) {
-    m_batches.RemoveBatch(batch);
-  }
-  m_in_flight_batch.reset();
-}
-
 std::chrono::milliseconds Committer::DelayAfterCommit() const {
   if (m_is_full) {
     return std::chrono::milliseconds(0);
--- a/src/crocusmast/scheduling/scheduler.h
+++ b/src/crocusmast/scheduling/scheduler.h
@@ -16,9 +16,7 @@
 #include "crocusmast/capacity/pool_load.h"
 #include "crocusmast/core/clock.h"
 #include "crocusmast/core/logger.h"
-#include "crocusmast/core/meter.h"
 #include "crocusmast/execution/worker.h"
-#include "crocusmast/execution/worker_port.h"
 #include "crocusmast/job/job.h"
 #include "crocusmast/job/job_catalog.h"
 #include "crocusmast/job/job_store.h"
@@ -31,10 +29,10 @@
 #include "crocusmast/scheduling/inherited_workers.h"
 #include "crocusmast/scheduling/job_monitor.h"
 #include "crocusmast/scheduling/machine_evidence.h"
-#include "crocusmast/scheduling/messages.h"
 #include "crocusmast/scheduling/run_end.h"
 #include "crocusmast/scheduling/run_monitor.h"
 #include "crocusmast/scheduling/run_time_estimator.h"
+#include "crocusmast/scheduling/scheduler_ports.h"
 #include "crocusmast/scheduling/scheduling_term.h"
 #include "crocusmast/scheduling/ticket_cache.h"
 #include "crocusmast/scheduling/timing.h"
@@ -43,17 +41,6 @@
 
 namespace crocusmast::scheduling {
 
-/** @brief Collaborators of the scheduler; all outlive it. */
-struct SchedulerPorts {
-  execution::WorkerPort& workers;
-  job::JobStore& store;
-  WorkerWatch& worker_watch;
-  TicketPort& tickets;
-  const core::Clock& clock;
-  core::Logger& logger;
-  core::Meter& meter;
-};
-
 /**
  * @brief Runs accepted jobs on workers while this instance is the leader.
  *
