Don't use a worker whose machine has moved

A worker is drained for the move of its machine, and was used again when the move was finished, as if the machine had stayed; the store lists it for 2 to 4 s more. Tasks were placed where nothing runs, and its cores counted as spare. It is now used again only if the last list of machines shows a machine with it, as after a rejected move. Whether its runs have ended is still decided by MachineEvidence::AbsentAt() alone.

MovedMachineTest::NoTaskIsPlacedOnAWorkerWhoseMachineHasMoved failed before (a start was sent to w-3, whose machine was in the standby pool). WorkersOfRejectedMovesAreUsedAgain passes before and after.

--- a/src/crocusmast/scheduling/machine_evidence.cc
+++ b/src/crocusmast/scheduling/machine_evidence.cc
@@ -1,6 +1,7 @@
 #include "crocusmast/scheduling/machine_evidence.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace crocusmast::scheduling {
 
@@ -10,6 +11,8 @@
 void MachineEvidence::Clear() {
   m_absences.clear();
   m_machines.clear();
+  m_listed.clear();
+  m_requested_at = {};
   m_received_at.reset();
   m_has_second_list = false;
 }
@@ -48,6 +51,8 @@
   m_absences = std::move(absences);
   m_has_second_list = m_received_at.has_value();
   m_received_at = now;
+  m_requested_at = list.requested_at;
+  m_listed = std::move(listed);
   m_machines.clear();
   for (const Machine& machine : list.machines) {
     m_machines.insert(machine.id);
@@ -84,6 +89,11 @@
   return is_absent ? std::optional(absence->second.requested_at) : std::nullopt;
 }
 
+bool MachineEvidence::IsMissing(const KnownWorker& worker) const {
+  return m_received_at && worker.known_since < m_requested_at &&
+         m_listed.count(worker.id) == 0;
+}
+
 bool MachineEvidence::IsListDue(core::TimePoint last_request_at,
                                 core::TimePoint now) const {
   const auto interval = m_received_at && !m_has_second_list
--- a/src/crocusmast/scheduling/machine_evidence.h
+++ b/src/crocusmast/scheduling/machine_evidence.h
@@ -61,6 +61,13 @@
                                           core::TimePoint known_since,
                                           core::TimePoint confirmed_at) const;
 
+  /**
+   * @brief Tells whether no machine of the last list shows a worker. Enough not
+   * to use it yet; whether its runs have ended is for AbsentAt() to tell.
+   * @param worker The worker.
+   */
+  bool IsMissing(const KnownWorker& worker) const;
+
   /**
    * @brief Tells whether the next list should be requested.
    * @param last_request_at When the last list was requested.
@@ -79,6 +86,10 @@
   std::map<core::InstanceId, Absence> m_absences;
   /** @brief Machines of the last list. */
   std::set<core::MachineId> m_machines;
+  /** @brief Workers of the last list. */
+  std::set<core::InstanceId> m_listed;
+  /** @brief When the last list was requested. */
+  core::TimePoint m_requested_at;
   /** @brief When the last list arrived; empty before the first one. */
   std::optional<core::TimePoint> m_received_at;
   bool m_has_second_list = false;
--- a/src/crocusmast/scheduling/scheduler.h
+++ b/src/crocusmast/scheduling/scheduler.h
@@ -135,7 +135,8 @@
   upkeep::WorkerUsage UsageOf(const core::InstanceId& worker) const override;
   void DrainWorker(const core::InstanceId& worker) override;
   /**
-   * @brief Uses drained workers again.
+   * @brief Uses drained workers again, but for those that no machine of the
+   * last list has, as theirs was moved or restarted.
    * @param needed The workers that must stay drained.
    */
   void ReleaseDrainedWorkers(const std::set<core::InstanceId>& needed);
@@ -245,6 +246,7 @@
                             const execution::WorkerCommandReply& reply);
 
   core::TimePoint KnownSince(const execution::Worker& worker) const;
+  bool HasMachine(const execution::Worker& worker) const;
   void EndWorkersWithoutMachine(core::TimePoint confirmed_at);
   void EndSilentWorkersWithoutMachine(core::TimePoint confirmed_at);
   void ExpireWorkers(core::TimePoint confirmed_at);
--- a/src/crocusmast/scheduling/scheduler_machines.cc
+++ b/src/crocusmast/scheduling/scheduler_machines.cc
@@ -38,6 +38,11 @@
              : worker.JoinedAt();
 }
 
+bool Scheduler::HasMachine(const Worker& worker) const {
+  return !m_machine_evidence.IsMissing(
+      {worker.Record().id, worker.Record().pool, KnownSince(worker)});
+}
+
 bool Scheduler::NeedsMachineList(core::TimePoint last_request_at) const {
   const core::TimePoint now = m_ports.clock.Now();
   if (!m_is_active || now < m_term_began_at + kSecondMachineListDelay ||
--- a/src/crocusmast/scheduling/scheduler_upkeep.cc
+++ b/src/crocusmast/scheduling/scheduler_upkeep.cc
@@ -65,11 +65,12 @@
     const std::set<core::InstanceId>& needed) {
   for (auto next = m_drained_workers.begin();
        next != m_drained_workers.end();) {
-    if (needed.count(*next) > 0) {
+    Worker* worker = FindWorker(*next);
+    const bool is_gone = worker != nullptr && !HasMachine(*worker);
+    if (is_gone || needed.count(*next) > 0) {
       ++next;
       continue;
     }
-    Worker* worker = FindWorker(*next);
     if (worker != nullptr && std::exchange(worker->is_cordoned, false)) {
       Log(core::Severity::kInfo,
           "Worker " + next->Text() + " is used again; its machine stays.",
@@ -184,7 +185,8 @@
       const bool is_unavailable = worker->failed_polls > 0 ||
                                   worker->is_lease_frozen ||
                                   now < worker->backoff_until;
-      load->second.unavailable_workers += is_unavailable ? 1 : 0;
+      load->second.unavailable_workers +=
+          is_unavailable && HasMachine(*worker) ? 1 : 0;
       continue;
     }
     const core::MilliCores capacity = worker->Record().capacity.processor;
