Hold only machines that a lost leader may have commanded

A leader now announces each machine in the store before it commands it, in a record of its own (CommandRecord), under the condition that it still leads. Its successor holds the machines of that record and no others: those whose commands were all answered for the rest of the 3.5 s, counted from the answer and not from the command, and those with a command that may still be executed for 15 s, where it was 3.5 s. After a leader whose record is missing, damaged, of an earlier term or of an earlier version it holds all machines, as before. Commands of two leaders to one machine stay as far apart as after a planned hand-over, or further.

--- a/src/crocusmast/adapters/records/job_records.cc
+++ b/src/crocusmast/adapters/records/job_records.cc
@@ -168,6 +168,32 @@
   }
 }
 
+namespace internal {
+
+Json EncodeCooldowns(const std::vector<job::MachineCooldown>& cooldowns) {
+  Json rows = Json::array();
+  for (const job::MachineCooldown& item : cooldowns) {
+    rows.push_back({item.machine.Text(), item.cooldown_remaining.count()});
+  }
+  return rows;
+}
+
+core::Result<std::vector<job::MachineCooldown>> DecodeCooldowns(
+    const Json& rows) {
+  std::vector<job::MachineCooldown> cooldowns;
+  cooldowns.reserve(rows.size());
+  for (const Json& row : rows) {
+    BOOST_LEAF_AUTO(machine,
+                    core::MachineId::Create(row.at(0).get<std::string>()));
+    cooldowns.push_back(
+        {std::move(machine),
+         std::chrono::milliseconds(row.at(1).get<std::int64_t>())});
+  }
+  return cooldowns;
+}
+
+}  // namespace internal
+
 std::string EncodeHandoverState(const job::HandoverState& handover) {
   Json workers = Json::array();
   for (const job::LeasedWorker& worker : handover.workers) {
@@ -192,13 +218,11 @@
             {"pools", std::move(pools)}};
   internal::AddUnlessDefault(json, "placed", handover.has_current_placements,
                              false);
+  internal::AddUnlessDefault(json, "leader", handover.leader.Count(),
+                             std::uint64_t{0});
   if (handover.fleet.machine_cooldowns) {
-    Json& cooldowns = json["orders"] = Json::array();
-    for (const job::MachineCooldown& cooldown :
-         *handover.fleet.machine_cooldowns) {
-      cooldowns.push_back(
-          {cooldown.machine.Text(), cooldown.cooldown_remaining.count()});
-    }
+    json["orders"] =
+        internal::EncodeCooldowns(*handover.fleet.machine_cooldowns);
   }
   return internal::ToCbor(json);
 }
@@ -235,6 +259,8 @@
       [](const Json& json) -> core::Result<job::HandoverState> {
         job::HandoverState handover;
         handover.has_current_placements = json.value("placed", false);
+        handover.leader =
+            core::FencingToken(json.value("leader", std::uint64_t{0}));
         for (const Json& row : json.at("workers")) {
           BOOST_LEAF_AUTO(worker, internal::DecodeLeasedWorker(row));
           handover.workers.push_back(std::move(worker));
@@ -244,14 +270,8 @@
           handover.fleet.waves.push_back(std::move(progress));
         }
         if (json.contains("orders")) {
-          handover.fleet.machine_cooldowns.emplace();
-          for (const Json& row : json.at("orders")) {
-            BOOST_LEAF_AUTO(
-                machine, core::MachineId::Create(row.at(0).get<std::string>()));
-            handover.fleet.machine_cooldowns->push_back(
-                {std::move(machine),
-                 std::chrono::milliseconds(row.at(1).get<std::int64_t>())});
-          }
+          BOOST_LEAF_ASSIGN(handover.fleet.machine_cooldowns,
+                            internal::DecodeCooldowns(json.at("orders")));
         }
         for (const Json& row : json.at("pools")) {
           BOOST_LEAF_AUTO(pool,
@@ -263,6 +283,54 @@
       });
 }
 
+namespace internal {
+
+Json EncodeMachineIds(const std::vector<core::MachineId>& machines) {
+  Json ids = Json::array();
+  for (const core::MachineId& machine : machines) {
+    ids.push_back(machine.Text());
+  }
+  return ids;
+}
+
+core::Result<std::vector<core::MachineId>> DecodeMachineIds(const Json& ids) {
+  std::vector<core::MachineId> machines;
+  machines.reserve(ids.size());
+  for (const Json& text : ids) {
+    BOOST_LEAF_AUTO(id, core::MachineId::Create(text.get<std::string>()));
+    machines.push_back(std::move(id));
+  }
+  return machines;
+}
+
+}  // namespace internal
+
+std::string EncodeCommandedMachines(const job::CommandedMachines& machines) {
+  return internal::ToCbor(
+      {{"v", internal::kFormatVersion},
+       {"leader", machines.leader.Count()},
+       {"open", internal::EncodeMachineIds(machines.open)},
+       {"answered", internal::EncodeCooldowns(machines.answered)},
+       {"others", machines.may_include_others}});
+}
+
+core::Result<job::CommandedMachines> DecodeCommandedMachines(
+    std::string_view bytes) {
+  return internal::Decode<job::CommandedMachines>(
+      bytes, "commanded machines record",
+      [](const Json& json) -> core::Result<job::CommandedMachines> {
+        job::CommandedMachines machines;
+        machines.leader =
+            core::FencingToken(json.at("leader").get<std::uint64_t>());
+        BOOST_LEAF_ASSIGN(machines.open,
+                          internal::DecodeMachineIds(json.at("open")));
+        BOOST_LEAF_ASSIGN(machines.answered,
+                          internal::DecodeCooldowns(json.at("answered")));
+        machines.may_include_others = json.at("others").get<bool>();
+        return machines;
+      });
+}
+
 std::string EncodeHolder(const leadership::HolderIdentity& holder) {
   return internal::ToCbor({{"v", internal::kFormatVersion},
                            {"instance", holder.instance},
--- a/src/crocusmast/adapters/records/job_records.h
+++ b/src/crocusmast/adapters/records/job_records.h
@@ -99,6 +99,20 @@
  */
 core::Result<job::HandoverState> DecodeHandoverState(std::string_view bytes);
 
+/**
+ * @brief Encodes the machines that a leader may have commanded.
+ * @param machines The machines.
+ * @return CBOR bytes.
+ */
+std::string EncodeCommandedMachines(const job::CommandedMachines& machines);
+/**
+ * @brief Decodes the machines that a leader may have commanded.
+ * @param bytes CBOR bytes.
+ * @return The machines, or an error that describes the fault.
+ */
+core::Result<job::CommandedMachines> DecodeCommandedMachines(
+    std::string_view bytes);
+
 /**
  * @brief Encodes the identity of the holder of a leadership lease.
  * @param holder The identity.
--- a/src/crocusmast/capacity/balancer.cc
+++ b/src/crocusmast/capacity/balancer.cc
@@ -89,8 +89,7 @@
   LimitLateJobs(views);
   if (is_lease_valid && !m_machines.empty()) {
     for (const auto& [machine, move] : m_moves) {
-      if (!move.is_done && !move.is_rejected &&
-          move.requested_at + kMoveRetryInterval <= now) {
+      if (MayRequest(move) && move.requested_at + kMoveRetryInterval <= now) {
         RequestMove(machine);
       }
     }
--- a/src/crocusmast/capacity/balancer.h
+++ b/src/crocusmast/capacity/balancer.h
@@ -135,6 +135,12 @@
    */
   bool RunCycle(bool is_lease_valid, const ReservedPredicate& is_reserved);
 
+  /**
+   * @brief Requests the moves that waited for their announcement to be stored.
+   * @param is_lease_valid As for RunCycle().
+   */
+  void RequestAnnouncedMoves(bool is_lease_valid);
+
   /**
    * @brief Returns what late jobs may use of the pools.
    *
@@ -165,6 +171,7 @@
     core::PoolId to;
     /** @brief The worker on the machine; empty if there was none. */
     core::InstanceId worker;
+    /** @brief When it was requested last; empty until it is announced. */
     core::TimePoint requested_at;
     /** @brief Until when a request without a response may take effect. */
     core::TimePoint unanswered_until;
@@ -221,6 +228,7 @@
   void ReturnMachines(PoolView& view, std::map<core::PoolId, PoolView>& views);
   void MoveMachine(PoolView& from, PoolView& to, const char* reason);
   void RequestMove(const core::MachineId& machine);
+  bool MayRequest(const Move& move) const;
   void LogLoads(const std::map<core::PoolId, PoolView>& views);
   bool HasSpareCapacity(const PoolView& view) const;
   void LimitLateJobs(const std::map<core::PoolId, PoolView>& views);
--- a/src/crocusmast/capacity/balancer_moves.cc
+++ b/src/crocusmast/capacity/balancer_moves.cc
@@ -130,7 +130,28 @@
   RequestMove(id);
 }
 
+void Balancer::RequestAnnouncedMoves(bool is_lease_valid) {
+  if (!m_is_active || !is_lease_valid) {
+    return;
+  }
+  for (const auto& [machine, move] : m_moves) {
+    if (MayRequest(move) && move.requested_at == core::TimePoint()) {
+      RequestMove(machine);
+    }
+  }
+}
+
+bool Balancer::MayRequest(const Move& move) const {
+  const bool is_open = !move.is_done && !move.is_rejected;
+  const bool was_requested = move.requested_at != core::TimePoint();
+  return is_open && (was_requested || move.worker.IsEmpty() ||
+                     m_ports.workers.IsConfirmedIdle(move.worker));
+}
+
 void Balancer::RequestMove(const core::MachineId& machine) {
+  if (!m_ports.machines.Announce(machine)) {
+    return;
+  }
   Move& move = m_moves.at(machine);
   move.requested_at = m_ports.clock.Now();
   m_ports.machines.Move(m_token, machine, move.to);
--- a/src/crocusmast/job/job_store.h
+++ b/src/crocusmast/job/job_store.h
@@ -154,6 +154,27 @@
   /** @brief The stored placements of long-running tasks and pools of jobs are
    * current: no leader that does not store them has led since. */
   bool has_current_placements = false;
+  /** @brief The leader that stored it; 0 for one of a version that stores no
+   * CommandedMachines. */
+  core::FencingToken leader{};
+};
+
+/**
+ * @brief Machines that a leader may have commanded recently, or may command.
+ *
+ * Stored before each command, so that it contains all machines that a leader
+ * which was lost may have commanded.
+ */
+struct CommandedMachines {
+  /** @brief The leader that stored it. */
+  core::FencingToken leader;
+  /** @brief Machines with commands that may still be sent or executed. */
+  std::vector<core::MachineId> open;
+  /** @brief Further machines, whose commands have all been answered, with the
+   * times for which the next leader must not command them. */
+  std::vector<MachineCooldown> answered;
+  /** @brief An earlier leader may have commanded any machine. */
+  bool may_include_others = false;
 };
 
 /** @brief State that a new leader reads of its predecessor. */
@@ -163,6 +184,20 @@
   core::Revision last_commit;
   /** @brief Store revision of the handover state; 0 for none. */
   core::Revision revision{};
+  /** @brief The machines that the last leader which stores them commanded;
+   * absent if there is none, or it can't be decoded. */
+  std::optional<CommandedMachines> commanded_machines{};
+
+  /**
+   * @brief Returns the machines that the leader which stored the handover state
+   * may have commanded; null if it may have commanded any.
+   */
+  const CommandedMachines* MachinesCommandedByLeader() const {
+    const bool is_known = commanded_machines &&
+                          handover.leader != core::FencingToken() &&
+                          commanded_machines->leader == handover.leader;
+    return is_known ? &*commanded_machines : nullptr;
+  }
 };
 
 /**
@@ -201,6 +236,8 @@
   std::vector<BatchId> removed_batches;
   /** @brief New handover state; absent to leave it unchanged. */
   std::optional<HandoverState> handover;
+  /** @brief Machines that the leader commands; absent to leave it unchanged. */
+  std::optional<CommandedMachines> commanded_machines;
 };
 
 /** @brief Reply to a commit. */
--- a/src/crocusmast/manager/job_manager.cc
+++ b/src/crocusmast/manager/job_manager.cc
@@ -132,6 +132,9 @@
   if (m_scheduler.NeedsMachineList(m_machine_port.ListRequestedAt())) {
     m_machine_port.RequestMachineList();
   }
+  if (auto record = m_machine_port.NextRecord(); record) {
+    m_scheduler.SetCommandedMachines(std::move(*record));
+  }
 }
 
 template <typename Content>
@@ -172,7 +175,16 @@
   m_upkeep.Handle(std::move(list));
 }
 
+void JobManager::On(job::CommitReply&& reply) {
+  m_scheduler.Handle(reply);
+  if (const auto record = m_scheduler.TakeStoredCommandedMachines(); record) {
+    m_machine_port.HandleStored(*record);
+    m_balancer.RequestAnnouncedMoves(m_elector.IsLeaseValid());
+  }
+}
+
 void JobManager::On(upkeep::MachineCommandReply&& reply) {
+  m_machine_port.Handle(reply);
   m_balancer.Handle(reply);
   m_upkeep.Handle(reply);
 }
@@ -303,6 +315,7 @@
   if (m_scheduler.IsActive() && m_token != token) {
     m_scheduler.EndTerm();
     m_ports.store.SetFastPolling(false);
+    m_machine_port.EndTerm();
     m_upkeep.EndTerm();
     m_balancer.EndTerm();
   }
@@ -326,13 +339,23 @@
                            m_elector.VacantSince(m_stored_handover.revision),
                            m_settings.max_worker_lease},
                           m_job_catalog, m_stored_handover);
-    m_machine_port.BeginTerm(
-        m_stored_handover.handover.fleet.machine_cooldowns);
+    m_machine_port.BeginTerm(token, m_stored_handover);
+    LogBlockedMachines();
     m_upkeep.BeginTerm(token, m_stored_handover.handover.fleet.waves);
     m_balancer.BeginTerm(token, m_stored_handover.handover.fleet.pools);
   }
 }
 
+void JobManager::LogBlockedMachines() const {
+  const std::optional<std::size_t> blocked = m_machine_port.CountBlocked();
+  const std::string count = blocked ? std::to_string(*blocked) : "all";
+  Log(core::Severity::kInfo,
+      "Machines that may not be commanded yet, because an earlier leader may "
+      "have commanded them: " +
+          count + ".",
+      {{"event", "machines_blocked"}, {"machines", count}});
+}
+
 void JobManager::UpdateReadiness() {
   const bool is_ready =
       !m_is_stopping && m_queue_catalog &&
--- a/src/crocusmast/manager/job_manager.h
+++ b/src/crocusmast/manager/job_manager.h
@@ -112,6 +112,7 @@
   void On(CpuShareReplyReceived&& message);
   void On(upkeep::MachineListReceived&& list);
   void On(upkeep::MachineCommandReply&& reply);
+  void On(job::CommitReply&& reply);
   template <typename Content>
   void On(Content&& content);
 
@@ -122,6 +123,7 @@
   void BeginResignation();
   void FinishResignation();
   void ManageMachines();
+  void LogBlockedMachines() const;
   void UpdateReadiness();
   void RemoveFinishedJobs();
   void Log(core::Severity severity,
--- a/src/crocusmast/scheduling/committer.cc
+++ b/src/crocusmast/scheduling/committer.cc
@@ -71,6 +71,9 @@
   m_handover.reset();
   m_in_flight_handover.reset();
   m_stored_handover.reset();
+  m_commanded_machines.reset();
+  m_in_flight_commanded_machines.reset();
+  m_stored_commanded_machines.reset();
 }
 
 void Committer::AddStoredBatch(const job::BatchId& batch) {
@@ -113,8 +116,17 @@
   return std::exchange(m_stored_handover, std::nullopt);
 }
 
+void Committer::SetCommandedMachines(job::CommandedMachines machines) {
+  m_commanded_machines = std::move(machines);
+}
+
+std::optional<job::CommandedMachines> Committer::TakeStoredCommandedMachines() {
+  return std::exchange(m_stored_commanded_machines, std::nullopt);
+}
+
 bool Committer::IsCommitDue() const {
-  return !m_changed.empty() || !m_pending_ends.empty() || m_handover;
+  return !m_changed.empty() || !m_pending_ends.empty() || m_handover ||
+         m_commanded_machines;
 }
 
 std::optional<job::Commit> Committer::NextCommit(core::FencingToken token,
@@ -147,6 +159,9 @@
   EmptyBatches(now, read, kMaxCommitEntries - entries, commit);
   m_in_flight_handover = std::exchange(m_handover, std::nullopt);
   commit.handover = m_in_flight_handover;
+  m_in_flight_commanded_machines =
+      std::exchange(m_commanded_machines, std::nullopt);
+  commit.commanded_machines = m_in_flight_commanded_machines;
   m_is_in_flight = true;
   return commit;
 }
@@ -218,6 +233,8 @@
     m_next_at = now + DelayAfterCommit();
     m_last_commit = reply.revision;
     m_stored_handover = std::exchange(m_in_flight_handover, std::nullopt);
+    m_stored_commanded_machines =
+        std::exchange(m_in_flight_commanded_machines, std::nullopt);
     HandleBatchesStored(now);
     for (const auto& [id, job] : std::exchange(m_in_flight, {})) {
       on_stored(id, job.state);
@@ -288,6 +305,10 @@
     m_handover = std::move(m_in_flight_handover);
   }
   m_in_flight_handover.reset();
+  if (!m_commanded_machines) {
+    m_commanded_machines = std::move(m_in_flight_commanded_machines);
+  }
+  m_in_flight_commanded_machines.reset();
 }
 
 }  // namespace crocusmast::scheduling
--- a/src/crocusmast/scheduling/committer.h
+++ b/src/crocusmast/scheduling/committer.h
@@ -20,11 +20,11 @@
 /**
  * @brief The most entries that the jobs of one commit may use.
  *
- * The store accepts 32 conditions, writes and deletions per transaction. Four
+ * The store accepts 32 conditions, writes and deletions per transaction. Five
  * are reserved: the claim, the last commit's revision as condition and write,
- * and the handover state.
+ * the handover state, and the commanded machines.
  */
-inline constexpr std::size_t kMaxCommitEntries = 28;
+inline constexpr std::size_t kMaxCommitEntries = 27;
 /** @brief Estimated size of the largest batch. The store accepts values of
  * 1 MiB and delivers as much in one reply; each entry instance receives each
  * batch, some on a link of 20 Mbit/s, which takes 35 ms for this. */
@@ -135,6 +135,16 @@
    * once; empty if that commit had none. */
   std::optional<job::HandoverState> TakeStoredHandover();
 
+  /**
+   * @brief Sets the commanded machines that the next commit stores.
+   * @param machines The machines.
+   */
+  void SetCommandedMachines(job::CommandedMachines machines);
+
+  /** @brief Returns the commanded machines of the commit that was stored last,
+   * once; empty if that commit had none. */
+  std::optional<job::CommandedMachines> TakeStoredCommandedMachines();
+
   /**
    * @brief Creates the next commit, if changes are pending and one is due.
    * @param token The fencing token of the leader.
@@ -253,6 +263,9 @@
   std::optional<job::HandoverState> m_handover;
   std::optional<job::HandoverState> m_in_flight_handover;
   std::optional<job::HandoverState> m_stored_handover;
+  std::optional<job::CommandedMachines> m_commanded_machines;
+  std::optional<job::CommandedMachines> m_in_flight_commanded_machines;
+  std::optional<job::CommandedMachines> m_stored_commanded_machines;
 };
 
 }  // namespace crocusmast::scheduling
--- a/src/crocusmast/scheduling/scheduler.h
+++ b/src/crocusmast/scheduling/scheduler.h
@@ -125,6 +125,15 @@
    */
   void SetFleetHandover(job::FleetHandover handover);
 
+  /** @brief Sets the commanded machines that the next commit stores. */
+  void SetCommandedMachines(job::CommandedMachines machines) {
+    m_committer.SetCommandedMachines(std::move(machines));
+  }
+  /** @brief Returns the record that was stored last, once. */
+  std::optional<job::CommandedMachines> TakeStoredCommandedMachines() {
+    return m_committer.TakeStoredCommandedMachines();
+  }
+
   /**
    * @brief Sets how much of a pool late and expired jobs may fill, in place of
    * the last limits.
--- a/src/crocusmast/scheduling/scheduler_workers.cc
+++ b/src/crocusmast/scheduling/scheduler_workers.cc
@@ -147,6 +147,7 @@
         std::max(until - now, core::Duration::zero()));
   };
   job::HandoverState handover;
+  handover.leader = m_term.token;
   handover.fleet = m_fleet_handover;
   handover.has_current_placements = m_outdated_placements.empty();
   for (const auto& [id, worker] : m_workers) {
--- a/src/crocusmast/upkeep/cooldown_machine_port.h
+++ b/src/crocusmast/upkeep/cooldown_machine_port.h
@@ -1,12 +1,12 @@
 #ifndef CROCUSMAST_UPKEEP_COOLDOWN_MACHINE_PORT_H_
 #define CROCUSMAST_UPKEEP_COOLDOWN_MACHINE_PORT_H_
 
-#include <map>
 #include <optional>
 #include <vector>
 
 #include "crocusmast/core/clock.h"
 #include "crocusmast/job/job_store.h"
+#include "crocusmast/upkeep/command_record.h"
 #include "crocusmast/upkeep/machine_port.h"
 
 namespace crocusmast::upkeep {
@@ -15,9 +15,9 @@
  * @brief Machine port that enforces a cooldown between the commands of two
  * successive leaders to the same machine.
  *
- * A leader that hands over stores which machines it has commanded recently.
- * If a term ends without a handover, any machine may have been commanded
- * immediately before the end, so the cooldown applies to all machines.
+ * A leader that hands over stores which machines it has commanded recently. If
+ * a term ends without a handover, the cooldown applies to the machines of the
+ * leader's CommandRecord, or to all machines if there is none.
  */
 class CooldownMachinePort final : public MachinePort {
  public:
@@ -31,15 +31,17 @@
   CooldownMachinePort(MachinePort& port,
                       const core::Clock& clock,
                       std::chrono::milliseconds cooldown)
-      : m_port(port), m_clock(clock), m_cooldown(cooldown) {}
+      : m_port(port), m_clock(clock), m_record(cooldown) {}
 
   /**
    * @brief Starts a leadership term.
-   * @param cooldowns Remaining cooldowns handed over by the earlier
-   * leader; empty if they are unknown.
+   * @param token Fencing token of the term.
+   * @param stored State that the earlier leader stored.
    */
-  void BeginTerm(
-      const std::optional<std::vector<job::MachineCooldown>>& cooldowns);
+  void BeginTerm(core::FencingToken token, const job::StoredHandover& stored);
+
+  /** @brief Ends the term and disables commands. */
+  void EndTerm();
 
   /**
    * @brief Enables commands; to be called once the handover state of this term
@@ -56,13 +58,56 @@
    * @param machine Machine to check.
    * @return False during the machine's cooldown, and before EnableCommands().
    */
-  bool MayCommand(const core::MachineId& machine) const;
+  bool MayCommand(const core::MachineId& machine) const {
+    return m_is_enabled && !m_record.IsBlocked(machine, m_clock.Now());
+  }
+
+  /** @brief Returns the number of machines in cooldown after commands of
+   * earlier leaders; absent if all are. */
+  std::optional<std::size_t> CountBlocked() const {
+    return m_record.CountBlocked(m_clock.Now());
+  }
+
+  /**
+   * @brief Announces a command to a machine; to be repeated until the command
+   * is sent.
+   * @param machine Machine to command.
+   * @return True once the announcement is stored, so that the command may be
+   * sent.
+   */
+  bool Announce(const core::MachineId& machine) {
+    return m_record.Announce(machine, m_clock.Now());
+  }
+
+  /** @brief Returns the record of commanded machines to store, if a new one is
+   * due. */
+  std::optional<job::CommandedMachines> NextRecord() {
+    return m_record.NextRecord(m_clock.Now());
+  }
+
+  /**
+   * @brief Handles the confirmation that a record is stored.
+   * @param record The record.
+   */
+  void HandleStored(const job::CommandedMachines& record) {
+    m_record.HandleStored(record);
+  }
+
+  /**
+   * @brief Handles the reply to a command.
+   * @param reply The reply.
+   */
+  void Handle(const MachineCommandReply& reply) {
+    m_record.AddReply(reply, m_clock.Now());
+  }
 
   /**
    * @brief Returns the machines that a successor must not command yet, with the
    * remaining times.
    */
-  std::vector<job::MachineCooldown> RemainingCooldowns() const;
+  std::vector<job::MachineCooldown> RemainingCooldowns() const {
+    return m_record.RemainingCooldowns(m_clock.Now());
+  }
 
   /** @brief Returns when the list of machines was requested last. */
   core::TimePoint ListRequestedAt() const { return m_list_requested_at; }
@@ -86,18 +131,9 @@
  private:
   MachinePort& m_port;
   const core::Clock& m_clock;
-  const std::chrono::milliseconds m_cooldown;
   bool m_is_enabled = false;
   core::TimePoint m_list_requested_at;
-  /** @brief Time before which no machine may be commanded. */
-  core::TimePoint m_all_allowed_from;
-  /**
-   * @brief Times before which machines commanded by the earlier leader may not
-   * be commanded.
-   */
-  std::map<core::MachineId, core::TimePoint> m_allowed_from;
-  /** @brief Time of this leader's last command to each machine. */
-  std::map<core::MachineId, core::TimePoint> m_last_command_at;
+  CommandRecord m_record;
 };
 
 }  // namespace crocusmast::upkeep
--- a/src/crocusmast/upkeep/upkeep_controller.cc
+++ b/src/crocusmast/upkeep/upkeep_controller.cc
@@ -232,7 +232,8 @@
                                          const core::MachineId& machine) {
   const core::TimePoint now = m_ports.clock.Now();
   core::TimePoint& next_command_at = m_next_command_at[machine];
-  if (now < next_command_at || !m_ports.machines.MayCommand(machine)) {
+  if (now < next_command_at || !m_ports.machines.MayCommand(machine) ||
+      !m_ports.machines.Announce(machine)) {
     return;
   }
   next_command_at = now + kCommandRetryInterval;
--- a/test/adapters/job_records_test.cc
+++ b/test/adapters/job_records_test.cc
@@ -26,6 +26,7 @@
   CPPUNIT_TEST(BatchRoundTrips);
   CPPUNIT_TEST(DamagedBatchEntryLosesItselfAlone);
   CPPUNIT_TEST(HandoverStateAndHolderRoundTrip);
+  CPPUNIT_TEST(CommandedMachinesRoundTrip);
   CPPUNIT_TEST(DamagedBytesGiveJobOrError);
   CPPUNIT_TEST_SUITE_END();
 
@@ -252,6 +253,34 @@
         records::DecodeHolder(records::EncodeHolder(holder)).value() == holder);
   }
 
+  void CommandedMachinesRoundTrip() {
+    job::HandoverState handover;
+    handover.leader = core::FencingToken(7);
+    CPPUNIT_ASSERT(
+        records::DecodeHandoverState(records::EncodeHandoverState(handover))
+            .value()
+            .leader == handover.leader);
+    job::CommandedMachines machines;
+    machines.leader = core::FencingToken(7);
+    machines.open = {MakeId<core::MachineId>("m-1"),
+                     MakeId<core::MachineId>("m-2")};
+    machines.answered = {
+        {MakeId<core::MachineId>("m-3"), std::chrono::milliseconds(2500)}};
+    machines.may_include_others = true;
+    const job::CommandedMachines decoded =
+        records::DecodeCommandedMachines(
+            records::EncodeCommandedMachines(machines))
+            .value();
+    CPPUNIT_ASSERT(decoded.leader == machines.leader);
+    CPPUNIT_ASSERT(decoded.open == machines.open);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, decoded.answered.size());
+    CPPUNIT_ASSERT(decoded.answered[0].machine == machines.answered[0].machine);
+    CPPUNIT_ASSERT(decoded.answered[0].cooldown_remaining ==
+                   machines.answered[0].cooldown_remaining);
+    CPPUNIT_ASSERT(decoded.may_include_others);
+    CPPUNIT_ASSERT(!records::DecodeCommandedMachines("damaged"));
+  }
+
   // Truncates a record and overwrites bytes of it at random: decoding must give
   // a job or an error, never an exception or a crash.
   void DamagedBytesGiveJobOrError() {
--- a/test/capacity/balancer_test.cc
+++ b/test/capacity/balancer_test.cc
@@ -5,6 +5,7 @@
 #include <map>
 #include <set>
 
+#include "test/support/command_record_support.h"
 #include "test/support/fake_clock.h"
 #include "test/support/mocks.h"
 #include "test/support/port_fakes.h"
@@ -111,7 +112,7 @@
  public:
   void setUp() override {
     m_clock.Advance(std::chrono::seconds(100));
-    m_machine_port.BeginTerm(std::nullopt);
+    m_machine_port.BeginTerm(core::FencingToken(5), {});
     m_machine_port.EnableCommands();
     m_balancer.BeginTerm(core::FencingToken(5), {});
   }
@@ -316,6 +317,8 @@
       m_balancer.RunCycle(m_is_lease_valid, [this](const core::MachineId&) {
         return m_all_reserved;
       });
+      test::StoreAnnouncements(m_machine_port);
+      m_balancer.RequestAnnouncedMoves(m_is_lease_valid);
       if (std::exchange(m_fleet.is_list_requested, false)) {
         upkeep::MachineListReceived list;
         list.is_known = true;
--- a/test/capacity/fleet_model.h
+++ b/test/capacity/fleet_model.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -14,9 +15,10 @@
 #include "crocusmast/capacity/demand_estimator.h"
 #include "crocusmast/scheduling/job_order.h"
 #include "crocusmast/scheduling/start_limits.h"
-#include "crocusmast/upkeep/cooldown_machine_port.h"
 #include "test/capacity/fleet_result.h"
+#include "test/capacity/fleet_settings.h"
 #include "test/capacity/leader_view.h"
+#include "test/capacity/model_leader.h"
 #include "test/capacity/turn_traffic.h"
 #include "test/support/factories.h"
 #include "test/support/fake_clock.h"
@@ -39,13 +41,7 @@
                          public upkeep::WorkerDrainPort,
                          public capacity::PoolLoadSource {
  public:
-  struct Settings {
-    TurnTrafficSettings traffic;
-    /** @brief Machines that are off at the beginning. */
-    std::size_t standby_machines = 0;
-    /** @brief Whether machines change their pools. */
-    bool has_balancer = true;
-  };
+  using Settings = FleetSettings;
 
   /**
    * @brief Returns the mean of several plays.
@@ -54,15 +50,8 @@
    */
   static FleetResult Mean(unsigned seeds, const Settings& settings) {
     FleetResult mean;
-    mean.served.resize(settings.traffic.pools.size());
     for (unsigned seed = 1; seed <= seeds; ++seed) {
-      const FleetResult result = FleetModel(seed, settings).Play();
-      for (std::size_t pool = 0; pool < settings.traffic.pools.size(); ++pool) {
-        mean.served[pool] += result.served[pool] / seeds;
-      }
-      mean.machine_seconds += result.machine_seconds / seeds;
-      mean.moves += result.moves / seeds;
-      mean.unused_moves += result.unused_moves / seeds;
+      mean.Add(FleetModel(seed, settings).Play(), 1.0 / seeds);
     }
     return mean;
   }
@@ -163,13 +152,26 @@
     m_job_count.resize(m_settings.traffic.pools.size());
     m_result.served.resize(m_settings.traffic.pools.size());
     m_began_at = m_clock.Now();
-    m_machine_port.BeginTerm(std::vector<crocusmast::job::MachineCooldown>());
-    m_machine_port.EnableCommands();
-    m_balancer.BeginTerm(core::FencingToken(1), {});
+    m_balancer.BeginTerm(m_leader.Token(), {});
+  }
+
+  void ChangeLeader() {
+    m_leader.Change(m_settings.are_changes_planned);
+    m_demand.Clear();
+    for (Machine& machine : m_machines) {
+      machine.is_drained = false;
+    }
+    m_balancer.BeginTerm(m_leader.Token(), m_balancer.PoolSizes());
   }
 
   FleetResult Play() {
+    std::size_t changes = 0;
     while (Seconds() < kPlaySeconds) {
+      if (changes < m_settings.leader_changes.size() &&
+          m_settings.leader_changes[changes] <= Seconds()) {
+        ++changes;
+        ChangeLeader();
+      }
       EndRuns();
       AddArrivals();
       for (std::size_t pool = 0; pool < m_settings.traffic.pools.size();
@@ -178,6 +180,8 @@
       }
       if (m_settings.has_balancer) {
         m_balancer.RunCycle(true, [](const core::MachineId&) { return false; });
+        m_leader.Store();
+        m_balancer.RequestAnnouncedMoves(true);
       }
       AnswerBalancer();
       for (const Machine& machine : m_machines) {
@@ -337,8 +341,10 @@
       m_balancer.Handle(list);
     }
     for (const core::MachineId& id : std::exchange(m_commands, {})) {
-      m_balancer.Handle(upkeep::MachineCommandReply{
-          id, upkeep::MachineCommandOutcome::kDone});
+      const upkeep::MachineCommandReply reply{
+          id, upkeep::MachineCommandOutcome::kDone, std::nullopt};
+      m_leader.Port().Handle(reply);
+      m_balancer.Handle(reply);
     }
   }
 
@@ -380,10 +386,9 @@
   bool m_is_list_requested = false;
   std::vector<core::MachineId> m_commands;
   FleetResult m_result;
-  upkeep::CooldownMachinePort m_machine_port{*this, m_clock,
-                                             std::chrono::milliseconds(0)};
+  ModelLeader m_leader{*this, m_clock};
   capacity::Balancer m_balancer{
-      {m_machine_port, *this, *this, m_clock, m_logger}};
+      {m_leader.Port(), *this, *this, m_clock, m_logger}};
 };
 
 }  // namespace test
--- a/test/capacity/fleet_result.h
+++ b/test/capacity/fleet_result.h
@@ -2,6 +2,7 @@
 #define TEST_CAPACITY_FLEET_RESULT_H_
 
 #include <algorithm>
+#include <cstddef>
 #include <ostream>
 #include <vector>
 
@@ -17,6 +18,17 @@
   /** @brief Moves of machines that have run nothing since their last move. */
   double unused_moves = 0;
 
+  /** @brief Adds a play that counts for a part of the mean. */
+  void Add(const FleetResult& play, double weight) {
+    served.resize(play.served.size());
+    for (std::size_t pool = 0; pool < served.size(); ++pool) {
+      served[pool] += play.served[pool] * weight;
+    }
+    machine_seconds += play.machine_seconds * weight;
+    moves += play.moves * weight;
+    unused_moves += play.unused_moves * weight;
+  }
+
   double LeastServed() const {
     return *std::min_element(served.begin(), served.end());
   }
--- a/test/capacity/turn_service_test.cc
+++ b/test/capacity/turn_service_test.cc
@@ -41,6 +41,7 @@
   CPPUNIT_TEST_SUITE(TurnServiceTest);
   CPPUNIT_TEST(EachPoolIsServedInItsTurn);
   CPPUNIT_TEST(NoPoolLosesByLendingInHeavyTurns);
+  CPPUNIT_TEST(EachPoolIsServedIfALeaderIsLostInItsTurn);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -63,6 +64,23 @@
           lending.served[pool] > alone.served[pool] - kNoise);
     }
   }
+
+  // Issue 54, SHORT: the successor of a lost leader moved no machine for most
+  // of a turn, whereas that of one that resigned did.
+  void EachPoolIsServedIfALeaderIsLostInItsTurn() {
+    FleetModel::Settings settings = MakeSettings();
+    settings.traffic.turn_factor = 6;
+    settings.leader_changes = {0.2,  5.2,  10.2, 15.2, 20.2,
+                               25.2, 30.2, 35.2, 40.2};
+    settings.are_changes_planned = true;
+    const FleetResult planned = Play("leaders resign", settings);
+    settings.are_changes_planned = false;
+    const FleetResult lost = Play("leaders are lost", settings);
+    for (std::size_t pool = 0; pool < settings.traffic.pools.size(); ++pool) {
+      CPPUNIT_ASSERT_MESSAGE("pool " + std::to_string(pool),
+                             lost.served[pool] > planned.served[pool] - kNoise);
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(TurnServiceTest, "capacity");
--- a/test/manager/leader_fixture.h
+++ b/test/manager/leader_fixture.h
@@ -205,6 +205,9 @@
       m_state.stored.handover = *commit.handover;
       m_state.stored.revision = m_state.stored.last_commit;
     }
+    if (commit.commanded_machines) {
+      m_state.stored.commanded_machines = commit.commanded_machines;
+    }
   }
 
   FakeClock& m_clock;
--- a/test/manager/moved_machine_test.cc
+++ b/test/manager/moved_machine_test.cc
@@ -13,11 +13,12 @@
 using test::LeaderFixture;
 using test::MakeId;
 
-/** @brief Machines that are moved by a leader. */
+/** @brief Machines that are moved by a leader and by its successor. */
 class MovedMachineTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(MovedMachineTest);
   CPPUNIT_TEST(NoTaskIsPlacedOnAWorkerWhoseMachineHasMoved);
   CPPUNIT_TEST(WorkersOfRejectedMovesAreUsedAgain);
+  CPPUNIT_TEST(MachinesAreMovedSoonAfterALeaderIsLost);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -60,7 +61,23 @@
     CPPUNIT_ASSERT_EQUAL(m_machines.machines.size(), used.size());
   }
 
+  // Issue 54, SHORT: after a leader was lost its successor moved no machine for
+  // the longest time that the commands of two leaders must be apart.
+  void MachinesAreMovedSoonAfterALeaderIsLost() {
+    BeginTermAndLoseLeader();
+    LeaderFixture successor(m_clock, m_machines, m_state);
+    successor.RunFor(capacity::kIdleTimeBeforeReturn + milliseconds(500));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_machines.moved.size());
+  }
+
  private:
+  /** @brief Lets a leader store its state, without a command to a machine. */
+  void BeginTermAndLoseLeader() {
+    LeaderFixture leader(m_clock, m_machines, m_state);
+    leader.RunFor(milliseconds(500));
+    CPPUNIT_ASSERT(m_machines.moved.empty());
+  }
+
   bool HasMachine(const core::InstanceId& worker) const {
     return std::any_of(m_machines.machines.begin(), m_machines.machines.end(),
                        [&worker](const upkeep::Machine& machine) {
--- a/test/scheduling/committer_test.cc
+++ b/test/scheduling/committer_test.cc
@@ -35,6 +35,7 @@
   CPPUNIT_TEST(FailedCommitKeepsChangeOrder);
   CPPUNIT_TEST(DeposedLeaderIsDetected);
   CPPUNIT_TEST(RunEndsAreRecordedOnlyWithAllOlderChanges);
+  CPPUNIT_TEST(CommandedMachinesAreStoredAfterAFailure);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -69,6 +70,26 @@
         });
   }
 
+  // A leader that took a record for stored would command machines of which its
+  // successor doesn't know.
+  void CommandedMachinesAreStoredAfterAFailure() {
+    job::CommandedMachines machines;
+    machines.leader = core::FencingToken(5);
+    machines.open = {MakeId<core::MachineId>("m-1")};
+    committer.SetCommandedMachines(machines);
+    const job::Commit failed = *NextCommit();
+    CPPUNIT_ASSERT(failed.commanded_machines);
+    HandleReply(failed, StoreOutcome::kUnknown);
+    CPPUNIT_ASSERT(!committer.TakeStoredCommandedMachines());
+    const job::Commit repeated = *NextCommit();
+    CPPUNIT_ASSERT(repeated.commanded_machines);
+    CPPUNIT_ASSERT(repeated.commanded_machines->open == machines.open);
+    HandleReply(repeated, StoreOutcome::kDone, 8);
+    const auto stored = committer.TakeStoredCommandedMachines();
+    CPPUNIT_ASSERT(stored && stored->open == machines.open);
+    CPPUNIT_ASSERT(!committer.TakeStoredCommandedMachines());
+  }
+
   void CommitFitsIntoOneStoreTransaction() {
     for (int number = 0; number < 40; ++number) {
       committer.MarkChanged(MakeJobId(number));
--- a/test/upkeep/overlapping_waves_test.cc
+++ b/test/upkeep/overlapping_waves_test.cc
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "crocusmast/upkeep/upkeep_controller.h"
+#include "test/support/command_record_support.h"
 #include "test/support/fake_clock.h"
 #include "test/support/mocks.h"
 #include "test/support/port_fakes.h"
@@ -176,7 +177,8 @@
  private:
   void BeginTerm(std::uint64_t token,
                  const std::vector<job::WaveProgress>& progress) {
-    m_cooldown_port.BeginTerm(std::vector<job::MachineCooldown>());
+    m_cooldown_port.BeginTerm(core::FencingToken(token),
+                              test::MakeResignedState());
     m_cooldown_port.EnableCommands();
     m_upkeep.BeginTerm(core::FencingToken(token), progress);
   }
@@ -214,6 +216,7 @@
     while (m_clock.Now() < end) {
       m_machines.FinishMaintenance();
       m_upkeep.RunCycle(true, [](const core::MachineId&) { return false; });
+      test::StoreAnnouncements(m_cooldown_port);
       if (std::exchange(m_machines.is_list_requested, false)) {
         upkeep::MachineListReceived list;
         list.is_known = true;
--- a/test/upkeep/upkeep_controller_test.cc
+++ b/test/upkeep/upkeep_controller_test.cc
@@ -4,6 +4,7 @@
 
 #include <set>
 
+#include "test/support/command_record_support.h"
 #include "test/support/fake_clock.h"
 #include "test/support/mocks.h"
 #include "test/support/port_fakes.h"
@@ -125,7 +126,7 @@
  public:
   void setUp() override {
     m_clock.Advance(std::chrono::seconds(100));
-    m_cooldown_port.BeginTerm(std::nullopt);
+    m_cooldown_port.BeginTerm(core::FencingToken(9), {});
     m_cooldown_port.EnableCommands();
     m_upkeep.BeginTerm(core::FencingToken(9), {});
     upkeep::WaveRequest wave;
@@ -150,7 +151,7 @@
   // A list that was requested before the take-down commands still shows every
   // machine as up.
   void StaleListDoesNotMarkMachinesAsReturned() {
-    m_cooldown_port.BeginTerm(std::nullopt);
+    m_cooldown_port.BeginTerm(core::FencingToken(11), {});
     m_cooldown_port.EnableCommands();
     m_upkeep.BeginTerm(core::FencingToken(11), {});
     m_fake_machines.is_list_requested = true;
@@ -159,6 +160,7 @@
     m_clock.Advance(std::chrono::seconds(4));
     for (int count = 0; count < 10; ++count) {
       m_upkeep.RunCycle(true, kNoMachineMoving);
+      test::StoreAnnouncements(m_cooldown_port);
       while (m_reply_count < m_fake_machines.take_downs.size()) {
         const core::MachineId id = m_fake_machines.take_downs[m_reply_count++];
         m_fake_machines.ExecuteTakeDown(id);
@@ -195,16 +197,20 @@
   void NoCommandWithoutValidLeaseOrDuringCooldown() {
     for (int count = 0; count < 100; ++count) {
       m_upkeep.RunCycle(false, kNoMachineMoving);
+      test::StoreAnnouncements(m_cooldown_port);
       DeliverList();
       m_clock.Advance(std::chrono::milliseconds(100));
     }
     CPPUNIT_ASSERT(m_fake_machines.take_downs.empty());
-    m_cooldown_port.BeginTerm(std::nullopt);
+    m_cooldown_port.BeginTerm(core::FencingToken(10), {});
     m_cooldown_port.EnableCommands();
     m_upkeep.BeginTerm(core::FencingToken(10), {});
     m_upkeep.RunCycle(true, kNoMachineMoving);
     DeliverList();
-    m_upkeep.RunCycle(true, kNoMachineMoving);
+    for (int count = 0; count < 3; ++count) {
+      m_upkeep.RunCycle(true, kNoMachineMoving);
+      test::StoreAnnouncements(m_cooldown_port);
+    }
     // The earlier leader may have sent a command immediately before its term
     // ended.
     CPPUNIT_ASSERT(m_fake_machines.take_downs.empty());
@@ -215,7 +221,7 @@
     const std::size_t take_down_count = m_fake_machines.take_downs.size();
     CPPUNIT_ASSERT(take_down_count > 0);
     const std::vector<job::WaveProgress> progress = m_upkeep.Progress();
-    m_cooldown_port.BeginTerm(std::nullopt);
+    m_cooldown_port.BeginTerm(core::FencingToken(10), {});
     m_cooldown_port.EnableCommands();
     m_upkeep.BeginTerm(core::FencingToken(10), progress);
     RunFor(std::chrono::seconds(40), [](std::size_t) { return true; });
@@ -231,7 +237,7 @@
   void WaveAgeSurvivesANewTerm() {
     m_fake_machines.usage.finite_runs = 1;
     m_clock.Advance(std::chrono::seconds(18));
-    m_cooldown_port.BeginTerm(std::nullopt);
+    m_cooldown_port.BeginTerm(core::FencingToken(10), {});
     m_cooldown_port.EnableCommands();
     m_upkeep.BeginTerm(core::FencingToken(10), {});
     RunFor(std::chrono::seconds(5), [](std::size_t) { return true; });
@@ -264,6 +270,7 @@
     while (m_clock.Now() < end) {
       m_fake_machines.FinishMaintenance();
       m_upkeep.RunCycle(true, kNoMachineMoving);
+      test::StoreAnnouncements(m_cooldown_port);
       DeliverList();
       while (m_reply_count < m_fake_machines.take_downs.size()) {
         const core::MachineId id = m_fake_machines.take_downs[m_reply_count];
