Show that a worker listed after its machine has moved is used

IsConfirmedIdle() is true of a worker that the leader doesn't know, so its machine counts as idle, and DrainWorker() does nothing.

--- a/test/manager/leader_fixture.h
+++ b/test/manager/leader_fixture.h
@@ -29,8 +29,8 @@
    * and so on.
    * @param count Number of machines.
    */
-  explicit FakeMachines(int count) {
-    for (int number = 1; number <= count; ++number) {
+  explicit FakeMachines(std::size_t count) {
+    for (std::size_t number = 1; number <= count; ++number) {
       const std::string suffix = std::to_string(number);
       machines.push_back({MakeId<core::MachineId>("m-" + suffix), kPool,
                           upkeep::MachineState::kUp,
@@ -87,8 +87,13 @@
    * @param machines The machines.
    * @param state What the earlier leader stored; the commits of this one are
    * added.
+   * @param listed_workers Number of workers that the store lists, of the first
+   * machines.
    */
-  LeaderFixture(FakeClock& clock, FakeMachines& machines, LeaderState& state)
+  LeaderFixture(FakeClock& clock,
+                FakeMachines& machines,
+                LeaderState& state,
+                std::size_t listed_workers)
       : m_clock(clock), m_machines(machines), m_state(state) {
     m_manager.Handle(manager::QueueCatalogLoaded{
         std::make_shared<queue::QueueCatalog>(MakeCatalog())});
@@ -105,9 +110,13 @@
         m_clock.Now(),
         m_state.stored});
     m_manager.OnRingEmpty();
+    ListWorkers(listed_workers);
+  }
+
+  /** @brief Handles a list of the workers of the first machines. */
+  void ListWorkers(std::size_t count) {
     scheduling::WorkerListReceived list;
-    for (std::size_t number = 1; number <= m_machines.machines.size();
-         ++number) {
+    for (std::size_t number = 1; number <= count; ++number) {
       list.workers.push_back(MakeWorker("w-" + std::to_string(number)));
     }
     m_manager.Handle(std::move(list));
--- a/test/manager/moved_machine_test.cc
+++ b/test/manager/moved_machine_test.cc
@@ -13,10 +13,13 @@
 using test::LeaderFixture;
 using test::MakeId;
 
+constexpr std::size_t kMachines = 4;
+
 /** @brief Machines that are moved by a leader and by its successor. */
 class MovedMachineTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(MovedMachineTest);
   CPPUNIT_TEST(NoTaskIsPlacedOnAWorkerWhoseMachineHasMoved);
+  CPPUNIT_TEST(NoTaskIsPlacedOnAWorkerThatIsListedAfterTheMove);
   CPPUNIT_TEST(WorkersOfRejectedMovesAreUsedAgain);
   CPPUNIT_TEST(MachinesAreMovedSoonAfterALeaderIsLost);
   CPPUNIT_TEST_SUITE_END();
@@ -33,23 +36,27 @@
   // that the store still listed was used again, so that tasks were sent to
   // workers that were gone, and their cores counted as spare.
   void NoTaskIsPlacedOnAWorkerWhoseMachineHasMoved() {
-    LeaderFixture leader(m_clock, m_machines, m_state);
+    LeaderFixture leader(m_clock, m_machines, m_state, kMachines);
     leader.RunFor(std::chrono::seconds(4));
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_machines.moved.size());
-    leader.AddJob(16);
-    leader.RunFor(milliseconds(500));
-    CPPUNIT_ASSERT(!leader.workers.starts.empty());
-    for (const execution::StartCommand& start : leader.workers.starts) {
-      CPPUNIT_ASSERT_MESSAGE(start.to.worker.Text(),
-                             HasMachine(start.to.worker));
-    }
+    ExpectStartsOnMachines(leader);
+  }
+
+  // Issue 54: a worker that the store lists only after its machine was moved,
+  // since the store was slow, was used.
+  void NoTaskIsPlacedOnAWorkerThatIsListedAfterTheMove() {
+    LeaderFixture leader(m_clock, m_machines, m_state, kMachines - 2);
+    leader.RunFor(std::chrono::seconds(4));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_machines.moved.size());
+    leader.ListWorkers(kMachines);
+    ExpectStartsOnMachines(leader);
   }
 
   // Guards against workers that stay out of use because their machines were not
   // moved.
   void WorkersOfRejectedMovesAreUsedAgain() {
     m_machines.outcome = upkeep::MachineCommandOutcome::kRefused;
-    LeaderFixture leader(m_clock, m_machines, m_state);
+    LeaderFixture leader(m_clock, m_machines, m_state, kMachines);
     leader.RunFor(std::chrono::seconds(4));
     CPPUNIT_ASSERT(!m_machines.moved.empty());
     leader.AddJob(16);
@@ -65,7 +72,7 @@
   // the longest time that the commands of two leaders must be apart.
   void MachinesAreMovedSoonAfterALeaderIsLost() {
     BeginTermAndLoseLeader();
-    LeaderFixture successor(m_clock, m_machines, m_state);
+    LeaderFixture successor(m_clock, m_machines, m_state, kMachines);
     successor.RunFor(capacity::kIdleTimeBeforeReturn + milliseconds(500));
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_machines.moved.size());
   }
@@ -73,11 +80,21 @@
  private:
   /** @brief Lets a leader store its state, without a command to a machine. */
   void BeginTermAndLoseLeader() {
-    LeaderFixture leader(m_clock, m_machines, m_state);
+    LeaderFixture leader(m_clock, m_machines, m_state, kMachines);
     leader.RunFor(milliseconds(500));
     CPPUNIT_ASSERT(m_machines.moved.empty());
   }
 
+  void ExpectStartsOnMachines(LeaderFixture& leader) {
+    leader.AddJob(16);
+    leader.RunFor(milliseconds(500));
+    CPPUNIT_ASSERT(!leader.workers.starts.empty());
+    for (const execution::StartCommand& start : leader.workers.starts) {
+      CPPUNIT_ASSERT_MESSAGE(start.to.worker.Text(),
+                             HasMachine(start.to.worker));
+    }
+  }
+
   bool HasMachine(const core::InstanceId& worker) const {
     return std::any_of(m_machines.machines.begin(), m_machines.machines.end(),
                        [&worker](const upkeep::Machine& machine) {
@@ -86,7 +103,7 @@
   }
 
   test::FakeClock m_clock;
-  FakeMachines m_machines{4};
+  FakeMachines m_machines{kMachines};
   test::LeaderState m_state;
 };
 
