--- a/review/stand_3.py
+++ b/review/stand_3.py
@@ -160,6 +160,8 @@
 
     def note(self, text):
         """Writes a line with the time since the start of the case."""
+        if self._record.closed:
+            return
         self._record.write("%8.3f %s\n" % (
             time.monotonic() - self._began_at, text))
         self._record.flush()
