Show a late start that runs beside the next attempt

Review case 11: a start that got no response is carried out on the next life of its worker, after its run had ended as failed and while the next attempt runs.

--- a/review/stand_3.py
+++ b/review/stand_3.py
@@ -74,11 +74,23 @@
             transport.abort()
 
     async def _handle(self, request):
-        if getattr(self, "is_dark", False):
+        if getattr(self, "is_dark", False) or self._simulation.delays(
+                self, request):
             await asyncio.sleep(LOST_SECONDS)
             return None
         return await super()._handle(request)
 
+    async def execute_late(self, request):
+        """Executes an order that got no response."""
+        try:
+            await self._execute(request)
+        except http_server.Reply:
+            pass  # rejected
+
+    def close(self):
+        """Closes the port of a dark worker for its next life."""
+        self._server.close()
+
     def go_dark(self):
         """Ends everything that runs; connections hang instead of breaking."""
         self.is_dark = True
@@ -112,8 +124,39 @@
         self.started = {}  # task -> [(time, worker, attempt)]
         self.ended = {}    # task -> [(time, worker, attempt, how)]
         self.seconds = {}  # job -> seconds of work of each of its tasks
+        # (task, attempt) -> seconds after which its next run fails
+        self.failing = {}
+        self.late = {}     # task -> seconds by which its next start is late
+        self.orders = 0    # start and stop orders so far
+
+    def delays(self, worker, request):
+        """Tells whether an order gets no response, and plans it then."""
+        if not request.path.endswith(("run-start", "run-stop")):
+            return False
+        self.orders += 1
+        order = request.json()
+        if request.path.endswith("run-stop") or order["task"] not in self.late:
+            return False
+        seconds = self.late.pop(order["task"])
+        self.record("disruption: the start of %s attempt %d on %s gets no "
+                    "response and is carried out %.1f s later" % (
+                        order["task"], order["attempt"], worker.id, seconds))
+        machine = next(m for m in self.machines.all.values()
+                       if m.worker is worker)
+
+        def execute():
+            life = machine.worker
+            self.record("disruption: the late start of %s attempt %d is "
+                        "carried out on %s, life %d" % (
+                            order["task"], order["attempt"], life.id,
+                            life.incarnation))
+            asyncio.ensure_future(life.execute_late(request))
+        asyncio.get_running_loop().call_later(seconds, execute)
+        return True
 
     def plan_run(self, run):
+        if (run.task, run.attempt) in self.failing:
+            return "failed", self.failing.pop((run.task, run.attempt))
         job, _, step, _ = run.task.split(".")
         seconds = self.seconds.get(job, 1.0)
         if isinstance(seconds, (list, tuple)):
@@ -196,12 +239,13 @@
         await self.until(lambda: self.leader() is not None, 10.0,
                          "no instance leads")
 
-    async def _start_worker(self, machine, number, previous=None):
+    async def _start_worker(self, machine, number, previous=None, cut=""):
         self._lives += 1
         machine.state = "up"
         machine.worker = LocalWorker(
             self.simulation, machine, previous.number if previous else number,
             self._lives)
+        machine.worker.cut = cut
         await machine.worker.start(previous)
 
     def machine_of(self, worker_id):
@@ -222,20 +266,30 @@
         machine.worker = None
         return worker
 
-    async def revive_worker(self, machine, previous):
+    async def revive_worker(self, machine, previous, cut=""):
         """Starts a worker again under the id and the address that it had."""
-        await self._start_worker(machine, previous.number, previous)
+        await self._start_worker(machine, previous.number, previous, cut)
         self.note("disruption: worker %s is back, life %d" % (
             machine.worker.id, machine.worker.incarnation))
 
-    async def flap_worker(self, machine, period_s, seconds):
-        """A worker goes down and up by turns, down first."""
-        end = time.monotonic() + seconds
-        while time.monotonic() < end:
-            previous = self.crash_worker(machine)
-            await asyncio.sleep(period_s / 2)
-            await self.revive_worker(machine, previous)
-            await asyncio.sleep(period_s / 2)
+    async def cut_reborn(self, machine, seconds, crash_s, down_s):
+        """Cuts a worker off from the instances; it starts again behind the cut.
+
+        Connections hang while it is cut off. Its entry in the store is renewed.
+        """
+        worker = machine.worker
+        self.note("disruption: worker %s is cut off for %.1f s" % (
+            worker.id, seconds))
+        worker.cut = "cut"
+        healed_at = time.monotonic() + seconds
+        await asyncio.sleep(crash_s)
+        previous = self.crash_worker(machine, is_dark=True)
+        await asyncio.sleep(down_s)
+        previous.close()
+        await self.revive_worker(machine, previous, cut="cut")
+        await asyncio.sleep(healed_at - time.monotonic())
+        machine.worker.cut = ""
+        self.note("disruption: worker %s is reached again" % machine.worker.id)
 
     async def until(self, condition, seconds, problem):
         """Waits for a condition that the case needs."""
