Show a lasting task that waits anew after each change of leader

Review case 13: the worker of a lasting task is lost for good during a planned restart of the instances; the task starts again only 21 s after the last change of leader.

--- a/review/stand_3.py
+++ b/review/stand_3.py
@@ -146,6 +146,8 @@
 
         def execute():
             life = machine.worker
+            if life is None:
+                return  # it was lost with its worker
             self.record("disruption: the late start of %s attempt %d is "
                         "carried out on %s, life %d" % (
                             order["task"], order["attempt"], life.id,
