Show that a killed leader's start runs beside its successor's

Review case 13: a start that got no response is carried out on the next life of its worker, after its leader was killed, while the successor runs the task on another worker.

--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,4 +1,4 @@
-"""A worker is lost for good while the leaders are restarted one by one."""
+"""A start of a killed leader reaches a later life of a worker."""
 
 import asyncio
 import pathlib
@@ -8,68 +8,59 @@
 HERE = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent))
 
-from stand_3 import ENTRY_SECONDS, run_case  # noqa: E402
+from stand_3 import run_case  # noqa: E402
 
-WORKERS = 9                 # one of them is 0.11 of the service's
-TASKS = 3
+WORKERS = 9             # one of them is 0.11 of the service's
 JOB = "00000000000000a1"
 TASK = JOB + ".0.0.0"
-LATE_SECONDS = 4.0          # 2 to 12 s
-GAP_SECONDS = 2.5           # between two stops
-CALM_SECONDS = 4.0          # before the time that is judged
-STILL_SECONDS = 3.0
-RESTART_SECONDS = 6.0       # from its last run
+LATE_SECONDS = 10.0     # 2 to 12 s
+WORK_SECONDS = 20.0
+KILLED_SECONDS = 3.0    # for_s of the site file
+CUT_AFTER_SECONDS = 5.0
+CUT_SECONDS = 5.5       # for_s of the site file
+CRASH_SECONDS, DOWN_SECONDS = 0.3, 1.0
+UP_SECONDS = 12.0       # that the workers have been up before
+
+
+async def submit_small_jobs(deployment):
+    """Submits jobs of one short task, so that there are other orders."""
+    for number in range(60):
+        await deployment.submit(
+            "q", "%016x" % (0xd000 + number),
+            [{"count": 1, "cpu": 100, "mem_mb": 512, "estimate_ms": 200}], 0.2)
+        await asyncio.sleep(0.05)
 
 
 async def case(deployment, has_trouble):
     """Returns how the rule was broken, or None."""
     simulation = deployment.simulation
     await deployment.start([("kiosk", WORKERS)], [("q", "kiosk")])
+    await asyncio.sleep(UP_SECONDS - 5.0)
+    await submit_small_jobs(deployment)
     if has_trouble:
         simulation.late[TASK] = LATE_SECONDS
-    await deployment.submit("q", JOB, [
-        {"count": TASKS, "cpu": 16000, "mem_mb": 1024, "estimate_ms": 500,
-         "long_running": True}], 1.0)
-    await deployment.until(lambda: len(simulation.running()) == TASKS, 5.0,
-                           "the tasks do not start")
-    await asyncio.sleep(3.0)
-    restarts = []
+    await deployment.submit(
+        "q", JOB, [{"count": 1, "cpu": 2000, "mem_mb": 512,
+                    "estimate_ms": int(WORK_SECONDS * 1000)}], WORK_SECONDS)
     if has_trouble:
-        worker = deployment.crash_worker(
-            deployment.machine_of(simulation.started[TASK][-1][1]),
-            is_dark=True)
-        asyncio.get_running_loop().call_later(
-            ENTRY_SECONDS, simulation.store.remove, "servers/" + worker.id)
-        for _ in deployment.daemons:
-            leader = deployment.leader()
-            if leader is None or not leader.is_running:
-                await asyncio.sleep(0.5)
-                leader = deployment.leader()
-            restarts.append(asyncio.ensure_future(deployment.restart(leader)))
-            await asyncio.sleep(GAP_SECONDS)
-        await asyncio.gather(*restarts)
-    deployment.note("calm: begins")
-    still_since, broken = None, None
-    calm_at = time.monotonic() + CALM_SECONDS
-    end = calm_at + 40.0
-    while time.monotonic() < end:
-        await asyncio.sleep(0.1)
-        now = time.monotonic()
-        runs = any(task == TASK for task, _ in simulation.running())
-        last_end = max((at for at, *_ in simulation.ended.get(TASK, [])),
-                       default=now)
-        if runs or now < calm_at or now < last_end + RESTART_SECONDS:
-            still_since = None
-        elif still_since is None:
-            still_since = now
-        elif now >= still_since + STILL_SECONDS:
-            broken = now - last_end
-        if runs and now > calm_at + STILL_SECONDS:
-            break
-    if broken:
-        return ("LOST: %s, which is to last, does not run for %.1f s after its "
-                "worker was lost; %d workers are free" % (
-                    TASK, broken, WORKERS - 1 - len(simulation.running())))
+        await deployment.until(lambda: TASK in simulation.late_on, 5.0,
+                               "the task is not placed")
+        ordered_at = time.monotonic()
+        killed = asyncio.ensure_future(deployment.kill(deployment.leader(),
+                                                       KILLED_SECONDS))
+        await asyncio.sleep(ordered_at + CUT_AFTER_SECONDS - time.monotonic())
+        await deployment.cut_reborn(
+            deployment.machine_of(simulation.late_on[TASK]), CUT_SECONDS,
+            CRASH_SECONDS, DOWN_SECONDS)
+        await killed
+    await asyncio.sleep(10.0)
+    deployment.note("workers: %d orders in all" % simulation.orders)
+    found = simulation.overlap(TASK)
+    if found:
+        (_, _, one, low), (_, _, other, high), both = found
+        return ("TWICE: %s runs on %s (attempt %d) and on %s (attempt %d) at "
+                "the same time, for %.1f s" % (TASK, one, low, other, high,
+                                               both))
     return None
 
 
--- a/review/stand_3.py
+++ b/review/stand_3.py
@@ -115,6 +115,22 @@
 class RecordingSimulation(Simulation):
     """The platform and the workers; records what runs."""
 
+    def overlap(self, task):
+        """Returns two runs of a task at the same time and how long, if any."""
+        runs = []
+        for started_at, worker, attempt in self.started.get(task, []):
+            ends = [at for at, where, number, _ in self.ended.get(task, [])
+                    if (where, number) == (worker, attempt)
+                    and at >= started_at]
+            runs.append((started_at, min(ends, default=self.clock()), worker,
+                         attempt))
+        for index, first in enumerate(runs):
+            for second in runs[index + 1:]:
+                both = min(first[1], second[1]) - max(first[0], second[0])
+                if both > 0:
+                    return first, second, both
+        return None
+
     def __init__(self, record, host):
         super().__init__(1)
         self.record = record
@@ -127,6 +143,7 @@
         # (task, attempt) -> seconds after which its next run fails
         self.failing = {}
         self.late = {}     # task -> seconds by which its next start is late
+        self.late_on = {}  # task -> worker of that start
         self.orders = 0    # start and stop orders so far
 
     def delays(self, worker, request):
@@ -138,6 +155,7 @@
         if request.path.endswith("run-stop") or order["task"] not in self.late:
             return False
         seconds = self.late.pop(order["task"])
+        self.late_on[order["task"]] = worker.id
         self.record("disruption: the start of %s attempt %d on %s gets no "
                     "response and is carried out %.1f s later" % (
                         order["task"], order["attempt"], worker.id, seconds))
@@ -381,6 +399,14 @@
         self.note("instance: %s starts again" % daemon.name)
         await self.wait_ready(daemon)
 
+    async def kill(self, daemon, down_s):
+        """Kills an instance with SIGKILL and starts it again later."""
+        self.note("disruption: SIGKILL to %s" % daemon.name)
+        await daemon.kill()
+        await asyncio.sleep(down_s)
+        await daemon.start()
+        self.note("instance: %s starts again" % daemon.name)
+
     async def stop(self):
         """Ends all processes."""
         for daemon in self.daemons:
