Start a task only where a start of it is open

A start that got no response had been repeated; the end of the run showed the execution of one copy, and a later incarnation of the worker, behind a cut, executed the other one.

Cause: open starts of ended runs were kept by their worker and read only when a later incarnation became known, to hold a task that ran nowhere then. Placement did not ask for them.

Change: OpenStarts keeps them by task and worker, beyond the run. The end of a run of which one copy was sent closes its start. A held run is not repeated beside another attempt that its worker lists. Checks of workers without state moved to worker_eligibility.h, the text of placements to PlacementLog.

--- a/src/crocusmast/execution/worker.cc
+++ b/src/crocusmast/execution/worker.cc
@@ -1,7 +1,6 @@
 #include "crocusmast/execution/worker.h"
 
 #include <algorithm>
-#include <iterator>
 #include <utility>
 
 namespace crocusmast::execution {
@@ -159,16 +158,6 @@
     m_used_by_long_running = m_used_by_long_running - found->second.resources;
   }
   m_whole_worker_runs -= found->second.reserves_whole_worker ? 1 : 0;
-  if (found->second.StartableUntil() != core::TimePoint()) {
-    m_late_starts[key] = found->second.StartableUntil();
-    if (kMaxLateStarts < m_late_starts.size()) {
-      m_late_starts.erase(
-          std::min_element(m_late_starts.begin(), m_late_starts.end(),
-                           [](const auto& left, const auto& right) {
-                             return left.second < right.second;
-                           }));
-    }
-  }
   m_runs.erase(found);
   return true;
 }
@@ -181,9 +170,6 @@
 
 CommandDestination Worker::Address(core::TimePoint now) {
   m_addressed_at = now;
-  for (auto next = m_late_starts.begin(); next != m_late_starts.end();) {
-    next = next->second <= now ? m_late_starts.erase(next) : std::next(next);
-  }
   return {m_record.id, m_record.incarnation, m_record.address, m_token};
 }
 
@@ -266,17 +252,6 @@
   return end;
 }
 
-std::map<RunKey, core::TimePoint> Worker::LateStarts(
-    core::TimePoint now) const {
-  std::map<RunKey, core::TimePoint> starts;
-  for (const auto& [key, until] : m_late_starts) {
-    if (now < until) {
-      starts.emplace(key, until);
-    }
-  }
-  return starts;
-}
-
 bool Worker::HasOnlyHeldRuns() const {
   return !m_runs.empty() &&
          std::all_of(m_runs.begin(), m_runs.end(),
--- a/src/crocusmast/execution/worker.h
+++ b/src/crocusmast/execution/worker.h
@@ -33,9 +33,6 @@
  */
 core::Duration WithClockDrift(core::Duration time);
 
-/** @brief The most ended runs of a worker whose late starts are remembered. */
-inline constexpr std::size_t kMaxLateStarts = 1024;
-
 /**
  * @brief One worker: its resources, its lease, and the runs assigned to it.
  *
@@ -135,16 +132,6 @@
    */
   core::TimePoint RunsEndAt(std::chrono::milliseconds max_lease) const;
 
-  /**
-   * @brief Returns the ended runs for which a start command got no reply and
-   * may still be executed by a later incarnation, until its first reply.
-   * @param now The current time.
-   */
-  std::map<RunKey, core::TimePoint> LateStarts(core::TimePoint now) const;
-
-  /** @brief The present incarnation rejects commands to earlier ones. */
-  void ForgetLateStarts() { m_late_starts.clear(); }
-
   /** @brief Tells whether runs are assigned and all of them are held. */
   bool HasOnlyHeldRuns() const;
   /** @brief Tells whether any run is held. */
@@ -339,9 +326,6 @@
   std::map<RunKey, AssignedRun> m_runs;
   /** @brief False if no run is held, so that they need not be visited. */
   bool m_may_have_held_runs = false;
-  /** @brief Ended runs, and until when a start command for them without a reply
-   * may be executed. */
-  std::map<RunKey, core::TimePoint> m_late_starts;
   /** @brief Resources that the assigned runs reserve, without those that
    * reserve the whole worker. */
   job::Resources m_used;
--- a/src/crocusmast/job/job.cc
+++ b/src/crocusmast/job/job.cc
@@ -261,6 +261,12 @@
   return is_new_checkpoint || is_placement_removed;
 }
 
+bool Job::MayRunAgain(const TaskKey& key, RunOutcome outcome) const {
+  const Task* task = Find(key);
+  return task != nullptr && !task->is_done && !IsFinal(m_state) &&
+         (outcome != RunOutcome::kDone || StepOf(key).is_long_running);
+}
+
 void Job::CompleteTask(const TaskKey& key) {
   Occurrence& occurrence = m_open_occurrences.at(key.occurrence);
   StepState& state = occurrence.steps[key.step];
--- a/src/crocusmast/job/job.h
+++ b/src/crocusmast/job/job.h
@@ -267,6 +267,13 @@
               const std::string& checkpoint,
               std::uint32_t max_attempts);
 
+  /**
+   * @brief Tells whether a task may run again after the end of a run.
+   * @param key The task.
+   * @param outcome The outcome of the run.
+   */
+  bool MayRunAgain(const TaskKey& key, RunOutcome outcome) const;
+
   /**
    * @brief Counts the crash of a worker against a task; the job fails once the
    * crashes of a task reach the limit for the evidence.
@@ -351,6 +358,7 @@
   /** @brief Returns where runs of an earlier leader may be active; only of
    * long-running tasks. */
   EarlierPlacements& Earlier() { return m_earlier_placements; }
+  const EarlierPlacements& Earlier() const { return m_earlier_placements; }
   /** @brief Returns the pools in which tasks may have been started. */
   StartedPools& Pools() { return m_pools; }
   const StartedPools& Pools() const { return m_pools; }
--- /dev/null
+++ b/src/crocusmast/scheduling/open_starts.cc
@@ -0,0 +1,129 @@
+#include "crocusmast/scheduling/open_starts.h"
+
+#include <algorithm>
+#include <iterator>
+
+#include "crocusmast/execution/worker.h"
+
+namespace crocusmast::scheduling {
+OpenStart OpenStart::Of(const core::InstanceId& worker,
+                        const execution::RunKey& key,
+                        const execution::AssignedRun& run,
+                        std::chrono::milliseconds max_lease) {
+  const core::TimePoint until = run.StartableUntil();
+  // A held run may be waited for less long, as its machine ran nothing.
+  const bool is_held = run.held_until != core::TimePoint();
+  return {
+      worker, key, until,
+      is_held ? run.held_until : until + execution::WithClockDrift(max_lease)};
+}
+
+void OpenStarts::Add(const OpenStart& start) {
+  StartsOfWorker& starts = m_by_worker[start.worker];
+  const auto [known, is_new] = starts.emplace(start.key, start);
+  if (!is_new) {
+    known->second.until = std::max(known->second.until, start.until);
+    known->second.settled_at =
+        std::max(known->second.settled_at, start.settled_at);
+    return;
+  }
+  m_workers_by_task[start.key.task].insert(start.worker);
+  if (kMaxOpenStarts < starts.size()) {
+    const auto oldest = std::min_element(
+        starts.begin(), starts.end(), [](const auto& left, const auto& right) {
+          return left.second.until < right.second.until;
+        });
+    const OpenStart removed = oldest->second;
+    starts.erase(oldest);
+    RemoveFromIndex(removed);
+  }
+}
+
+std::map<core::InstanceId, job::TaskId> OpenStarts::Workers() const {
+  std::map<core::InstanceId, job::TaskId> workers;
+  for (const auto& [worker, starts] : m_by_worker) {
+    workers.emplace(worker, starts.begin()->first.task);
+  }
+  return workers;
+}
+
+std::vector<OpenStart> OpenStarts::OfWorker(const core::InstanceId& worker,
+                                            core::TimePoint now) const {
+  std::vector<OpenStart> open;
+  const auto starts = m_by_worker.find(worker);
+  if (starts == m_by_worker.end()) {
+    return open;
+  }
+  for (const auto& [key, start] : starts->second) {
+    if (now < start.until) {
+      open.push_back(start);
+    }
+  }
+  return open;
+}
+
+std::vector<OpenStart> OpenStarts::OfTask(const job::TaskId& task) const {
+  std::vector<OpenStart> open;
+  const auto workers = m_workers_by_task.find(task);
+  if (workers == m_workers_by_task.end()) {
+    return open;
+  }
+  for (const core::InstanceId& worker : workers->second) {
+    const StartsOfWorker& starts = m_by_worker.at(worker);
+    for (auto next = starts.lower_bound({task, core::Attempt(0)});
+         next != starts.end() && next->first.task == task; ++next) {
+      open.push_back(next->second);
+    }
+  }
+  return open;
+}
+
+bool OpenStarts::HandleAbsence(const core::InstanceId& worker,
+                               core::TimePoint absent_at,
+                               core::Duration max_lease) {
+  const auto starts = m_by_worker.find(worker);
+  if (starts == m_by_worker.end()) {
+    return false;
+  }
+  bool is_shortened = false;
+  for (auto& [key, start] : starts->second) {
+    const core::TimePoint sent_at = start.until - execution::kMaxCommandDelay;
+    if (sent_at <= absent_at && sent_at + max_lease < start.settled_at) {
+      start.settled_at = sent_at + max_lease;
+      is_shortened = true;
+    }
+  }
+  return is_shortened;
+}
+
+void OpenStarts::RemoveSettled(core::TimePoint now) {
+  for (auto worker = m_by_worker.begin(); worker != m_by_worker.end();) {
+    StartsOfWorker& starts = worker->second;
+    for (auto next = starts.begin(); next != starts.end();) {
+      if (now < std::max(next->second.until, next->second.settled_at)) {
+        ++next;
+        continue;
+      }
+      const OpenStart removed = next->second;
+      next = starts.erase(next);
+      RemoveFromIndex(removed);
+    }
+    worker = starts.empty() ? m_by_worker.erase(worker) : std::next(worker);
+  }
+}
+
+// Called after the start was removed from those of its worker.
+void OpenStarts::RemoveFromIndex(const OpenStart& start) {
+  const StartsOfWorker& starts = m_by_worker.at(start.worker);
+  const auto other = starts.lower_bound({start.key.task, core::Attempt(0)});
+  if (other != starts.end() && other->first.task == start.key.task) {
+    return;
+  }
+  const auto workers = m_workers_by_task.find(start.key.task);
+  workers->second.erase(start.worker);
+  if (workers->second.empty()) {
+    m_workers_by_task.erase(workers);
+  }
+}
+
+}  // namespace crocusmast::scheduling
--- a/src/crocusmast/scheduling/scheduler.cc
+++ b/src/crocusmast/scheduling/scheduler.cc
@@ -131,6 +131,7 @@
   m_free_capacity.clear();
   m_workers.clear();
   m_inherited_workers = {};
+  m_open_starts = {};
   m_machine_evidence.Clear();
   m_outdated_placements.clear();
   m_pools_to_place.clear();
@@ -264,6 +265,9 @@
   m_may_poll_any = true;
   m_may_remove_jobs = true;
   EndWorkersWithoutMachine(confirmed_at);
+  if (!m_open_starts.IsEmpty()) {
+    SettleOpenStarts(confirmed_at);
+  }
   ExpireWorkers(confirmed_at);
   if (m_may_have_silent_workers) {
     FreezeLeasesOfSilentWorkers();
--- a/src/crocusmast/scheduling/scheduler.h
+++ b/src/crocusmast/scheduling/scheduler.h
@@ -29,6 +29,8 @@
 #include "crocusmast/scheduling/inherited_workers.h"
 #include "crocusmast/scheduling/job_monitor.h"
 #include "crocusmast/scheduling/machine_evidence.h"
+#include "crocusmast/scheduling/open_starts.h"
+#include "crocusmast/scheduling/placement_log.h"
 #include "crocusmast/scheduling/run_end.h"
 #include "crocusmast/scheduling/run_monitor.h"
 #include "crocusmast/scheduling/run_time_estimator.h"
@@ -236,15 +238,17 @@
                       const job::TaskId& task) const;
   void MarkStartSettled(const execution::RunKey& key,
                         const execution::AssignedRun& run);
+  void AddOpenStart(const execution::Worker& worker,
+                    const execution::RunKey& key);
+  bool IsReplying(const core::InstanceId& worker) const;
+  std::optional<core::InstanceId> WorkerOfOpenStart(
+      const ActiveJob& active,
+      const job::TaskId& task) const;
+  std::vector<MachineEvidence::KnownWorker> WorkersOfOpenStarts() const;
+  void SettleOpenStarts(core::TimePoint confirmed_at);
   bool MayStillStart(const ActiveJob& active,
                      const job::TaskPlacement& placement) const;
   void RepeatEarlierStarts(ActiveJob& active);
-  static bool IsSettledWithoutRepeat(const execution::Worker& worker,
-                                     const ActiveJob& active,
-                                     const job::Step& step);
-  static bool MayRepeatOn(const execution::Worker& worker,
-                          const ActiveJob& active,
-                          const job::Step& step);
   void EndUnreportedRuns(execution::Worker& worker,
                          const execution::PollReply& reply);
   void TrackFailures(execution::Worker& worker, job::RunOutcome outcome);
@@ -289,31 +293,24 @@
                  const std::vector<job::TaskKey>& members,
                  const job::Step& step,
                  PlacementRound& round);
+  bool MayRunOn(const execution::Worker& worker,
+                const ActiveJob& active,
+                const job::TaskId& task) const;
   execution::Worker* ChooseWorker(const ActiveJob& active,
                                   const job::TaskId& task,
-                                  const job::Step& step,
                                   PlacementRound& round);
   void ReserveWorker(const ActiveJob& active,
                      const job::TaskId& task,
-                     const job::Step& step,
                      PlacementRound& round);
-  bool IsUsable(const execution::Worker& worker, core::TimePoint now) const;
-  static bool IsStaying(const execution::Worker& worker);
-  void RequestTickets(const ActiveJob& active,
-                      const job::TaskId& task,
-                      const job::Step& step);
+  void RequestTickets(const ActiveJob& active, const job::TaskId& task);
   void StartTask(ActiveJob& active,
                  execution::Worker& worker,
                  const job::TaskId& task,
                  core::Attempt attempt);
-  void RecordPlacement(const job::TaskId& task,
-                       core::Attempt attempt,
-                       const execution::Worker& worker);
   void LogPlacements(const ActiveJob& active);
   double EstimateCoreSeconds(const job::AcceptedJob& job) const;
   void AddWaitingJob(const WaitingJobs::Entry& entry,
                      capacity::PoolLoad& load) const;
-  static execution::AssignedRun MakeAssignedRun(const job::Step& step);
   core::Duration RemainingCriticalPath(const ActiveJob& active) const;
   core::Duration PredictCriticalPath(const job::AcceptedJob& job,
                                      const std::vector<bool>& is_pending) const;
@@ -346,6 +343,7 @@
   std::unordered_map<core::JobId, ActiveJob> m_jobs;
   std::map<core::InstanceId, std::unique_ptr<execution::Worker>> m_workers;
   InheritedWorkers m_inherited_workers;
+  OpenStarts m_open_starts;
   MachineEvidence m_machine_evidence;
   /** @brief Jobs whose stored placements or pools may be older than their runs,
    * because a leader that stores none has led since. */
@@ -387,10 +385,7 @@
   TicketCache m_tickets;
   CrashAttribution m_crashes;
   job::FleetHandover m_fleet_handover;
-  /** @brief Placements of the current job for the log, each in the form
-   * TASK#ATTEMPT@WORKER/FREE, where FREE is the processor time that is left on
-   * the worker, in thousandths of a core. */
-  std::string m_placements;
+  PlacementLog m_placement_log;
 };
 
 }  // namespace crocusmast::scheduling
--- a/src/crocusmast/scheduling/scheduler_incarnations.cc
+++ b/src/crocusmast/scheduling/scheduler_incarnations.cc
@@ -2,6 +2,7 @@
 #include <utility>
 
 #include "crocusmast/scheduling/scheduler.h"
+#include "crocusmast/scheduling/worker_eligibility.h"
 
 // Incarnations of workers: their ends, and what may still start on later ones.
 
@@ -57,6 +58,8 @@
   const core::Incarnation known = worker.Record().incarnation;
   EndIncarnation(worker, {IncarnationEnd::Evidence::kAddressTaken,
                           "another worker replied at its address"});
+  // It rejects what was sent to this one.
+  m_open_starts.HandleAbsence(worker.Record().id, m_ports.clock.Now(), {});
   worker.MarkUnlisted();
   SettleCrash(worker.Record().id, known + core::Incarnation(1));
 }
@@ -95,8 +98,8 @@
   const core::Incarnation incarnation = record.incarnation;
   EndIncarnation(worker, {IncarnationEnd::Evidence::kReplaced, reason});
   worker.Update(std::move(record), now);
-  for (const auto& [key, until] : worker.LateStarts(now)) {
-    HoldEndedRun(worker, key, until);
+  for (const OpenStart& start : m_open_starts.OfWorker(id, now)) {
+    HoldEndedRun(worker, start.key, start.until);
   }
   worker.ExtendHeldRuns(now, m_term.max_worker_lease);
   SettleCrash(id, incarnation);
@@ -192,15 +195,22 @@
     // It may have been confirmed while the poll was on its way.
     const bool is_overtaken = is_missing && worker.is_reconciled &&
                               reply.sequence <= run->confirmed_at_poll;
-    if (!is_missing || is_overtaken ||
-        (run->HasOpenStart(now) && RepeatStart(worker, key))) {
+    if (!is_missing || is_overtaken) {
+      continue;
+    }
+    // The late start of an earlier run is adopted in its place.
+    const bool runs_otherwise = std::any_of(
+        reply.running.begin(), reply.running.end(),
+        [&key](const auto& report) { return report.task == key.task; });
+    if (run->HasOpenStart(now) && !runs_otherwise && RepeatStart(worker, key)) {
       continue;
     }
     // It reserves what it needs, so that room is left out of account.
     const ActiveJob* active = FindJob(key.task.job);
     const bool is_settled =
         active != nullptr && worker.IsListed() && !run->is_stopping &&
-        !MayRepeatOn(worker, *active, active->job.StepOf(key.task.key));
+        (runs_otherwise ||
+         !MayRepeatOn(worker, *active, active->job.StepOf(key.task.key)));
     EndRun(
         worker, key,
         {run->is_stopping ? job::RunOutcome::kStopped : job::RunOutcome::kLost,
--- a/src/crocusmast/scheduling/scheduler_machines.cc
+++ b/src/crocusmast/scheduling/scheduler_machines.cc
@@ -29,9 +29,34 @@
       workers.push_back({id, inherited.pool, m_term_began_at});
     }
   }
+  for (const MachineEvidence::KnownWorker& worker : WorkersOfOpenStarts()) {
+    const bool is_listed = std::any_of(
+        workers.begin(), workers.end(),
+        [&worker](const auto& other) { return other.id == worker.id; });
+    if (!is_listed) {
+      workers.push_back(worker);
+    }
+  }
   m_machine_evidence.Handle(list, workers, m_ports.clock.Now());
 }
 
+// A worker that was removed since had the pool of its tasks.
+std::vector<MachineEvidence::KnownWorker> Scheduler::WorkersOfOpenStarts()
+    const {
+  std::vector<MachineEvidence::KnownWorker> workers;
+  for (const auto& [id, task] : m_open_starts.Workers()) {
+    const auto worker = m_workers.find(id);
+    const auto active = m_jobs.find(task.job);
+    if (worker != m_workers.end()) {
+      workers.push_back(
+          {id, worker->second->Record().pool, KnownSince(*worker->second)});
+    } else if (active != m_jobs.end()) {
+      workers.push_back({id, active->second.pool, m_term_began_at});
+    }
+  }
+  return workers;
+}
+
 core::TimePoint Scheduler::KnownSince(const Worker& worker) const {
   return m_inherited_workers.Find(worker.Record().id) != nullptr
              ? m_term_began_at
@@ -49,7 +74,11 @@
       !m_machine_evidence.IsListDue(last_request_at, now)) {
     return false;
   }
+  const std::vector<MachineEvidence::KnownWorker> open = WorkersOfOpenStarts();
   return !m_inherited_workers.All().empty() ||
+         std::any_of(
+             open.begin(), open.end(),
+             [this](const auto& worker) { return !IsReplying(worker.id); }) ||
          std::any_of(m_workers.begin(), m_workers.end(), [](const auto& entry) {
            return entry.second->failed_polls > 0 &&
                   !entry.second->Runs().empty();
@@ -70,6 +99,20 @@
   }
 }
 
+void Scheduler::SettleOpenStarts(core::TimePoint confirmed_at) {
+  m_open_starts.RemoveSettled(confirmed_at);
+  for (const MachineEvidence::KnownWorker& worker : WorkersOfOpenStarts()) {
+    const std::optional<core::TimePoint> absent_at =
+        m_machine_evidence.AbsentAt(worker.id, worker.known_since,
+                                    confirmed_at);
+    if (absent_at) {
+      m_open_starts.HandleAbsence(
+          worker.id, *absent_at,
+          execution::WithClockDrift(m_term.max_worker_lease));
+    }
+  }
+}
+
 // Lists are evidence only up to confirmed_at: a later leader may have had a
 // reply of the worker, after which runs that this leader knows have ended.
 void Scheduler::EndWorkersWithoutMachine(core::TimePoint confirmed_at) {
--- a/src/crocusmast/scheduling/scheduler_open_starts.cc
+++ b/src/crocusmast/scheduling/scheduler_open_starts.cc
@@ -2,6 +2,7 @@
 #include <vector>
 
 #include "crocusmast/scheduling/scheduler.h"
+#include "crocusmast/scheduling/worker_eligibility.h"
 
 // Start commands that may still be executed, of this leader and of earlier
 // ones.
@@ -74,25 +75,6 @@
          (m_crashes.MustWait(task) || m_crashes.IsReserved(worker.Record().id));
 }
 
-// The worker rejects the command, and only if it started once more could a
-// later incarnation execute it: its task, which can't be repeated there, does
-// not wait for that.
-bool Scheduler::IsSettledWithoutRepeat(const Worker& worker,
-                                       const ActiveJob& active,
-                                       const job::Step& step) {
-  return worker.IsListed() && (!MayRepeatOn(worker, active, step) ||
-                               !worker.CanFit(MakeAssignedRun(step).resources));
-}
-
-bool Scheduler::MayRepeatOn(const Worker& worker,
-                            const ActiveJob& active,
-                            const job::Step& step) {
-  const execution::WorkerRecord& record = worker.Record();
-  return IsStaying(worker) && record.pool == active.pool && !step.is_gang &&
-         !active.needs_tickets && !worker.IsOverCapacity() &&
-         (step.required_label.empty() || record.HasLabel(step.required_label));
-}
-
 // A successor need not wait for the start commands of this run then.
 void Scheduler::MarkStartSettled(const RunKey& key, const AssignedRun& run) {
   if (!run.is_long_running) {
@@ -105,6 +87,69 @@
   }
 }
 
+// The command outlives the run. A later incarnation of the worker may execute
+// it until it replies.
+void Scheduler::AddOpenStart(const Worker& worker, const RunKey& key) {
+  const auto run = worker.Runs().find(key);
+  const core::TimePoint now = m_ports.clock.Now();
+  if (run == worker.Runs().end() || !run->second.HasOpenStart(now)) {
+    return;
+  }
+  const OpenStart start = OpenStart::Of(worker.Record().id, key, run->second,
+                                        m_term.max_worker_lease);
+  m_open_starts.Add(start);
+  const auto remaining =
+      std::chrono::duration_cast<std::chrono::milliseconds>(start.until - now);
+  Log(core::Severity::kInfo,
+      "A start of task " + Describe(key.task) + " on worker " +
+          worker.Record().id.Text() +
+          " may still be executed after the end of its run.",
+      {{"event", "start_left_open"},
+       {"job", key.task.job.Text()},
+       {"task", Describe(key.task)},
+       {"attempt", std::to_string(key.attempt.Count())},
+       {"worker", worker.Record().id.Text()},
+       {"executable_for_ms", std::to_string(remaining.count())}});
+}
+
+bool Scheduler::IsReplying(const core::InstanceId& worker) const {
+  const auto found = m_workers.find(worker);
+  return found != m_workers.end() && found->second->is_reconciled &&
+         found->second->IsListed() && found->second->failed_polls == 0;
+}
+
+// The known incarnation of that worker rejects the earlier start, and one that
+// takes no task of the job any more is not waited for. A ticket is valid for
+// one incarnation.
+std::optional<core::InstanceId> Scheduler::WorkerOfOpenStart(
+    const ActiveJob& active,
+    const job::TaskId& task) const {
+  const job::Step& step = active.job.StepOf(task.key);
+  if (m_open_starts.IsEmpty() || step.is_speculative || active.needs_tickets) {
+    return std::nullopt;
+  }
+  const core::TimePoint now = m_ports.clock.Now();
+  const core::Duration lease =
+      execution::WithClockDrift(m_term.max_worker_lease);
+  for (const OpenStart& start : m_open_starts.OfTask(task)) {
+    const auto worker = m_workers.find(start.worker);
+    const bool is_listed =
+        worker != m_workers.end() && worker->second->IsListed();
+    core::TimePoint until = start.settled_at;
+    if (IsReplying(start.worker)) {
+      until = MayTakeTasks(*worker->second, active, step)
+                  ? std::min(start.until, start.settled_at)
+                  : now;
+    } else if (is_listed && !worker->second->is_reconciled) {
+      until = start.until + lease;
+    }
+    if (now < until) {
+      return start.worker;
+    }
+  }
+  return std::nullopt;
+}
+
 // The worker may have replied without the run: the command may reach a later
 // incarnation of it.
 bool Scheduler::MayStillStart(const ActiveJob& active,
--- a/src/crocusmast/scheduling/scheduler_placement.cc
+++ b/src/crocusmast/scheduling/scheduler_placement.cc
@@ -4,6 +4,7 @@
 
 #include "crocusmast/scheduling/placement_round.h"
 #include "crocusmast/scheduling/scheduler.h"
+#include "crocusmast/scheduling/worker_eligibility.h"
 
 // Placement of tasks on workers.
 
@@ -164,7 +165,7 @@
     const auto& [key, step] = ready[next];
     if (step == blocked_step) {
       if (step->is_long_running) {
-        ReserveWorker(active, {active.job.Id(), key}, *step, round);
+        ReserveWorker(active, {active.job.Id(), key}, round);
       }
       continue;
     }
@@ -179,12 +180,13 @@
       continue;
     }
     const job::TaskId task{active.job.Id(), key};
-    Worker* worker = ChooseWorker(active, task, *step, round);
+    Worker* worker = ChooseWorker(active, task, round);
     if (worker == nullptr) {
-      blocked_step = step;
-      RequestTickets(active, task, *step);
+      // Other tasks of the step need not wait for that worker.
+      blocked_step = WorkerOfOpenStart(active, task) ? nullptr : step;
+      RequestTickets(active, task);
       if (step->is_long_running) {
-        ReserveWorker(active, task, *step, round);
+        ReserveWorker(active, task, round);
       }
       continue;
     }
@@ -220,7 +222,7 @@
   std::vector<std::pair<Worker*, RunKey>> reserved;
   for (const job::TaskKey& key : members) {
     const job::TaskId task{active.job.Id(), key};
-    Worker* worker = ChooseWorker(active, task, step, round);
+    Worker* worker = ChooseWorker(active, task, round);
     if (worker == nullptr) {
       break;
     }
@@ -233,7 +235,7 @@
   if (reserved.size() != members.size()) {
     // What the members had reserved is free again.
     round.unavailable.resize(unavailable);
-    RequestTickets(active, {active.job.Id(), members.front()}, step);
+    RequestTickets(active, {active.job.Id(), members.front()});
     return false;
   }
   for (const auto& [worker, key] : reserved) {
@@ -242,29 +244,17 @@
   return true;
 }
 
-void Scheduler::RecordPlacement(const job::TaskId& task,
-                                core::Attempt attempt,
-                                const Worker& worker) {
-  if (!m_placements.empty()) {
-    m_placements += ' ';
-  }
-  m_placements += Describe(task.key) + '#' + std::to_string(attempt.Count()) +
-                  '@' + worker.Record().id.Text() + '/' +
-                  std::to_string(worker.FreeResources().processor.Count());
-}
-
 void Scheduler::LogPlacements(const ActiveJob& active) {
-  if (m_placements.empty()) {
+  if (m_placement_log.IsEmpty()) {
     return;
   }
-  const core::TimePoint now = m_ports.clock.Now();
   const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(
-      active.deadline - now);
+      active.deadline - m_ports.clock.Now());
   Log(core::Severity::kInfo,
       "Placed tasks of job " + active.job.Id().Text() + " on workers.",
       {{"event", "tasks_placed"},
        {"job", active.job.Id().Text()},
-       {"tasks", std::exchange(m_placements, {})},
+       {"tasks", m_placement_log.Take()},
        {"left_ms", std::to_string(remaining.count())},
        {"view_age_ms", ViewAgeMs()},
        {"token", std::to_string(m_term.token.Count())}});
--- a/src/crocusmast/scheduling/scheduler_polls.cc
+++ b/src/crocusmast/scheduling/scheduler_polls.cc
@@ -2,6 +2,7 @@
 #include <utility>
 
 #include "crocusmast/scheduling/scheduler.h"
+#include "crocusmast/scheduling/worker_eligibility.h"
 
 // Polls of workers: ended runs, active runs and best-effort throttling.
 
@@ -112,7 +113,6 @@
   ThrottleBestEffortRuns(*worker, reply);
   if (!worker->is_reconciled && reply.lists_all_ends) {
     worker->is_reconciled = true;
-    worker->ForgetLateStarts();
     MarkReconciled(reply.worker, "it replied to a poll");
     m_pools_to_place.insert(worker->Record().pool);
   }
@@ -130,6 +130,10 @@
     worker.received_end = end.number;
     TrackFailures(worker, end.outcome);
     MeasureRun(worker, end, reply);
+    if (AssignedRun* run = worker.Find({end.task, end.attempt});
+        run != nullptr) {
+      run->MarkListed();
+    }
     EndRun(worker, {end.task, end.attempt},
            {end.outcome, "the worker reported its end", end.checkpoint, true});
     ends += (ends.empty() ? "" : " ") + Describe(end.task) + '#' +
--- a/src/crocusmast/scheduling/scheduler_run_ends.cc
+++ b/src/crocusmast/scheduling/scheduler_run_ends.cc
@@ -82,11 +82,14 @@
   const bool was_stopped =
       assigned != nullptr && assigned->is_stop_acknowledged;
   LogRunEnd(worker, key, end);
+  ActiveJob* active = FindJob(key.task.job);
+  if (active != nullptr && active->job.MayRunAgain(key.task.key, end.outcome)) {
+    AddOpenStart(worker, key);
+  }
   worker.Remove(key);
   UpdateCapacity(worker);
   m_crashes.EndProbation(worker.Record().id, key);
   m_pools_to_place.insert(worker.Record().pool);
-  ActiveJob* active = FindJob(key.task.job);
   if (active == nullptr) {
     return;
   }
--- a/src/crocusmast/scheduling/scheduler_selection.cc
+++ b/src/crocusmast/scheduling/scheduler_selection.cc
@@ -3,6 +3,7 @@
 
 #include "crocusmast/scheduling/placement_round.h"
 #include "crocusmast/scheduling/scheduler.h"
+#include "crocusmast/scheduling/worker_eligibility.h"
 
 // Selection of the worker that a task is placed on, and tickets for it.
 
@@ -31,29 +32,12 @@
 
 using execution::Worker;
 
-execution::AssignedRun Scheduler::MakeAssignedRun(const job::Step& step) {
-  execution::AssignedRun run;
-  run.resources = step.resources;
-  run.is_best_effort = step.is_best_effort;
-  run.is_long_running = step.is_long_running;
-  if (step.is_best_effort) {
-    run.resources.processor = {};
-  }
-  return run;
-}
-
-bool Scheduler::IsUsable(const Worker& worker, core::TimePoint now) const {
-  return IsStaying(worker) && worker.is_reconciled &&
-         worker.is_recorded_in_store && worker.failed_polls == 0 &&
-         !worker.is_lease_frozen && worker.backoff_until <= now;
-}
-
 void Scheduler::RequestTickets(const ActiveJob& active,
-                               const job::TaskId& task,
-                               const job::Step& step) {
+                               const job::TaskId& task) {
   if (!active.needs_tickets) {
     return;
   }
+  const job::Step& step = active.job.StepOf(task.key);
   const core::TimePoint now = m_ports.clock.Now();
   std::vector<const Worker*> usable;
   for (const Worker* worker : m_workers_by_pool[active.pool]) {
@@ -101,11 +85,26 @@
   }
 }
 
+bool Scheduler::MayRunOn(const Worker& worker,
+                         const ActiveJob& active,
+                         const job::TaskId& task) const {
+  const job::Step& step = active.job.StepOf(task.key);
+  const execution::WorkerRecord& record = worker.Record();
+  return !m_crashes.IsReserved(record.id) &&
+         (!active.needs_tickets ||
+          m_tickets.Find(StepId::Of(task), record.id, record.incarnation,
+                         m_ports.clock.Now()) != nullptr) &&
+         (step.required_label.empty() ||
+          record.HasLabel(step.required_label)) &&
+         (step.max_per_worker == 0 ||
+          worker.CountTasksOfStep(task) < step.max_per_worker);
+}
+
 Worker* Scheduler::ChooseWorker(const ActiveJob& active,
                                 const job::TaskId& task,
-                                const job::Step& step,
                                 PlacementRound& round) {
   const core::TimePoint now = m_ports.clock.Now();
+  const job::Step& step = active.job.StepOf(task.key);
   const job::Resources need = MakeAssignedRun(step).resources;
   const bool is_suspect = m_crashes.IsSuspect(task);
   if (is_suspect && m_crashes.MustWait(task)) {
@@ -114,6 +113,13 @@
   if (!round.MayStart(round.timeliness)) {
     return nullptr;
   }
+  if (const auto only = WorkerOfOpenStart(active, task); only) {
+    Worker* worker = FindWorker(*only);
+    const bool may_start = worker != nullptr && worker->CanFit(need) &&
+                           IsUsable(*worker, now) &&
+                           MayRunOn(*worker, active, task);
+    return may_start ? worker : nullptr;
+  }
   Worker* best = nullptr;
   bool has_room = false;
   // Best fit keeps whole workers free for large tasks, for maintenance and for
@@ -126,16 +132,7 @@
       continue;
     }
     has_room = true;
-    const execution::WorkerRecord& record = worker->Record();
-    const bool may_run =
-        !m_crashes.IsReserved(record.id) &&
-        (!active.needs_tickets ||
-         m_tickets.Find(StepId::Of(task), record.id, record.incarnation, now) !=
-             nullptr) &&
-        (step.required_label.empty() || record.HasLabel(step.required_label)) &&
-        (step.max_per_worker == 0 ||
-         worker->CountTasksOfStep(task) < step.max_per_worker);
-    if (!may_run) {
+    if (!MayRunOn(*worker, active, task)) {
       continue;
     }
     if (is_suspect) {
@@ -145,8 +142,8 @@
       }
       continue;
     }
-    const bool is_preferred =
-        step.preferred_rack.empty() || record.Rack() == step.preferred_rack;
+    const bool is_preferred = step.preferred_rack.empty() ||
+                              worker->Record().Rack() == step.preferred_rack;
     if (best == nullptr || is_preferred) {
       best = worker;
     }
@@ -162,33 +159,28 @@
 
 void Scheduler::ReserveWorker(const ActiveJob& active,
                               const job::TaskId& task,
-                              const job::Step& step,
                               PlacementRound& round) {
   if (m_crashes.IsSuspect(task) && m_crashes.MustWait(task)) {
     return;
   }
   const core::TimePoint now = m_ports.clock.Now();
+  const std::optional<core::InstanceId> only = WorkerOfOpenStart(active, task);
   const std::size_t reserved = round.reserved.size();
   if (reserved > 0 && round.capacity.Accepting().size() <
                           (reserved + 1) * internal::kWorkersPerReservation) {
     return;
   }
-  const job::Resources need = MakeAssignedRun(step).resources;
+  const job::Resources need =
+      MakeAssignedRun(active.job.StepOf(task.key)).resources;
   const Worker* best = nullptr;
   double least_shortfall = 0;
   for (const FreeCapacity::Entry& entry : round.capacity.Accepting()) {
     const Worker* worker = entry.worker;
-    const execution::WorkerRecord& record = worker->Record();
-    const bool may_run =
-        IsUsable(*worker, now) && round.reserved.count(worker) == 0 &&
-        (!active.needs_tickets ||
-         m_tickets.Find(StepId::Of(task), record.id, record.incarnation, now) !=
-             nullptr) &&
-        !m_crashes.IsReserved(record.id) &&
-        (step.required_label.empty() || record.HasLabel(step.required_label)) &&
-        (step.max_per_worker == 0 ||
-         worker->CountTasksOfStep(task) < step.max_per_worker) &&
-        worker->FreeWithoutFiniteRuns().CanFit(need);
+    const bool may_run = IsUsable(*worker, now) &&
+                         round.reserved.count(worker) == 0 &&
+                         (!only || worker->Record().id == *only) &&
+                         MayRunOn(*worker, active, task) &&
+                         worker->FreeWithoutFiniteRuns().CanFit(need);
     if (!may_run) {
       continue;
     }
--- a/src/crocusmast/scheduling/scheduler_starts.cc
+++ b/src/crocusmast/scheduling/scheduler_starts.cc
@@ -2,6 +2,7 @@
 #include <utility>
 
 #include "crocusmast/scheduling/scheduler.h"
+#include "crocusmast/scheduling/worker_eligibility.h"
 
 // Start commands, and the commits that they wait for.
 
@@ -48,7 +49,7 @@
   active.job.BeginRun(task.key, std::move(run));
   m_crashes.BeginRun(worker.Record().id, {task, attempt});
   worker.ExtendLease(kWorkerLeaseLength, now);
-  RecordPlacement(task, attempt, worker);
+  m_placement_log.Add(task, attempt, worker);
   if (!assigned.is_waiting_for_commit) {
     SendStart(worker, {task, attempt});
   }
@@ -120,11 +121,6 @@
   }
 }
 
-bool Scheduler::IsStaying(const Worker& worker) {
-  return worker.IsListed() && !worker.Record().is_draining &&
-         !worker.is_cordoned;
-}
-
 void Scheduler::SendStart(Worker& worker, const RunKey& key) {
   ActiveJob* active = FindJob(key.task.job);
   execution::AssignedRun* run = worker.Find(key);
--- a/src/crocusmast/scheduling/scheduler_upkeep.cc
+++ b/src/crocusmast/scheduling/scheduler_upkeep.cc
@@ -1,6 +1,7 @@
 #include <utility>
 
 #include "crocusmast/scheduling/scheduler.h"
+#include "crocusmast/scheduling/worker_eligibility.h"
 
 // Draining of workers for maintenance, and the load of the pools.
 
--- a/src/crocusmast/scheduling/scheduler_workers.cc
+++ b/src/crocusmast/scheduling/scheduler_workers.cc
@@ -2,6 +2,7 @@
 #include <utility>
 
 #include "crocusmast/scheduling/scheduler.h"
+#include "crocusmast/scheduling/worker_eligibility.h"
 
 // Membership of workers, and reconciliation with earlier leadership terms.
 
--- /dev/null
+++ b/test/scheduling/open_starts_test.cc
@@ -0,0 +1,107 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "crocusmast/scheduling/open_starts.h"
+#include "test/support/factories.h"
+
+namespace {
+
+using namespace crocusmast;
+using scheduling::OpenStarts;
+using std::chrono::milliseconds;
+using test::MakeId;
+
+constexpr core::TimePoint kNow{std::chrono::seconds(1000)};
+constexpr milliseconds kLease{6180};
+
+/** @brief Start commands that may still be executed, without their runs. */
+class OpenStartsTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(OpenStartsTest);
+  CPPUNIT_TEST(FindsEachEndedRunOnce);
+  CPPUNIT_TEST(ForgetsCommandsThatCannotArriveAnyMore);
+  CPPUNIT_TEST(DropsTheOldestWhenThereAreTooMany);
+  CPPUNIT_TEST(FindsTheStartsOfATaskOnEachWorker);
+  CPPUNIT_TEST(AbsenceSettlesOnlyStartsThatWereSentBefore);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void FindsEachEndedRunOnce() {
+    Add(1, kNow);
+    Add(1, kNow);
+    Add(2, kNow);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, OfWorker(kNow).size());
+  }
+
+  void ForgetsCommandsThatCannotArriveAnyMore() {
+    Add(1, kNow);
+    const core::TimePoint last =
+        kNow + execution::kMaxCommandDelay - milliseconds(1);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, OfWorker(last).size());
+    CPPUNIT_ASSERT(OfWorker(kNow + execution::kMaxCommandDelay).empty());
+    const core::TimePoint settled_at =
+        kNow + execution::kMaxCommandDelay + kLease;
+    m_starts.RemoveSettled(settled_at - milliseconds(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_starts.OfTask(Task(1)).size());
+    m_starts.RemoveSettled(settled_at);
+    CPPUNIT_ASSERT(m_starts.OfTask(Task(1)).empty());
+    CPPUNIT_ASSERT(m_starts.IsEmpty());
+  }
+
+  void DropsTheOldestWhenThereAreTooMany() {
+    for (std::size_t index = 0; index <= scheduling::kMaxOpenStarts; ++index) {
+      Add(static_cast<std::uint32_t>(index),
+          kNow + std::chrono::microseconds(index));
+    }
+    const auto starts = OfWorker(kNow);
+    CPPUNIT_ASSERT_EQUAL(scheduling::kMaxOpenStarts, starts.size());
+    CPPUNIT_ASSERT_EQUAL(1U, starts.front().key.task.key.index);
+    CPPUNIT_ASSERT(m_starts.OfTask(Task(0)).empty());
+  }
+
+  void FindsTheStartsOfATaskOnEachWorker() {
+    Add(1, kNow, "w-1");
+    Add(1, kNow, "w-2");
+    Add(2, kNow, "w-2");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_starts.OfTask(Task(1)).size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_starts.OfTask(Task(2)).size());
+    CPPUNIT_ASSERT(m_starts.OfTask(Task(3)).empty());
+  }
+
+  void AbsenceSettlesOnlyStartsThatWereSentBefore() {
+    Add(1, kNow);
+    Add(2, kNow + milliseconds(1000));
+    CPPUNIT_ASSERT(
+        m_starts.HandleAbsence(kWorker, kNow + milliseconds(500), kLease));
+    CPPUNIT_ASSERT(kNow + kLease == m_starts.OfTask(Task(1))[0].settled_at);
+    CPPUNIT_ASSERT(kNow + milliseconds(1000) + execution::kMaxCommandDelay +
+                       kLease ==
+                   m_starts.OfTask(Task(2))[0].settled_at);
+    CPPUNIT_ASSERT(
+        !m_starts.HandleAbsence(kWorker, kNow + milliseconds(500), kLease));
+  }
+
+ private:
+  static job::TaskId Task(std::uint32_t index) {
+    return {MakeId<core::JobId>("0123456789abcdef"), {0, 0, index}};
+  }
+
+  void Add(std::uint32_t index,
+           core::TimePoint sent_at,
+           const char* worker = "w-1") {
+    const core::TimePoint until = sent_at + execution::kMaxCommandDelay;
+    m_starts.Add({MakeId<core::InstanceId>(worker),
+                  {Task(index), core::Attempt(1)},
+                  until,
+                  until + kLease});
+  }
+
+  std::vector<scheduling::OpenStart> OfWorker(core::TimePoint now) const {
+    return m_starts.OfWorker(kWorker, now);
+  }
+
+  const core::InstanceId kWorker = MakeId<core::InstanceId>("w-1");
+  OpenStarts m_starts;
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(OpenStartsTest, "scheduling");
+
+}  // namespace
--- /dev/null
+++ b/test/scheduling/repeated_start_test.cc
@@ -0,0 +1,188 @@
+#include "test/scheduling/held_run_fixture.h"
+
+namespace {
+
+using namespace crocusmast;
+using execution::WorkerCallOutcome;
+using job::RunOutcome;
+using std::chrono::milliseconds;
+using Fixture = test::SchedulerFixture;
+using test::HeldRunFixture;
+using test::kLongestLease;
+using test::kReplyDelay;
+using test::kSlack;
+using test::kStep;
+using test::MakeId;
+using test::MakeJob;
+using test::MakeStep;
+using test::MakeWorker;
+
+constexpr const char* kJob = HeldRunFixture::kJob;
+/** @brief Starts that outlive their run. */
+class RepeatedStartTest : public HeldRunFixture {
+  CPPUNIT_TEST_SUITE(RepeatedStartTest);
+  CPPUNIT_TEST(FailedTaskStartsOnlyOnTheWorkerOfItsOpenStart);
+  CPPUNIT_TEST(FailedTaskWaitsForTheOpenStartOnASilentWorker);
+  CPPUNIT_TEST(FailedTaskDoesNotWaitForAWorkerThatLeaves);
+  CPPUNIT_TEST(FailedTaskWaitsNoLongerThanTheLeaseOfAGoneWorker);
+  CPPUNIT_TEST(TaskDoesNotWaitWhereAnotherWorkerReplies);
+  CPPUNIT_TEST(OtherTasksOfTheStepDoNotWait);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Issue 61, TWICE: the next attempt ran elsewhere beside the first copy of
+  // the start, which a later incarnation of the worker executed.
+  void FailedTaskStartsOnlyOnTheWorkerOfItsOpenStart() {
+    const execution::StartCommand start = FailAfterRepeat();
+    // It has the least room that is enough, and would be taken otherwise.
+    m_fixture.scheduler.Handle(
+        scheduling::WorkerUpdated{MakeWorker("w-2", 1, 1000)});
+    m_fixture.RunCycles();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, m_fixture.worker_port.starts.size());
+    const execution::StartCommand& next = m_fixture.worker_port.starts[2];
+    CPPUNIT_ASSERT(start.attempt < next.attempt);
+    CPPUNIT_ASSERT(start.to.worker == next.to.worker);
+  }
+
+  void FailedTaskWaitsForTheOpenStartOnASilentWorker() {
+    const job::TaskId task = FailBesideOtherRun();
+    ExpectStartOnOtherWorkerAfter(execution::kMaxCommandDelay + kLongestLease,
+                                  task);
+  }
+
+  // LOST: the worker has replied, and takes no task any more.
+  void FailedTaskDoesNotWaitForAWorkerThatLeaves() {
+    execution::WorkerRecord leaving = MakeWorker("w-1");
+    leaving.is_draining = true;
+    FailAfterRepeat();
+    m_fixture.scheduler.Handle(scheduling::WorkerUpdated{leaving});
+    m_fixture.RunCycles();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, m_fixture.worker_port.starts.size());
+    CPPUNIT_ASSERT(MakeId<core::InstanceId>("w-2") ==
+                   m_fixture.worker_port.starts[2].to.worker);
+  }
+
+  // LOST: its machine runs nothing.
+  void FailedTaskWaitsNoLongerThanTheLeaseOfAGoneWorker() {
+    FailAfterRepeat();
+    m_fixture.scheduler.Handle(
+        scheduling::WorkerRemoved{MakeId<core::InstanceId>("w-1")});
+    m_fixture.clock.Advance(kStep);
+    ListMachineWithoutWorker();
+    ListMachineWithoutWorker();
+    ExpectStartOnOtherWorkerAfter(kLongestLease);
+  }
+
+  // It rejects the start, which names the worker that was there.
+  void TaskDoesNotWaitWhereAnotherWorkerReplies() {
+    const execution::StartCommand start = BeginWithOneTask();
+    m_fixture.ReplyToStart(start, WorkerCallOutcome::kUnknown);
+    ReplyToPollOf("w-1", {}, WorkerCallOutcome::kIncarnationMismatch);
+    m_fixture.RunCycles();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_fixture.worker_port.starts.size());
+    CPPUNIT_ASSERT(MakeId<core::InstanceId>("w-2") ==
+                   m_fixture.worker_port.starts[1].to.worker);
+  }
+
+  void OtherTasksOfTheStepDoNotWait() {
+    const job::TaskId task = FailBesideOtherRun();
+    const std::size_t starts = m_fixture.worker_port.starts.size();
+    m_fixture.RunCycles();
+    CPPUNIT_ASSERT_EQUAL(starts + 1, m_fixture.worker_port.starts.size());
+    CPPUNIT_ASSERT(!(m_fixture.worker_port.starts.back().task == task));
+  }
+
+ private:
+  // The first copy of the start got no reply; the second one was executed, and
+  // the run has failed.
+  execution::StartCommand FailAfterRepeat() {
+    const execution::StartCommand start = BeginWithOneTask();
+    m_sent_at = m_fixture.clock.Now();
+    m_fixture.ReplyToStart(start, WorkerCallOutcome::kUnknown);
+    m_fixture.RunCycles();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_fixture.worker_port.starts.size());
+    m_fixture.ReplyToStart(m_fixture.worker_port.starts[1],
+                           WorkerCallOutcome::kDone);
+    ReplyToPollOf("w-1", {Fixture::EndedRun(start, 1, RunOutcome::kFailed)});
+    return start;
+  }
+
+  // The same beside a run that keeps the worker polled; the worker falls silent
+  // then, and another one joins, where a third task has room.
+  job::TaskId FailBesideOtherRun() {
+    m_fixture.BeginTerm();
+    m_fixture.SetWorkers({MakeWorker("w-1")});
+    m_fixture.scheduler.AddJob(MakeJob(kJob, {MakeStep(3, 1500)}));
+    m_fixture.RunCycles();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_fixture.worker_port.starts.size());
+    const execution::StartCommand start = m_fixture.worker_port.starts[0];
+    const execution::StartCommand other = m_fixture.worker_port.starts[1];
+    m_sent_at = m_fixture.clock.Now();
+    m_fixture.ReplyToStart(other, WorkerCallOutcome::kDone);
+    m_fixture.ReplyToStart(start, WorkerCallOutcome::kUnknown);
+    m_fixture.RunCycles();
+    m_fixture.ReplyToStart(start, WorkerCallOutcome::kDone);
+    m_fixture.scheduler.SetStoreView({});
+    ReplyToPollOf("w-1", {Fixture::EndedRun(start, 1, RunOutcome::kFailed)},
+                  WorkerCallOutcome::kDone, {Fixture::ActiveRun(other)});
+    const std::size_t polls = m_fixture.worker_port.polls.size();
+    for (int cycle = 0;
+         cycle < 40 && m_fixture.worker_port.polls.size() == polls; ++cycle) {
+      m_fixture.clock.Advance(scheduling::kSweepInterval);
+      m_fixture.scheduler.RunCycle(m_fixture.clock.Now());
+    }
+    CPPUNIT_ASSERT(polls < m_fixture.worker_port.polls.size());
+    ReplyToPollOf("w-1", {}, WorkerCallOutcome::kUnknown);
+    m_fixture.scheduler.Handle(
+        scheduling::WorkerUpdated{MakeWorker("w-2", 1, 8000)});
+    return start.task;
+  }
+
+  // All that was sent to w-2 runs there.
+  void ReplyFromOtherWorker() {
+    const auto other = MakeId<core::InstanceId>("w-2");
+    std::vector<execution::RunReport> running;
+    for (const execution::StartCommand& start : m_fixture.worker_port.starts) {
+      if (start.to.worker == other) {
+        running.push_back(Fixture::ActiveRun(start));
+      }
+    }
+    if (running.empty()) {
+      return;
+    }
+    execution::PollReply reply = ReplyToLastPollOf("w-2");
+    reply.outcome = WorkerCallOutcome::kDone;
+    reply.running = std::move(running);
+    reply.clock = execution::WorkerTime(
+        std::chrono::seconds(10) + std::chrono::duration_cast<milliseconds>(
+                                       m_fixture.clock.Now() - m_sent_at));
+    m_fixture.scheduler.Handle(reply);
+  }
+
+  /** @brief Checks that the task starts on w-2 this long after the start that
+   * got no reply, while w-1 is silent, and not before. */
+  void ExpectStartOnOtherWorkerAfter(core::Duration time,
+                                     const job::TaskId& task = {
+                                         MakeId<core::JobId>(kJob),
+                                         {0, 0, 0}}) {
+    const auto starts_elsewhere = [&] {
+      const auto& starts = m_fixture.worker_port.starts;
+      return std::any_of(starts.begin(), starts.end(), [&](const auto& start) {
+        return start.task == task &&
+               start.to.worker == MakeId<core::InstanceId>("w-2");
+      });
+    };
+    while (!starts_elsewhere()) {
+      ReplyFromOtherWorker();
+      KeepSilentFor(kStep);
+      CPPUNIT_ASSERT(m_fixture.clock.Now() < m_sent_at + time + 2 * kSlack);
+    }
+    CPPUNIT_ASSERT(m_sent_at + time - 2 * kReplyDelay <= m_fixture.clock.Now());
+  }
+
+  core::TimePoint m_sent_at;
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(RepeatedStartTest, "scheduling");
+
+}  // namespace
