Hand over open starts with the time that they have left

Cause: a job's record says that a start is open, not for how long, so that each leader counted 15 s and the longest lease from the beginning of its own term. That the machine of the worker ran nothing was forgotten with the term of the leader that had seen it.

Change: the handover state lists the open starts, of ended runs too, with the time in which they may be executed and after which a run of theirs has ended; after a planned stop it says that these are all. A successor counts on from the end of the term before, and stores what is left at the beginning of its own. What a list of machines shows shortens the wait for its successors too. A record without the list is read as before.

Evidence: TimeThatIsLeftShrinksFromTermToTerm, SuccessorWaitsOnlyForTheTimeThatIsLeft, SuccessorInheritsThatTheWorkerWasGone and SuccessorStartsAFailedTaskOnTheWorkerOfItsOpenStart; the last three fail on, the first one is of a class that was not there.

--- a/src/crocusmast/adapters/records/job_records.cc
+++ b/src/crocusmast/adapters/records/job_records.cc
@@ -192,6 +192,13 @@
   return cooldowns;
 }
 
+Json EncodeOpenStart(const job::OpenStart& start) {
+  return {start.task.job.Text(),        start.task.key.occurrence,
+          start.task.key.step,          start.task.key.index,
+          start.attempt.Count(),        start.worker.Text(),
+          start.executable_for.count(), start.settled_in.count()};
+}
+
 }  // namespace internal
 
 std::string EncodeHandoverState(const job::HandoverState& handover) {
@@ -220,6 +227,14 @@
                              false);
   internal::AddUnlessDefault(json, "leader", handover.leader.Count(),
                              std::uint64_t{0});
+  if (!handover.open_starts.empty()) {
+    Json& starts = json["starts"] = Json::array();
+    for (const job::OpenStart& start : handover.open_starts) {
+      starts.push_back(internal::EncodeOpenStart(start));
+    }
+  }
+  internal::AddUnlessDefault(json, "all_starts", handover.has_all_open_starts,
+                             false);
   if (handover.fleet.machine_cooldowns) {
     json["orders"] =
         internal::EncodeCooldowns(*handover.fleet.machine_cooldowns);
@@ -241,6 +256,24 @@
   return worker;
 }
 
+core::Result<job::OpenStart> DecodeOpenStart(const Json& row) {
+  std::size_t next = 0;
+  job::OpenStart start;
+  BOOST_LEAF_ASSIGN(start.task.job,
+                    core::JobId::Create(row.at(next++).get<std::string>()));
+  start.task.key.occurrence = row.at(next++);
+  start.task.key.step = row.at(next++);
+  start.task.key.index = row.at(next++);
+  start.attempt = core::Attempt(row.at(next++).get<std::uint64_t>());
+  BOOST_LEAF_ASSIGN(start.worker, core::InstanceId::Create(
+                                      row.at(next++).get<std::string>()));
+  start.executable_for =
+      std::chrono::milliseconds(row.at(next++).get<std::int64_t>());
+  start.settled_in =
+      std::chrono::milliseconds(row.at(next++).get<std::int64_t>());
+  return start;
+}
+
 core::Result<job::WaveProgress> DecodeWaveProgress(const Json& row) {
   job::WaveProgress progress;
   progress.wave = core::WaveNumber(row.at(0).get<std::uint64_t>());
@@ -265,6 +298,14 @@
           BOOST_LEAF_AUTO(worker, internal::DecodeLeasedWorker(row));
           handover.workers.push_back(std::move(worker));
         }
+        // Versions that store no open starts leave both out.
+        if (json.contains("starts")) {
+          for (const Json& row : json.at("starts")) {
+            BOOST_LEAF_AUTO(start, internal::DecodeOpenStart(row));
+            handover.open_starts.push_back(std::move(start));
+          }
+        }
+        handover.has_all_open_starts = json.value("all_starts", false);
         for (const Json& row : json.at("waves")) {
           BOOST_LEAF_AUTO(progress, internal::DecodeWaveProgress(row));
           handover.fleet.waves.push_back(std::move(progress));
--- a/src/crocusmast/job/job_store.h
+++ b/src/crocusmast/job/job_store.h
@@ -13,6 +13,7 @@
 #include "crocusmast/job/job_catalog.h"
 #include "crocusmast/job/job_spec.h"
 #include "crocusmast/job/progress.h"
+#include "crocusmast/job/task_id.h"
 
 namespace crocusmast::job {
 
@@ -146,6 +147,19 @@
   std::optional<std::vector<MachineCooldown>> machine_cooldowns;
 };
 
+/** @brief A start command without a reply that a worker may still execute. */
+struct OpenStart {
+  TaskId task;
+  core::Attempt attempt;
+  /** @brief The worker that it was sent to. */
+  core::InstanceId worker;
+  /** @brief How much longer it may be executed. */
+  std::chrono::milliseconds executable_for{};
+  /** @brief After how long a run that it began on an incarnation which the
+   * leader does not know has ended for certain. */
+  std::chrono::milliseconds settled_in{};
+};
+
 /** @brief State that a leader stores for its successor, besides the jobs. */
 struct HandoverState {
   /** @brief Workers that may hold leases. */
@@ -154,6 +168,10 @@
   /** @brief The stored placements of long-running tasks and pools of jobs are
    * current: no leader that does not store them has led since. */
   bool has_current_placements = false;
+  /** @brief Start commands that may still be executed. */
+  std::vector<OpenStart> open_starts{};
+  /** @brief They include those in flight: the leader has resigned. */
+  bool has_all_open_starts = false;
   /** @brief The leader that stored it; 0 for one of a version that stores no
    * CommandedMachines. */
   core::FencingToken leader{};
--- a/src/crocusmast/scheduling/open_starts.cc
+++ b/src/crocusmast/scheduling/open_starts.cc
@@ -6,6 +6,17 @@
 #include "crocusmast/execution/worker.h"
 
 namespace crocusmast::scheduling {
+namespace internal {
+
+std::chrono::milliseconds Remaining(core::TimePoint until,
+                                    core::TimePoint now) {
+  // Rounded up, so that no successor waits for too short a time.
+  return std::chrono::ceil<std::chrono::milliseconds>(
+      std::max(until - now, core::Duration::zero()));
+}
+
+}  // namespace internal
+
 OpenStart OpenStart::Of(const core::InstanceId& worker,
                         const execution::RunKey& key,
                         const execution::AssignedRun& run,
@@ -18,6 +29,19 @@
       is_held ? run.held_until : until + execution::WithClockDrift(max_lease)};
 }
 
+OpenStarts OpenStarts::Restore(const job::HandoverState& stored,
+                               core::TimePoint ended_at) {
+  OpenStarts starts;
+  starts.m_are_earlier_known = stored.has_all_open_starts;
+  for (const job::OpenStart& start : stored.open_starts) {
+    starts.Add({start.worker,
+                {start.task, start.attempt},
+                ended_at + start.executable_for,
+                ended_at + start.settled_in});
+  }
+  return starts;
+}
+
 void OpenStarts::Add(const OpenStart& start) {
   StartsOfWorker& starts = m_by_worker[start.worker];
   const auto [known, is_new] = starts.emplace(start.key, start);
@@ -39,14 +63,30 @@
   }
 }
 
-std::map<core::InstanceId, job::TaskId> OpenStarts::Workers() const {
+std::map<core::InstanceId, job::TaskId> OpenStarts::Workers(
+    core::TimePoint now) const {
   std::map<core::InstanceId, job::TaskId> workers;
   for (const auto& [worker, starts] : m_by_worker) {
-    workers.emplace(worker, starts.begin()->first.task);
+    for (const auto& [key, start] : starts) {
+      if (now < start.settled_at) {
+        workers.emplace(worker, key.task);
+        break;
+      }
+    }
   }
   return workers;
 }
 
+const OpenStart* OpenStarts::Find(const core::InstanceId& worker,
+                                  const execution::RunKey& key) const {
+  const auto starts = m_by_worker.find(worker);
+  if (starts == m_by_worker.end()) {
+    return nullptr;
+  }
+  const auto found = starts->second.find(key);
+  return found == starts->second.end() ? nullptr : &found->second;
+}
+
 std::vector<OpenStart> OpenStarts::OfWorker(const core::InstanceId& worker,
                                             core::TimePoint now) const {
   std::vector<OpenStart> open;
@@ -112,6 +152,17 @@
   }
 }
 
+void OpenStarts::AppendTo(core::TimePoint now,
+                          std::vector<job::OpenStart>& starts) const {
+  for (const auto& [worker, of_worker] : m_by_worker) {
+    for (const auto& [key, start] : of_worker) {
+      starts.push_back({key.task, key.attempt, worker,
+                        internal::Remaining(start.until, now),
+                        internal::Remaining(start.settled_at, now)});
+    }
+  }
+}
+
 // Called after the start was removed from those of its worker.
 void OpenStarts::RemoveFromIndex(const OpenStart& start) {
   const StartsOfWorker& starts = m_by_worker.at(start.worker);
--- a/src/crocusmast/scheduling/open_starts.h
+++ b/src/crocusmast/scheduling/open_starts.h
@@ -10,6 +10,7 @@
 #include "crocusmast/core/clock.h"
 #include "crocusmast/core/ids.h"
 #include "crocusmast/execution/assigned_run.h"
+#include "crocusmast/job/job_store.h"
 #include "crocusmast/job/task_id.h"
 
 namespace crocusmast::scheduling {
@@ -42,7 +43,7 @@
 };
 
 /**
- * @brief Open starts of runs that have ended.
+ * @brief Open starts of runs that have ended and of earlier leaders.
  *
  * An incarnation of the worker that has not replied yet may execute them. Until
  * then their tasks start nowhere else: the known incarnation rejects them, so
@@ -53,6 +54,18 @@
   /** @brief Creates an empty set. */
   OpenStarts() = default;
 
+  /**
+   * @brief Creates the set that an earlier leader handed over.
+   * @param stored What it stored.
+   * @param ended_at When its term had ended.
+   */
+  static OpenStarts Restore(const job::HandoverState& stored,
+                            core::TimePoint ended_at);
+
+  /** @brief Tells whether all open starts of earlier leaders were handed over.
+   */
+  bool AreEarlierKnown() const { return m_are_earlier_known; }
+
   /**
    * @brief Adds a start, or extends the time of a known one.
    * @param start The start.
@@ -62,8 +75,21 @@
   /** @brief Tells whether there is none. */
   bool IsEmpty() const { return m_by_worker.empty(); }
 
-  /** @brief Returns the workers of the starts, each with one of their tasks. */
-  std::map<core::InstanceId, job::TaskId> Workers() const;
+  /**
+   * @brief Returns the workers of starts that are not settled, each with the
+   * task of one of them.
+   * @param now The current time.
+   */
+  std::map<core::InstanceId, job::TaskId> Workers(core::TimePoint now) const;
+
+  /**
+   * @brief Finds a start.
+   * @param worker The worker that it was sent to.
+   * @param key The run.
+   * @return The start, or null.
+   */
+  const OpenStart* Find(const core::InstanceId& worker,
+                        const execution::RunKey& key) const;
 
   /**
    * @brief Returns the starts that a worker may still execute.
@@ -98,11 +124,19 @@
    */
   void RemoveSettled(core::TimePoint now);
 
+  /**
+   * @brief Appends the starts with the time that they have left.
+   * @param now The current time.
+   * @param starts Where to append them.
+   */
+  void AppendTo(core::TimePoint now, std::vector<job::OpenStart>& starts) const;
+
  private:
   using StartsOfWorker = std::map<execution::RunKey, OpenStart>;
 
   void RemoveFromIndex(const OpenStart& start);
 
+  bool m_are_earlier_known = false;
   std::map<core::InstanceId, StartsOfWorker> m_by_worker;
   std::map<job::TaskId, std::set<core::InstanceId>> m_workers_by_task;
 };
--- a/src/crocusmast/scheduling/scheduler.cc
+++ b/src/crocusmast/scheduling/scheduler.cc
@@ -43,6 +43,8 @@
   }
   m_inherited_workers = InheritedWorkers::Create(
       handover.workers, term.vacant_since.value_or(now));
+  m_open_starts =
+      OpenStarts::Restore(handover, term.vacant_since.value_or(now));
   const core::WallTime wall = m_ports.clock.WallNow();
   for (const job::BatchId& batch : catalog.Batches()) {
     m_committer.AddStoredBatch(batch);
@@ -96,6 +98,7 @@
        {"token", std::to_string(term.token.Count())},
        {"jobs", std::to_string(m_jobs.size())},
        {"workers", std::to_string(handover.workers.size())},
+       {"open_starts", std::to_string(handover.open_starts.size())},
        {"handover", handover.fleet.machine_cooldowns ? "resigned" : "active"},
        {"handover_revision", std::to_string(stored.revision.Count())},
        {"longest_lease_ms", std::to_string(longest_lease.count())}});
--- a/src/crocusmast/scheduling/scheduler.h
+++ b/src/crocusmast/scheduling/scheduler.h
@@ -244,6 +244,13 @@
   std::optional<core::InstanceId> WorkerOfOpenStart(
       const ActiveJob& active,
       const job::TaskId& task) const;
+  std::optional<OpenStart> FindEarlierStart(
+      const ActiveJob& active,
+      const job::TaskPlacement& placement) const;
+  void AdoptOpenStart(const ActiveJob& active,
+                      const core::InstanceId& worker,
+                      const execution::RunKey& key,
+                      execution::AssignedRun& run) const;
   std::vector<MachineEvidence::KnownWorker> WorkersOfOpenStarts() const;
   void SettleOpenStarts(core::TimePoint confirmed_at);
   bool MayStillStart(const ActiveJob& active,
--- a/src/crocusmast/scheduling/scheduler_machines.cc
+++ b/src/crocusmast/scheduling/scheduler_machines.cc
@@ -44,7 +44,7 @@
 std::vector<MachineEvidence::KnownWorker> Scheduler::WorkersOfOpenStarts()
     const {
   std::vector<MachineEvidence::KnownWorker> workers;
-  for (const auto& [id, task] : m_open_starts.Workers()) {
+  for (const auto& [id, task] : m_open_starts.Workers(m_ports.clock.Now())) {
     const auto worker = m_workers.find(id);
     const auto active = m_jobs.find(task.job);
     if (worker != m_workers.end()) {
@@ -100,16 +100,24 @@
 }
 
 void Scheduler::SettleOpenStarts(core::TimePoint confirmed_at) {
-  m_open_starts.RemoveSettled(confirmed_at);
+  // A stored placement is waited for anew if its start is not known any more.
+  const core::Duration retention =
+      execution::kMaxCommandDelay +
+      execution::WithClockDrift(m_term.max_worker_lease);
+  m_open_starts.RemoveSettled(confirmed_at - retention);
+  bool is_changed = false;
   for (const MachineEvidence::KnownWorker& worker : WorkersOfOpenStarts()) {
     const std::optional<core::TimePoint> absent_at =
         m_machine_evidence.AbsentAt(worker.id, worker.known_since,
                                     confirmed_at);
-    if (absent_at) {
-      m_open_starts.HandleAbsence(
-          worker.id, *absent_at,
-          execution::WithClockDrift(m_term.max_worker_lease));
-    }
+    const bool is_shortened =
+        absent_at && m_open_starts.HandleAbsence(
+                         worker.id, *absent_at,
+                         execution::WithClockDrift(m_term.max_worker_lease));
+    is_changed = is_changed || is_shortened;
+  }
+  if (is_changed && m_has_worker_list) {
+    StoreHandover();
   }
 }
 
--- a/src/crocusmast/scheduling/scheduler_open_starts.cc
+++ b/src/crocusmast/scheduling/scheduler_open_starts.cc
@@ -98,6 +98,9 @@
   const OpenStart start = OpenStart::Of(worker.Record().id, key, run->second,
                                         m_term.max_worker_lease);
   m_open_starts.Add(start);
+  if (m_has_worker_list) {
+    StoreHandover();
+  }
   const auto remaining =
       std::chrono::duration_cast<std::chrono::milliseconds>(start.until - now);
   Log(core::Severity::kInfo,
@@ -150,13 +153,43 @@
   return std::nullopt;
 }
 
+// An earlier leader that was lost may have sent the start until its end, unless
+// it has stored that the start got no reply.
+std::optional<OpenStart> Scheduler::FindEarlierStart(
+    const ActiveJob& active,
+    const job::TaskPlacement& placement) const {
+  if (!placement.open_attempt) {
+    return std::nullopt;
+  }
+  const RunKey key{{active.job.Id(), placement.task}, *placement.open_attempt};
+  const OpenStart* known = m_open_starts.Find(placement.worker, key);
+  if (known != nullptr) {
+    return *known;
+  }
+  if (m_open_starts.AreEarlierKnown()) {
+    return std::nullopt;
+  }
+  const core::TimePoint ended_at =
+      m_term.vacant_since.value_or(m_term_began_at);
+  const core::Duration lease =
+      execution::WithClockDrift(m_term.max_worker_lease);
+  const core::TimePoint until = ended_at + execution::kMaxCommandDelay;
+  const auto worker = m_workers.find(placement.worker);
+  const bool is_listed =
+      worker != m_workers.end() && worker->second->IsListed();
+  const bool is_gone =
+      m_inherited_workers.IsGone(placement.worker) && !is_listed;
+  return OpenStart{placement.worker, key, until,
+                   is_gone ? ended_at + lease : until + lease};
+}
+
 // The worker may have replied without the run: the command may reach a later
 // incarnation of it.
 bool Scheduler::MayStillStart(const ActiveJob& active,
                               const job::TaskPlacement& placement) const {
   const job::Task* task = active.job.Find(placement.task);
-  if (!placement.open_attempt || task == nullptr || task->is_done ||
-      !task->runs.empty()) {
+  const std::optional<OpenStart> start = FindEarlierStart(active, placement);
+  if (!start || task == nullptr || task->is_done || !task->runs.empty()) {
     return false;
   }
   const auto found = m_workers.find(placement.worker);
@@ -164,19 +197,28 @@
                            found->second->is_reconciled &&
                            found->second->failed_polls == 0;
   const job::Step& step = active.job.StepOf(placement.task);
-  if (is_replying && IsSettledWithoutRepeat(*found->second, active, step)) {
-    return false;
-  }
-  const bool is_listed = found != m_workers.end() && found->second->IsListed();
-  const core::Duration lease =
-      execution::WithClockDrift(m_term.max_worker_lease);
-  core::Duration wait = execution::kMaxCommandDelay + lease;
+  const core::TimePoint now = m_ports.clock.Now();
   if (is_replying) {
-    wait = execution::kMaxCommandDelay;
-  } else if (m_inherited_workers.IsGone(placement.worker) && !is_listed) {
-    wait = lease;
+    return !IsSettledWithoutRepeat(*found->second, active, step) &&
+           now < start->until;
+  }
+  return now < start->settled_at;
+}
+
+// How many copies of a start the earlier leader sent is not known.
+void Scheduler::AdoptOpenStart(const ActiveJob& active,
+                               const core::InstanceId& worker,
+                               const RunKey& key,
+                               AssignedRun& run) const {
+  const bool is_known = m_open_starts.Find(worker, key) != nullptr;
+  const bool may_be_open =
+      active.job.Earlier().IsOpen(key.task.key, key.attempt);
+  const std::optional<OpenStart> start =
+      FindEarlierStart(active, {key.task.key, worker, {}, key.attempt});
+  if (start && (is_known || may_be_open)) {
+    run.unanswered_starts = 2;
+    run.unanswered_start_until = start->until;
   }
-  return m_ports.clock.Now() < m_term_began_at + wait;
 }
 
 void Scheduler::RepeatEarlierStarts(ActiveJob& active) {
@@ -190,6 +232,7 @@
     if (!may_repeat) {
       continue;
     }
+    const core::TimePoint until = FindEarlierStart(active, placement)->until;
     active.job.Earlier().Remove(placement.task);
     const job::TaskId task{active.job.Id(), placement.task};
     StartTask(active, *worker, task, *placement.open_attempt);
@@ -197,7 +240,7 @@
     run->has_unanswered_start = true;
     // How many copies the earlier leader sent is not known.
     run->unanswered_starts = 2;
-    run->unanswered_start_until = m_term_began_at + execution::kMaxCommandDelay;
+    run->unanswered_start_until = until;
   }
 }
 
--- a/src/crocusmast/scheduling/scheduler_polls.cc
+++ b/src/crocusmast/scheduling/scheduler_polls.cc
@@ -279,11 +279,8 @@
   run.confirmed_at_poll = worker.poll_sequence;
   run.command_sent_at = m_ports.clock.Now();
   run.active_since = worker.AliveAt();
-  if (active != nullptr &&
-      active->job.Earlier().IsOpen(report.task.key, report.attempt)) {
-    // How many copies the earlier leader sent is not known.
-    run.unanswered_starts = 2;
-    run.unanswered_start_until = m_term_began_at + execution::kMaxCommandDelay;
+  if (active != nullptr && task != nullptr) {
+    AdoptOpenStart(*active, worker.Record().id, key, run);
   }
   const bool is_wanted = task != nullptr &&
                          !job::IsFinal(active->job.State()) && !task->is_done &&
--- a/src/crocusmast/scheduling/scheduler_runs.cc
+++ b/src/crocusmast/scheduling/scheduler_runs.cc
@@ -162,6 +162,9 @@
       run->AddUnansweredStart();
       run->is_repeat_unsent = false;
       m_workers_to_retry.insert(reply.worker);
+      if (m_has_worker_list) {
+        StoreHandover();
+      }
       break;
     case WorkerCallOutcome::kNotSent:
       if (run->has_unanswered_start) {
--- a/src/crocusmast/scheduling/scheduler_workers.cc
+++ b/src/crocusmast/scheduling/scheduler_workers.cc
@@ -175,6 +175,18 @@
                                   remaining(inherited.leased_until)});
     }
   }
+  OpenStarts open = m_open_starts;
+  for (const auto& [id, worker] : m_workers) {
+    for (const auto& [key, run] : worker->Runs()) {
+      // The job's record has the starts in flight of a leader that stays.
+      const bool is_in_flight = run.unanswered_start_until <= now;
+      if (run.HasOpenStart(now) && !(stays_active && is_in_flight)) {
+        open.Add(OpenStart::Of(id, key, run, m_term.max_worker_lease));
+      }
+    }
+  }
+  open.AppendTo(now, handover.open_starts);
+  handover.has_all_open_starts = !stays_active;
   return handover;
 }
 
--- a/test/adapters/job_records_test.cc
+++ b/test/adapters/job_records_test.cc
@@ -26,6 +26,7 @@
   CPPUNIT_TEST(BatchRoundTrips);
   CPPUNIT_TEST(DamagedBatchEntryLosesItselfAlone);
   CPPUNIT_TEST(HandoverStateAndHolderRoundTrip);
+  CPPUNIT_TEST(OpenStartsRoundTrip);
   CPPUNIT_TEST(CommandedMachinesRoundTrip);
   CPPUNIT_TEST(DamagedBytesGiveJobOrError);
   CPPUNIT_TEST_SUITE_END();
@@ -253,6 +254,33 @@
         records::DecodeHolder(records::EncodeHolder(holder)).value() == holder);
   }
 
+  // Versions that store no open starts leave them out.
+  void OpenStartsRoundTrip() {
+    job::HandoverState handover;
+    const std::string without = records::EncodeHandoverState(handover);
+    const job::HandoverState earlier =
+        records::DecodeHandoverState(without).value();
+    CPPUNIT_ASSERT(earlier.open_starts.empty());
+    CPPUNIT_ASSERT(!earlier.has_all_open_starts);
+    handover.open_starts = {
+        {{MakeId<core::JobId>("0123456789abcdef"), {1, 2, 3}},
+         core::Attempt(7),
+         MakeId<core::InstanceId>("w-1"),
+         std::chrono::milliseconds(14000),
+         std::chrono::milliseconds(20180)}};
+    handover.has_all_open_starts = true;
+    const job::HandoverState decoded =
+        records::DecodeHandoverState(records::EncodeHandoverState(handover))
+            .value();
+    CPPUNIT_ASSERT(decoded.has_all_open_starts);
+    const job::OpenStart& start = decoded.open_starts.at(0);
+    CPPUNIT_ASSERT(start.task == handover.open_starts[0].task);
+    CPPUNIT_ASSERT(core::Attempt(7) == start.attempt);
+    CPPUNIT_ASSERT(MakeId<core::InstanceId>("w-1") == start.worker);
+    CPPUNIT_ASSERT(std::chrono::milliseconds(14000) == start.executable_for);
+    CPPUNIT_ASSERT(std::chrono::milliseconds(20180) == start.settled_in);
+  }
+
   void CommandedMachinesRoundTrip() {
     job::HandoverState handover;
     handover.leader = core::FencingToken(7);
--- a/test/scheduling/open_starts_test.cc
+++ b/test/scheduling/open_starts_test.cc
@@ -21,6 +21,7 @@
   CPPUNIT_TEST(DropsTheOldestWhenThereAreTooMany);
   CPPUNIT_TEST(FindsTheStartsOfATaskOnEachWorker);
   CPPUNIT_TEST(AbsenceSettlesOnlyStartsThatWereSentBefore);
+  CPPUNIT_TEST(TimeThatIsLeftShrinksFromTermToTerm);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -79,6 +80,22 @@
         !m_starts.HandleAbsence(kWorker, kNow + milliseconds(500), kLease));
   }
 
+  // Issue 61, LOST: each leader counted the time of an open start anew.
+  void TimeThatIsLeftShrinksFromTermToTerm() {
+    Add(1, kNow);
+    core::TimePoint ended_at = kNow;
+    for (int term = 0; term < 4; ++term) {
+      ended_at += milliseconds(2500);
+      job::HandoverState stored;
+      m_starts.AppendTo(ended_at, stored.open_starts);
+      m_starts = OpenStarts::Restore(stored, ended_at);
+    }
+    const scheduling::OpenStart start = m_starts.OfTask(Task(1)).at(0);
+    CPPUNIT_ASSERT(kNow + execution::kMaxCommandDelay == start.until);
+    CPPUNIT_ASSERT(kNow + execution::kMaxCommandDelay + kLease ==
+                   start.settled_at);
+  }
+
  private:
   static job::TaskId Task(std::uint32_t index) {
     return {MakeId<core::JobId>("0123456789abcdef"), {0, 0, index}};
--- a/test/scheduling/repeated_start_test.cc
+++ b/test/scheduling/repeated_start_test.cc
@@ -18,7 +18,7 @@
 using test::MakeWorker;
 
 constexpr const char* kJob = HeldRunFixture::kJob;
-/** @brief Starts that outlive their run. */
+/** @brief Starts that outlive their run or their leader. */
 class RepeatedStartTest : public HeldRunFixture {
   CPPUNIT_TEST_SUITE(RepeatedStartTest);
   CPPUNIT_TEST(FailedTaskStartsOnlyOnTheWorkerOfItsOpenStart);
@@ -27,6 +27,11 @@
   CPPUNIT_TEST(FailedTaskWaitsNoLongerThanTheLeaseOfAGoneWorker);
   CPPUNIT_TEST(TaskDoesNotWaitWhereAnotherWorkerReplies);
   CPPUNIT_TEST(OtherTasksOfTheStepDoNotWait);
+  CPPUNIT_TEST(SuccessorStartsAFailedTaskOnTheWorkerOfItsOpenStart);
+  CPPUNIT_TEST(SuccessorWaitsOnlyForTheTimeThatIsLeft);
+  CPPUNIT_TEST(TimeThatIsLeftShrinksIfLeadersAreLost);
+  CPPUNIT_TEST(SuccessorDoesNotWaitIfAllOpenStartsAreKnown);
+  CPPUNIT_TEST(SuccessorInheritsThatTheWorkerWasGone);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -45,9 +50,8 @@
   }
 
   void FailedTaskWaitsForTheOpenStartOnASilentWorker() {
-    const job::TaskId task = FailBesideOtherRun();
-    ExpectStartOnOtherWorkerAfter(execution::kMaxCommandDelay + kLongestLease,
-                                  task);
+    FailBesideOtherRun();
+    ExpectStartOnOtherWorkerAfter(execution::kMaxCommandDelay + kLongestLease);
   }
 
   // LOST: the worker has replied, and takes no task any more.
@@ -92,6 +96,72 @@
     CPPUNIT_ASSERT(!(m_fixture.worker_port.starts.back().task == task));
   }
 
+  // Issue 61: what is known of the start ended with the term.
+  void SuccessorStartsAFailedTaskOnTheWorkerOfItsOpenStart() {
+    const execution::StartCommand start = FailAfterRepeat();
+    BeginNextTerm(m_fixture.scheduler.FinalHandoverState());
+    ReplyToPollOf("w-1", {});
+    ReplyToPollOf("w-2", {});
+    m_fixture.RunCycles();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, NewStarts().size());
+    CPPUNIT_ASSERT(start.to.worker == NewStarts()[0].to.worker);
+  }
+
+  // Issue 61, LOST: each leader counted the time anew from the beginning of its
+  // own term.
+  void SuccessorWaitsOnlyForTheTimeThatIsLeft() {
+    m_sent_at = BeginLongRunningWithOpenStart();
+    for (int term = 0; term < 3; ++term) {
+      KeepSilentFor(milliseconds(2500));
+      BeginNextTerm(m_fixture.scheduler.FinalHandoverState());
+      ReplyToPollOf("w-2", {});
+    }
+    ExpectStartOnOtherWorkerAfter(execution::kMaxCommandDelay + kLongestLease);
+  }
+
+  // What a successor stores at the beginning of its term counts for the next.
+  void TimeThatIsLeftShrinksIfLeadersAreLost() {
+    m_sent_at = BeginLongRunningWithOpenStart();
+    KeepSilentFor(milliseconds(9000));
+    BeginNextTerm(m_fixture.scheduler.FinalHandoverState());
+    ReplyToPollOf("w-2", {});
+    const core::TimePoint stored_at = m_fixture.clock.Now();
+    KeepSilentFor(milliseconds(3000));
+    const core::Duration lost = m_fixture.clock.Now() - stored_at;
+    BeginNextTerm(StoredHandover());
+    ReplyToPollOf("w-2", {});
+    ExpectStartOnOtherWorkerAfter(execution::kMaxCommandDelay + kLongestLease,
+                                  lost);
+  }
+
+  // The leader has resigned, and each start of it was answered.
+  void SuccessorDoesNotWaitIfAllOpenStartsAreKnown() {
+    const execution::StartCommand start = BeginWithOneTask();
+    m_fixture.ReplyToStart(start, WorkerCallOutcome::kDone);
+    m_fixture.ReplyToPoll({Fixture::ActiveRun(start)}, {});
+    BeginNextTerm(m_fixture.scheduler.FinalHandoverState());
+    ReplyToPollOf("w-1", {});
+    ReplyToPollOf("w-2", {});
+    m_fixture.RunCycles();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, NewStarts().size());
+    CPPUNIT_ASSERT(start.attempt < NewStarts()[0].attempt);
+  }
+
+  // Issue 61, LOST: only the leader that saw it did not wait for the time in
+  // which the start might be executed.
+  void SuccessorInheritsThatTheWorkerWasGone() {
+    m_sent_at = BeginLongRunningWithOpenStart();
+    m_fixture.scheduler.Handle(
+        scheduling::WorkerRemoved{MakeId<core::InstanceId>("w-1")});
+    ReplyToPollOf("w-1", {}, WorkerCallOutcome::kUnknown);
+    ListMachineWithoutWorker();
+    ListMachineWithoutWorker();
+    m_fixture.RunCycles();
+    BeginNextTerm(m_fixture.scheduler.FinalHandoverState(), {"w-2"});
+    ReplyToPollOf("w-2", {});
+    ExpectStartOnOtherWorkerAfter(kLongestLease);
+  }
+
  private:
   // The first copy of the start got no reply; the second one was executed, and
   // the run has failed.
@@ -159,12 +229,59 @@
     m_fixture.scheduler.Handle(reply);
   }
 
+  core::TimePoint BeginLongRunningWithOpenStart() {
+    job::Step step = MakeStep(1);
+    step.is_long_running = true;
+    m_accepted = MakeJob(kJob, {step});
+    const execution::StartCommand start = Begin(step);
+    const core::TimePoint sent_at = m_fixture.clock.Now();
+    m_fixture.ReplyToStart(start, WorkerCallOutcome::kUnknown);
+    m_fixture.RunCycles();
+    return sent_at;
+  }
+
+  // What was stored last, as a leader that is killed leaves it.
+  job::HandoverState StoredHandover() const {
+    job::HandoverState handover;
+    for (const job::Commit& commit : m_fixture.store.commits) {
+      handover = commit.handover.value_or(handover);
+    }
+    return handover;
+  }
+
+  void BeginNextTerm(const job::HandoverState& handover,
+                     const std::vector<const char*>& workers = {"w-1", "w-2"}) {
+    m_fixture.catalog.Apply(job::JobStored{m_accepted}, {});
+    for (const job::Commit& commit : m_fixture.store.commits) {
+      for (const job::ProgressWrite& write : commit.progress) {
+        m_fixture.catalog.Apply(
+            job::ProgressStored{write.id, write.progress, core::Revision(50)},
+            {});
+      }
+    }
+    m_fixture.BeginTerm(++m_token, handover);
+    m_earlier_starts = m_fixture.worker_port.starts.size();
+    std::vector<execution::WorkerRecord> records;
+    // The last one has the least room that is enough, and is preferred.
+    for (const char* worker : workers) {
+      records.push_back(
+          MakeWorker(worker, 1, worker == workers.back() ? 1000 : 4000));
+    }
+    m_fixture.SetWorkers(records);
+    m_fixture.RunCycles();
+  }
+
+  std::vector<execution::StartCommand> NewStarts() const {
+    const auto& starts = m_fixture.worker_port.starts;
+    return {starts.begin() + static_cast<std::ptrdiff_t>(m_earlier_starts),
+            starts.end()};
+  }
+
   /** @brief Checks that the task starts on w-2 this long after the start that
-   * got no reply, while w-1 is silent, and not before. */
+   * got no reply, or up to another time longer, while w-1 is silent. */
   void ExpectStartOnOtherWorkerAfter(core::Duration time,
-                                     const job::TaskId& task = {
-                                         MakeId<core::JobId>(kJob),
-                                         {0, 0, 0}}) {
+                                     core::Duration longer = {}) {
+    const job::TaskId task{MakeId<core::JobId>(kJob), {0, 0, 0}};
     const auto starts_elsewhere = [&] {
       const auto& starts = m_fixture.worker_port.starts;
       return std::any_of(starts.begin(), starts.end(), [&](const auto& start) {
@@ -175,12 +292,16 @@
     while (!starts_elsewhere()) {
       ReplyFromOtherWorker();
       KeepSilentFor(kStep);
-      CPPUNIT_ASSERT(m_fixture.clock.Now() < m_sent_at + time + 2 * kSlack);
+      CPPUNIT_ASSERT(m_fixture.clock.Now() <
+                     m_sent_at + time + longer + 2 * kSlack);
     }
     CPPUNIT_ASSERT(m_sent_at + time - 2 * kReplyDelay <= m_fixture.clock.Now());
   }
 
+  job::AcceptedJob m_accepted = MakeJob(kJob, {MakeStep(1)});
   core::TimePoint m_sent_at;
+  std::uint64_t m_token = 100;
+  std::size_t m_earlier_starts = 0;
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(RepeatedStartTest, "scheduling");
