Store on which worker the start of a finite task is open

Cause: of finite tasks only the pools were stored. A successor could not tell a task that waits from one whose start is under way, and started it elsewhere once its worker fell silent.

Change: the progress of a job contains worker and attempt of each start of a finite task that was not answered when it was captured. The first starts of a job waited for that commit before, so that none waits longer; later ones are stored with the next commit. A successor repeats such a start on its worker under the same attempt, so that it is one run, whichever incarnation executes which copy. A listed run without an open start in the handover state shows the execution of the only copy.

--- a/src/crocusmast/job/earlier_placements.h
+++ b/src/crocusmast/job/earlier_placements.h
@@ -12,8 +12,9 @@
 namespace crocusmast::job {
 
 /**
- * @brief Workers on which runs of a job's long-running tasks that an earlier
- * leader began may be active.
+ * @brief Workers on which runs of a job's tasks that an earlier leader began
+ * may be active; of finite tasks only those whose start may not be executed
+ * yet.
  *
  * A placement stays until its worker is known to run nothing else of an earlier
  * leader, and no start command of one may be executed any more. Unknown
@@ -47,6 +48,14 @@
     return !m_are_known || m_placements.count(task) > 0;
   }
 
+  /**
+   * @brief Tells whether a task has a known placement.
+   * @param task The task.
+   */
+  bool HasPlacement(const TaskKey& task) const {
+    return m_placements.count(task) > 0;
+  }
+
   /** @brief Tells whether a run that was placed earlier may be active. */
   using ActivityCheck = std::function<bool(const TaskPlacement&)>;
   /**
--- a/src/crocusmast/job/job.cc
+++ b/src/crocusmast/job/job.cc
@@ -191,7 +191,7 @@
 
 bool Job::MarkStartSettled(const TaskKey& key, core::Attempt attempt) {
   Task* task = FindTask(key);
-  if (task == nullptr || !StepOf(key).is_long_running) {
+  if (task == nullptr) {
     return false;
   }
   const auto run = std::find_if(
--- a/src/crocusmast/job/job.h
+++ b/src/crocusmast/job/job.h
@@ -355,8 +355,7 @@
    * stored; returns whether it contains a pool that was not stored before. */
   bool MarkCapturedProgressStored();
 
-  /** @brief Returns where runs of an earlier leader may be active; only of
-   * long-running tasks. */
+  /** @brief Returns where runs of an earlier leader may be active. */
   EarlierPlacements& Earlier() { return m_earlier_placements; }
   const EarlierPlacements& Earlier() const { return m_earlier_placements; }
   /** @brief Returns the pools in which tasks may have been started. */
--- a/src/crocusmast/job/job_progress.cc
+++ b/src/crocusmast/job/job_progress.cc
@@ -62,8 +62,12 @@
 void Job::Restore(const JobProgress& stored) {
   m_state = stored.state;
   m_opened_count = stored.opened_count;
-  if (m_state != JobState::kQueued && m_accepted.spec.HasLongRunningSteps()) {
-    m_earlier_placements = EarlierPlacements::Restore(stored.placements);
+  if (m_state != JobState::kQueued) {
+    // Records of finite tasks may lack them.
+    m_earlier_placements = EarlierPlacements::Restore(
+        m_accepted.spec.HasLongRunningSteps()
+            ? stored.placements
+            : stored.placements.value_or(std::vector<TaskPlacement>()));
   }
   if (m_state != JobState::kQueued) {
     m_pools = StartedPools::Restore(stored.pools);
@@ -94,17 +98,21 @@
     }
   }
   progress.pools = m_pools.List();
-  if (m_accepted.spec.HasLongRunningSteps() &&
-      m_earlier_placements.AreKnown()) {
-    std::vector<TaskPlacement>& placements = progress.placements.emplace();
-    m_earlier_placements.AppendTo(placements);
-    ForEachRun([&](const TaskKey& key, const Run& run) {
-      if (StepOf(key).is_long_running) {
-        placements.push_back(
-            {key, run.worker, run.incarnation,
-             run.has_open_start ? std::optional(run.attempt) : std::nullopt});
-      }
-    });
+  if (!m_earlier_placements.AreKnown()) {
+    return progress;
+  }
+  std::vector<TaskPlacement> placements;
+  m_earlier_placements.AppendTo(placements);
+  ForEachRun([&](const TaskKey& key, const Run& run) {
+    const Step& step = StepOf(key);
+    if (step.is_long_running || (run.has_open_start && !step.is_speculative)) {
+      placements.push_back(
+          {key, run.worker, run.incarnation,
+           run.has_open_start ? std::optional(run.attempt) : std::nullopt});
+    }
+  });
+  if (m_accepted.spec.HasLongRunningSteps() || !placements.empty()) {
+    progress.placements = std::move(placements);
   }
   return progress;
 }
--- a/src/crocusmast/job/progress.h
+++ b/src/crocusmast/job/progress.h
@@ -75,7 +75,7 @@
   std::vector<StepProgress> steps;
 };
 
-/** @brief A worker on which a run of a long-running task may be active. */
+/** @brief A worker on which a run of a task may be active. */
 struct TaskPlacement {
   TaskKey task;
   core::InstanceId worker;
@@ -93,8 +93,9 @@
   std::uint32_t opened_count = 0;
   /** @brief Occurrences that are open: opened but not done. */
   std::vector<OccurrenceProgress> open_occurrences;
-  /** @brief Where runs of long-running tasks may be active; absent if unknown,
-   * and for a job without such tasks. */
+  /** @brief Where runs of long-running tasks may be active, and where starts of
+   * finite tasks may not be executed yet; absent if unknown, or for a job
+   * without either. */
   std::optional<std::vector<TaskPlacement>> placements;
   /** @brief Pools in which tasks may have been started; absent if unknown. */
   std::optional<std::vector<core::PoolId>> pools;
--- a/src/crocusmast/scheduling/scheduler.cc
+++ b/src/crocusmast/scheduling/scheduler.cc
@@ -75,9 +75,9 @@
     active.is_inherited = active.is_start_recorded;
     if (active.is_inherited && !handover.has_current_placements &&
         (entry.job.spec.HasLongRunningSteps() || entry.progress->pools)) {
-      if (entry.job.spec.HasLongRunningSteps()) {
-        active.job.Earlier() = job::EarlierPlacements::Unknown();
-      }
+      active.job.Earlier() = entry.job.spec.HasLongRunningSteps()
+                                 ? job::EarlierPlacements::Unknown()
+                                 : job::EarlierPlacements();
       active.job.Pools() = job::StartedPools::Restore(std::nullopt);
       m_committer.MarkChanged(id);
       m_outdated_placements.insert(id);
--- a/src/crocusmast/scheduling/scheduler_open_starts.cc
+++ b/src/crocusmast/scheduling/scheduler_open_starts.cc
@@ -75,14 +75,13 @@
          (m_crashes.MustWait(task) || m_crashes.IsReserved(worker.Record().id));
 }
 
-// A successor need not wait for the start commands of this run then.
+// A successor need not wait for the start commands of this run then. It finds
+// finite tasks by polling all workers that may have them.
 void Scheduler::MarkStartSettled(const RunKey& key, const AssignedRun& run) {
-  if (!run.is_long_running) {
-    return;
-  }
   ActiveJob* active = FindJob(key.task.job);
   if (active != nullptr && !run.HasOpenStart(m_ports.clock.Now()) &&
-      active->job.MarkStartSettled(key.task.key, key.attempt)) {
+      active->job.MarkStartSettled(key.task.key, key.attempt) &&
+      run.is_long_running) {
     m_committer.MarkChanged(key.task.job);
   }
 }
@@ -202,16 +201,23 @@
     return !IsSettledWithoutRepeat(*found->second, active, step) &&
            now < start->until;
   }
-  return now < start->settled_at;
+  // The record of a finite task does not tell whether its start was answered.
+  // If it was, its run has ended with the lease of its worker.
+  const bool is_known =
+      m_open_starts.Find(start->worker, start->key) != nullptr;
+  return (step.is_long_running || is_known) && now < start->settled_at;
 }
 
-// How many copies of a start the earlier leader sent is not known.
+// How many copies of a start the earlier leader sent is not known, but for a
+// finite task without a stored open start: its only copy has been executed.
 void Scheduler::AdoptOpenStart(const ActiveJob& active,
                                const core::InstanceId& worker,
                                const RunKey& key,
                                AssignedRun& run) const {
+  const job::Step& step = active.job.StepOf(key.task.key);
   const bool is_known = m_open_starts.Find(worker, key) != nullptr;
   const bool may_be_open =
+      step.is_long_running &&
       active.job.Earlier().IsOpen(key.task.key, key.attempt);
   const std::optional<OpenStart> start =
       FindEarlierStart(active, {key.task.key, worker, {}, key.attempt});
@@ -225,7 +231,10 @@
   for (const job::TaskPlacement& placement : active.job.Earlier().Open()) {
     Worker* worker = FindWorker(placement.worker);
     const bool may_repeat =
-        worker != nullptr && !m_inherited_workers.MayStillRun(placement) &&
+        worker != nullptr &&
+        (active.job.StepOf(placement.task).is_long_running ||
+         MayStartFiniteTasks(active)) &&
+        !m_inherited_workers.MayStillRun(placement) &&
         MayStillStart(active, placement) &&
         !MustStartAlone(*worker, {active.job.Id(), placement.task}) &&
         IsUsable(*worker, m_ports.clock.Now());
--- a/src/crocusmast/scheduling/scheduler_placement.cc
+++ b/src/crocusmast/scheduling/scheduler_placement.cc
@@ -154,7 +154,10 @@
   std::vector<std::pair<job::TaskKey, const job::Step*>> ready;
   bool is_waiting = !earlier.AreSettled();
   active.job.ForEachReady([&](const job::TaskKey& key, const job::Step& step) {
-    if (step.is_long_running ? !earlier.MayBeRunning(key) : may_start_finite) {
+    const bool may_start = step.is_long_running
+                               ? !earlier.MayBeRunning(key)
+                               : may_start_finite && !earlier.HasPlacement(key);
+    if (may_start) {
       ready.emplace_back(key, &step);
     } else {
       is_waiting = true;
--- a/src/crocusmast/scheduling/scheduler_starts.cc
+++ b/src/crocusmast/scheduling/scheduler_starts.cc
@@ -24,9 +24,10 @@
   }
   active.times.last_placed_at = now;
   // A successor must know that the job has started, in which pools, and on
-  // which worker each long-running task may run.
+  // which worker each long-running task may run. Later starts of finite tasks
+  // are stored soon, since their jobs would end later if they waited.
   const core::PoolId& pool = worker.Record().pool;
-  const bool is_new_pool = active.job.Pools().Add(pool);
+  active.job.Pools().Add(pool);
   assigned.is_waiting_for_commit = !active.is_start_recorded ||
                                    step.is_long_running ||
                                    !active.job.Pools().IsStored(pool);
@@ -36,10 +37,7 @@
   }
   UpdateCapacity(worker);
   m_workers_to_poll.insert(worker.Record().id);
-  if (active.job.State() == job::JobState::kQueued || step.is_long_running ||
-      is_new_pool || active.job.CrashCount(task.key) > 0) {
-    m_committer.MarkChanged(task.job);
-  }
+  m_committer.MarkChanged(task.job);
   job::Run run;
   run.worker = worker.Record().id;
   run.incarnation = worker.Record().incarnation;
--- a/test/scheduling/repeated_start_test.cc
+++ b/test/scheduling/repeated_start_test.cc
@@ -28,6 +28,9 @@
   CPPUNIT_TEST(TaskDoesNotWaitWhereAnotherWorkerReplies);
   CPPUNIT_TEST(OtherTasksOfTheStepDoNotWait);
   CPPUNIT_TEST(SuccessorStartsAFailedTaskOnTheWorkerOfItsOpenStart);
+  CPPUNIT_TEST(PlacementOfEachStartIsStored);
+  CPPUNIT_TEST(SuccessorRepeatsTheStartOfAFiniteTask);
+  CPPUNIT_TEST(SuccessorAdoptsAFiniteTaskWithoutAnOpenStart);
   CPPUNIT_TEST(SuccessorWaitsOnlyForTheTimeThatIsLeft);
   CPPUNIT_TEST(TimeThatIsLeftShrinksIfLeadersAreLost);
   CPPUNIT_TEST(SuccessorDoesNotWaitIfAllOpenStartsAreKnown);
@@ -107,6 +110,71 @@
     CPPUNIT_ASSERT(start.to.worker == NewStarts()[0].to.worker);
   }
 
+  // Issue 61, TWICE: a successor must know which worker may execute a start of
+  // a leader that was killed.
+  void PlacementOfEachStartIsStored() {
+    m_fixture.BeginTerm();
+    m_fixture.SetWorkers({MakeWorker("w-1")});
+    m_fixture.scheduler.AddJob(
+        MakeJob(kJob, {MakeStep(1), MakeStep(1, 1000, {0})}));
+    m_fixture.RunCycles();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_fixture.worker_port.starts.size());
+    const execution::StartCommand first = m_fixture.worker_port.starts[0];
+    m_fixture.ReplyToStart(first, WorkerCallOutcome::kDone);
+    m_fixture.ReplyToPoll({}, {Fixture::EndedRun(first, 1, RunOutcome::kDone)});
+    m_fixture.RunCycles();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_fixture.worker_port.starts.size());
+    const execution::StartCommand second = m_fixture.worker_port.starts[1];
+    const auto& commits = m_fixture.store.commits;
+    const bool is_stored =
+        std::any_of(commits.begin(), commits.end(), [&](const auto& commit) {
+          return std::any_of(
+              commit.progress.begin(), commit.progress.end(),
+              [&](const auto& write) {
+                const auto& placements = write.progress.placements;
+                return placements && !placements->empty() &&
+                       placements->front().task == second.task.key &&
+                       placements->front().worker == second.to.worker &&
+                       placements->front().open_attempt == second.attempt;
+              });
+        });
+    CPPUNIT_ASSERT(is_stored);
+  }
+
+  // Issue 61, TWICE: the successor started another attempt elsewhere, and a
+  // later incarnation executed the start of the killed leader beside it.
+  void SuccessorRepeatsTheStartOfAFiniteTask() {
+    const execution::StartCommand start = BeginWithOneTask();
+    BeginNextTerm(StoredHandover());
+    ReplyToPollOf("w-1", {});
+    m_fixture.RunCycles();
+    CPPUNIT_ASSERT(NewStarts().empty());
+    ReplyToPollOf("w-2", {});
+    m_fixture.RunCycles();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, NewStarts().size());
+    CPPUNIT_ASSERT(start.to.worker == NewStarts()[0].to.worker);
+    CPPUNIT_ASSERT(start.attempt == NewStarts()[0].attempt);
+    // It stays there, whichever incarnation executes which copy.
+    m_fixture.ReplyToStart(NewStarts()[0], WorkerCallOutcome::kDone);
+    KeepSilentFor(execution::kMaxCommandDelay - milliseconds(1000));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, NewStarts().size());
+  }
+
+  // Its only copy has been executed.
+  void SuccessorAdoptsAFiniteTaskWithoutAnOpenStart() {
+    const execution::StartCommand start = BeginWithOneTask();
+    BeginNextTerm(StoredHandover());
+    ReplyToPollOf("w-2", {});
+    ReplyToPollOf("w-1", {}, WorkerCallOutcome::kDone,
+                  {Fixture::ActiveRun(start)});
+    m_fixture.RunCycles();
+    m_fixture.scheduler.Handle(scheduling::WorkerUpdated{MakeWorker("w-1", 2)});
+    m_fixture.RunCycles();
+    m_fixture.RunCycles();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, NewStarts().size());
+    CPPUNIT_ASSERT(start.attempt < NewStarts()[0].attempt);
+  }
+
   // Issue 61, LOST: each leader counted the time anew from the beginning of its
   // own term.
   void SuccessorWaitsOnlyForTheTimeThatIsLeft() {
