Do not wait for a gone worker whose membership entry is left

Trace: the start of a task of a killed leader got no reply, the machine of its worker was down, and the successor knew both; but the worker's entry was still in the membership list, and a listed worker that had not replied to this leader was waited for until 21 s after the send, 17 s of them in this term.

The listed incarnation is the one that the list of machines shows to be gone. The wait is extended where a later incarnation becomes known, and only there.

GoneWorkerIsNotWaitedForWhileItIsStillListed guards against it; it was not run without the change.

--- a/src/crocusmast/scheduling/open_starts.cc
+++ b/src/crocusmast/scheduling/open_starts.cc
@@ -136,6 +136,17 @@
   return is_shortened;
 }
 
+void OpenStarts::HandleLaterIncarnation(const core::InstanceId& worker,
+                                        core::Duration max_lease) {
+  const auto starts = m_by_worker.find(worker);
+  if (starts == m_by_worker.end()) {
+    return;
+  }
+  for (auto& [key, start] : starts->second) {
+    start.settled_at = std::max(start.settled_at, start.until + max_lease);
+  }
+}
+
 void OpenStarts::RemoveSettled(core::TimePoint now) {
   for (auto worker = m_by_worker.begin(); worker != m_by_worker.end();) {
     StartsOfWorker& starts = worker->second;
--- a/src/crocusmast/scheduling/open_starts.h
+++ b/src/crocusmast/scheduling/open_starts.h
@@ -118,6 +118,15 @@
                      core::TimePoint absent_at,
                      core::Duration max_lease);
 
+  /**
+   * @brief Waits for the starts to a worker again, since a later incarnation of
+   * it exists that may execute them.
+   * @param worker The worker.
+   * @param max_lease The longest lease that a worker grants, in real time.
+   */
+  void HandleLaterIncarnation(const core::InstanceId& worker,
+                              core::Duration max_lease);
+
   /**
    * @brief Removes the starts that have been settled by time.
    * @param now The current time.
--- a/src/crocusmast/scheduling/scheduler_incarnations.cc
+++ b/src/crocusmast/scheduling/scheduler_incarnations.cc
@@ -98,6 +98,8 @@
   const core::Incarnation incarnation = record.incarnation;
   EndIncarnation(worker, {IncarnationEnd::Evidence::kReplaced, reason});
   worker.Update(std::move(record), now);
+  m_open_starts.HandleLaterIncarnation(
+      id, execution::WithClockDrift(m_term.max_worker_lease));
   for (const OpenStart& start : m_open_starts.OfWorker(id, now)) {
     HoldEndedRun(worker, start.key, start.until);
   }
--- a/src/crocusmast/scheduling/scheduler_open_starts.cc
+++ b/src/crocusmast/scheduling/scheduler_open_starts.cc
@@ -131,19 +131,12 @@
     return std::nullopt;
   }
   const core::TimePoint now = m_ports.clock.Now();
-  const core::Duration lease =
-      execution::WithClockDrift(m_term.max_worker_lease);
   for (const OpenStart& start : m_open_starts.OfTask(task)) {
-    const auto worker = m_workers.find(start.worker);
-    const bool is_listed =
-        worker != m_workers.end() && worker->second->IsListed();
     core::TimePoint until = start.settled_at;
     if (IsReplying(start.worker)) {
-      until = MayTakeTasks(*worker->second, active, step)
+      until = MayTakeTasks(*m_workers.at(start.worker), active, step)
                   ? std::min(start.until, start.settled_at)
                   : now;
-    } else if (is_listed && !worker->second->is_reconciled) {
-      until = start.until + lease;
     }
     if (now < until) {
       return start.worker;
--- a/test/scheduling/open_starts_test.cc
+++ b/test/scheduling/open_starts_test.cc
@@ -78,6 +78,10 @@
                    m_starts.OfTask(Task(2))[0].settled_at);
     CPPUNIT_ASSERT(
         !m_starts.HandleAbsence(kWorker, kNow + milliseconds(500), kLease));
+    // Another incarnation of the worker may execute both.
+    m_starts.HandleLaterIncarnation(kWorker, kLease);
+    CPPUNIT_ASSERT(kNow + execution::kMaxCommandDelay + kLease ==
+                   m_starts.OfTask(Task(1))[0].settled_at);
   }
 
   // Issue 61, LOST: each leader counted the time of an open start anew.
--- a/test/scheduling/repeated_start_test.cc
+++ b/test/scheduling/repeated_start_test.cc
@@ -35,6 +35,7 @@
   CPPUNIT_TEST(TimeThatIsLeftShrinksIfLeadersAreLost);
   CPPUNIT_TEST(SuccessorDoesNotWaitIfAllOpenStartsAreKnown);
   CPPUNIT_TEST(SuccessorInheritsThatTheWorkerWasGone);
+  CPPUNIT_TEST(GoneWorkerIsNotWaitedForWhileItIsStillListed);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -230,6 +231,20 @@
     ExpectStartOnOtherWorkerAfter(kLongestLease);
   }
 
+  // LOST: its membership entry outlived it.
+  void GoneWorkerIsNotWaitedForWhileItIsStillListed() {
+    const execution::StartCommand start = BeginWithOneTask();
+    m_sent_at = m_fixture.clock.Now();
+    m_fixture.ReplyToStart(start, WorkerCallOutcome::kUnknown);
+    m_fixture.RunCycles();
+    BeginNextTerm(StoredHandover());
+    ReplyToPollOf("w-2", {});
+    ReplyToPollOf("w-1", {}, WorkerCallOutcome::kUnknown);
+    ListMachineWithoutWorker();
+    ListMachineWithoutWorker();
+    ExpectStartOnOtherWorkerAfter(kLongestLease, milliseconds(1000));
+  }
+
  private:
   // The first copy of the start got no reply; the second one was executed, and
   // the run has failed.
