Do not send a deferred start to a worker that drains

Callers' tasks were started on workers that had begun to drain, up to seconds after the drain was acknowledged (DRAIN), and were lost when the worker left.

Cause: a start that waits for the commit of its placement was withdrawn only for long-running tasks if its worker began to leave meanwhile. With a leader under load the reply to the commit waits behind other messages.

Change: every deferred start is withdrawn if its worker drains, is cordoned or has left the list; the task is placed again.

Evidence: StartThatWaitsForCommitIsNotSentToDrainingWorker places a task, lets its worker drain before the commit and expects the start elsewhere.

--- a/src/crocusmast/scheduling/scheduler_starts.cc
+++ b/src/crocusmast/scheduling/scheduler_starts.cc
@@ -106,10 +106,8 @@
     // The worker may have begun to leave while the commit was stored. The
     // members of a gang start together or not at all.
     const bool is_withdrawn =
-        step.is_long_running &&
-        (!IsStaying(*worker) ||
-         (step.is_gang &&
-          startable[{task.occurrence, task.step}] < step.count));
+        !IsStaying(*worker) ||
+        (step.is_gang && startable[{task.occurrence, task.step}] < step.count);
     if (is_withdrawn) {
       EndRun(*worker, key,
              {job::RunOutcome::kRejected, "its worker is leaving"});
--- a/test/scheduling/given_up_start_test.cc
+++ b/test/scheduling/given_up_start_test.cc
@@ -22,6 +22,7 @@
   CPPUNIT_TEST(RejectedGangMemberStopsOtherMembers);
   CPPUNIT_TEST(StoppedRepeatOfGangMemberStopsOtherMembers);
   CPPUNIT_TEST(RejectedGangStartsAgainAsAWhole);
+  CPPUNIT_TEST(StartThatWaitsForCommitIsNotSentToDrainingWorker);
   CPPUNIT_TEST(StartThatWaitsForCommitIsNotSentToShrunkWorker);
   CPPUNIT_TEST(StartThatWaitsForStoreStateIsNotSentToShrunkWorker);
   CPPUNIT_TEST(DeferredStartsThatFitAreSent);
@@ -118,6 +119,23 @@
     CPPUNIT_ASSERT(starts[0].attempt < fixture.worker_port.starts[2].attempt);
   }
 
+  // DRAIN: the worker had begun to drain while the commit waited behind
+  // replies.
+  void StartThatWaitsForCommitIsNotSentToDrainingWorker() {
+    Fixture fixture;
+    Begin(fixture);
+    fixture.scheduler.AddJob(MakeJob(kJob, {MakeStep(1)}));
+    PlaceWithoutCommit(fixture);
+    execution::WorkerRecord draining = MakeWorker("w-1");
+    draining.is_draining = true;
+    fixture.scheduler.Handle(scheduling::WorkerUpdated{draining});
+    fixture.scheduler.Handle(scheduling::WorkerUpdated{MakeWorker("w-2")});
+    fixture.RunCycles();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.worker_port.starts.size());
+    CPPUNIT_ASSERT(MakeId<core::InstanceId>("w-2") ==
+                   fixture.worker_port.starts[0].to.worker);
+  }
+
   // A worker that has shrunk below what is reserved must not get the start; the
   // task is placed on another worker.
   void StartThatWaitsForCommitIsNotSentToShrunkWorker() {
