--- a/src/crocusmast/adapters/metrics_registry.cc
+++ b/src/crocusmast/adapters/metrics_registry.cc
@@ -52,6 +52,7 @@
     "handovers_failed_total",
     "workers_crashed_total",
     "tasks_given_up_total",
+    "starts_awaited_total",
 };
 
 constexpr std::array<std::string_view, kTimingCount> kTimingNames{
@@ -69,6 +70,7 @@
     "run_phase_seconds{phase=\"start_reply\"}",
     "run_phase_seconds{phase=\"run\"}",
     "run_phase_seconds{phase=\"end_report\"}",
+    "start_waited_seconds",
 };
 
 constexpr std::array<std::string_view, kSizeCount> kSizeNames{
--- a/src/crocusmast/core/meter.h
+++ b/src/crocusmast/core/meter.h
@@ -41,6 +41,9 @@
   kWorkersCrashed,
   /** @brief Tasks that were given up because workers crashed under them. */
   kTasksGivenUp,
+  /** @brief Start commands without a reply that are not repeated, as their
+   * tasks must not run twice. */
+  kStartsAwaited,
   kCount,
 };
 
@@ -75,6 +78,9 @@
   /** @brief From the confirmation of a run that succeeded to the handling of
    * its end, less its run time. */
   kRunEndReport,
+  /** @brief From a start command of kStartsAwaited to its execution, or until
+   * it can't be executed any more or its run is given up. */
+  kStartWaited,
   kCount,
 };
 
--- a/src/crocusmast/execution/assigned_run.h
+++ b/src/crocusmast/execution/assigned_run.h
@@ -48,6 +48,9 @@
   bool is_best_effort = false;
   /** @brief It runs until its job is cancelled. */
   bool is_long_running = false;
+  /** @brief No start command is sent for it while an earlier one may still be
+   * executed. */
+  bool has_single_start = false;
   /** @brief What it uses is not known, so it reserves the whole worker. */
   bool reserves_whole_worker = false;
   /** @brief The worker has confirmed the run. */
@@ -159,6 +162,13 @@
     CloseExecutedStart();
   }
 
+  /** @brief Registers that no start command sent so far was executed or may
+   * still be. */
+  void DiscardUnexecutedStarts() {
+    unanswered_starts = 0;
+    unanswered_start_until = {};
+  }
+
   /** @brief Registers that a reply to a poll has listed it. */
   void MarkListed() {
     is_listed = true;
--- a/src/crocusmast/execution/worker.cc
+++ b/src/crocusmast/execution/worker.cc
@@ -49,6 +49,7 @@
   next_poll_at = {};
   best_effort_share = core::Percent(100);
   is_poll_pending = false;
+  runs_known_at = {};
   ++poll_sequence;
   has_unlisted_ends = false;
   is_reconciled = false;
@@ -173,28 +174,30 @@
   return {m_record.id, m_record.incarnation, m_record.address, m_token};
 }
 
-std::vector<RunKey> Worker::HoldRuns(
-    core::TimePoint now,
-    std::chrono::milliseconds max_lease,
-    std::optional<core::TimePoint> ran_nothing_at) {
+std::vector<RunKey> Worker::HoldRuns(core::TimePoint now,
+                                     std::chrono::milliseconds max_lease,
+                                     const std::optional<Absence>& absence) {
   std::vector<RunKey> ended;
   for (auto& [key, run] : m_runs) {
-    if (run.is_held && !ran_nothing_at) {
+    if (run.is_held && !absence) {
       continue;
     }
     const core::TimePoint last_lease_at =
         std::max(run.confirmed_at, m_lease_requested_at);
-    const bool may_be_active =
-        run.IsOnUnknownIncarnation() &&
-        (!ran_nothing_at || *ran_nothing_at < run.confirmed_at);
+    const bool may_be_active = run.IsOnUnknownIncarnation() &&
+                               (!absence || absence->at < run.confirmed_at);
     run.held_until = {};
     if (run.HasOpenStart(now)) {
       // Where no incarnation existed after the command was sent, only one that
       // started even later could execute it: longer than the lease is not
-      // waited for that.
-      run.held_until =
-          (ran_nothing_at ? run.start_sent_at : run.StartableUntil()) +
-          WithClockDrift(max_lease);
+      // waited for that, or than the command may take if the task must not run
+      // twice.
+      const core::TimePoint lease_begins_by =
+          absence ? run.start_sent_at : run.StartableUntil();
+      run.held_until = lease_begins_by + WithClockDrift(max_lease);
+      if (run.has_single_start && !(absence && absence->is_final)) {
+        run.held_until = std::max(run.held_until, run.StartableUntil());
+      }
     }
     if (may_be_active) {
       run.held_until =
--- a/src/crocusmast/execution/worker.h
+++ b/src/crocusmast/execution/worker.h
@@ -33,6 +33,13 @@
  */
 core::Duration WithClockDrift(core::Duration time);
 
+/** @brief No incarnation of a worker existed at some time. */
+struct Absence {
+  core::TimePoint at;
+  /** @brief Its machine has another worker by now, so that none will exist. */
+  bool is_final = false;
+};
+
 /**
  * @brief One worker: its resources, its lease, and the runs assigned to it.
  *
@@ -95,14 +102,14 @@
    * the present one or its lease has ended.
    * @param now The current time.
    * @param max_lease The longest lease that a worker grants.
-   * @param ran_nothing_at When no incarnation existed, if that is known: runs
-   * that were confirmed before have ended.
+   * @param absence When no incarnation existed, if that is known: runs that
+   * were confirmed before have ended.
    * @return The other runs, which have ended.
    */
   std::vector<RunKey> HoldRuns(
       core::TimePoint now,
       std::chrono::milliseconds max_lease,
-      std::optional<core::TimePoint> ran_nothing_at = std::nullopt);
+      const std::optional<Absence>& absence = std::nullopt);
 
   /**
    * @brief Holds one run, whose start may still be executed.
@@ -271,6 +278,11 @@
   core::RunEndNumber acknowledging_end;
   /** @brief A poll is in flight. */
   bool is_poll_pending = false;
+  /** @brief When the latest poll was sent. */
+  core::TimePoint poll_sent_at;
+  /** @brief Send time of the last poll whose reply listed all runs of this
+   * incarnation. */
+  core::TimePoint runs_known_at;
   /** @brief The latest poll waits at the worker until a run ends. */
   bool is_poll_waiting = false;
   /** @brief Sequence number of the latest poll. */
--- a/src/crocusmast/job/earlier_placements.cc
+++ b/src/crocusmast/job/earlier_placements.cc
@@ -44,6 +44,15 @@
   });
 }
 
+void EarlierPlacements::RemoveStart(const TaskKey& task,
+                                    core::Attempt attempt) {
+  auto [next, end] = m_placements.equal_range(task);
+  while (next != end) {
+    next = next->second.open_attempt == attempt ? m_placements.erase(next)
+                                                : std::next(next);
+  }
+}
+
 bool EarlierPlacements::SettleUnknown() {
   return !std::exchange(m_are_known, true);
 }
--- a/src/crocusmast/job/earlier_placements.h
+++ b/src/crocusmast/job/earlier_placements.h
@@ -82,6 +82,13 @@
    */
   void Remove(const TaskKey& task) { m_placements.erase(task); }
 
+  /**
+   * @brief Removes the placement of a run whose start was executed.
+   * @param task The task.
+   * @param attempt The attempt number of the run.
+   */
+  void RemoveStart(const TaskKey& task, core::Attempt attempt);
+
   /**
    * @brief Makes unknown placements known to be none, since every worker that
    * may have had a run is reconciled.
--- a/src/crocusmast/job/job.h
+++ b/src/crocusmast/job/job.h
@@ -351,9 +351,9 @@
    * contains. */
   JobProgress CaptureProgress();
 
-  /** @brief Marks the runs that the progress captured last contains as
-   * stored; returns whether it contains a pool that was not stored before. */
-  bool MarkCapturedProgressStored();
+  /** @brief Marks the runs and pools that the progress captured last contains
+   * as stored. */
+  void MarkCapturedProgressStored();
 
   /** @brief Returns where runs of an earlier leader may be active. */
   EarlierPlacements& Earlier() { return m_earlier_placements; }
--- a/src/crocusmast/job/job_progress.cc
+++ b/src/crocusmast/job/job_progress.cc
@@ -134,12 +134,12 @@
   return Progress();
 }
 
-bool Job::MarkCapturedProgressStored() {
+void Job::MarkCapturedProgressStored() {
   ForEachMutableRun([](Run& run) {
     run.is_placement_stored =
         run.is_placement_stored || run.is_in_captured_progress;
   });
-  return m_pools.MarkCapturedStored();
+  m_pools.MarkCapturedStored();
 }
 
 }  // namespace crocusmast::job
--- a/src/crocusmast/job/job_spec.h
+++ b/src/crocusmast/job/job_spec.h
@@ -61,6 +61,15 @@
   /** @brief Upper bound for the tail latency of a long-running task; zero for
    * none. */
   core::Duration latency_target{};
+
+  /** @brief Tells whether a task must run neither twice at a time nor again
+   * once it is done, so that no two start commands for it may be on their way.
+   */
+  bool NeedsSingleStart() const { return !is_long_running && !is_speculative; }
+  /** @brief Tells whether a successor must know the worker of each start. */
+  bool NeedsStoredPlacement() const {
+    return is_long_running || !is_speculative;
+  }
 };
 
 /** @brief Schedule of a job's occurrences. */
--- a/src/crocusmast/job/started_pools.cc
+++ b/src/crocusmast/job/started_pools.cc
@@ -30,10 +30,8 @@
   return !m_are_known || m_stored.count(pool) > 0;
 }
 
-bool StartedPools::MarkCapturedStored() {
-  const bool is_changed = m_stored != m_captured;
+void StartedPools::MarkCapturedStored() {
   m_stored = m_captured;
-  return is_changed;
 }
 
 }  // namespace crocusmast::job
--- a/src/crocusmast/job/started_pools.h
+++ b/src/crocusmast/job/started_pools.h
@@ -49,11 +49,8 @@
    */
   void Capture() { m_captured = m_added; }
 
-  /**
-   * @brief Marks the pools that were captured last as stored.
-   * @return True if one of them was not stored before.
-   */
-  bool MarkCapturedStored();
+  /** @brief Marks the pools that were captured last as stored. */
+  void MarkCapturedStored();
 
  private:
   bool m_are_known = true;
--- a/src/crocusmast/scheduling/active_job.h
+++ b/src/crocusmast/scheduling/active_job.h
@@ -48,6 +48,9 @@
   /** @brief Its start is stored, so that a successor reconciles its runs. No
    * start command is sent before. */
   bool is_start_recorded = false;
+  /** @brief Starts of its tasks were answered since its progress was captured
+   * for the store. */
+  bool has_answered_starts = false;
   /** @brief It may have tasks that are ready to be placed. */
   bool may_have_ready_tasks = true;
   /** @brief Component-wise minimum of the resources that its ready tasks
--- a/src/crocusmast/scheduling/crash_attribution.cc
+++ b/src/crocusmast/scheduling/crash_attribution.cc
@@ -21,6 +21,14 @@
          !CrashAttribution::HasSurvivedStart(worker, run);
 }
 
+/** @brief Tells whether a poll has shown that the start of a run was not
+ * executed by then. */
+bool IsStartAwaited(const execution::Worker& worker,
+                    const execution::AssignedRun& run) {
+  return run.has_single_start && !run.is_confirmed &&
+         run.start_sent_at < worker.runs_known_at;
+}
+
 std::size_t CountStarting(const execution::Worker& worker) {
   return static_cast<std::size_t>(std::count_if(
       worker.Runs().begin(), worker.Runs().end(), [&worker](const auto& entry) {
@@ -190,6 +198,7 @@
     const job::Job* job = m_find_job(key.task.job);
     if (job == nullptr || job->Find(key.task.key) == nullptr ||
         !internal::IsStarting(worker, run) ||
+        internal::IsStartAwaited(worker, run) ||
         (has_confirmed_start && !run.active_since)) {
       continue;
     }
--- a/src/crocusmast/scheduling/incarnation_end.h
+++ b/src/crocusmast/scheduling/incarnation_end.h
@@ -3,7 +3,7 @@
 
 #include <optional>
 
-#include "crocusmast/core/clock.h"
+#include "crocusmast/execution/worker.h"
 
 namespace crocusmast::scheduling {
 
@@ -21,8 +21,8 @@
   Evidence evidence;
   /** @brief The same for logs. */
   const char* reason = "";
-  /** @brief When no incarnation existed; absent if unknown. */
-  std::optional<core::TimePoint> ran_nothing_at{};
+  /** @brief When no incarnation existed; empty if unknown. */
+  std::optional<execution::Absence> absence{};
 };
 
 }  // namespace crocusmast::scheduling
--- a/src/crocusmast/scheduling/machine_evidence.cc
+++ b/src/crocusmast/scheduling/machine_evidence.cc
@@ -10,6 +10,7 @@
 
 void MachineEvidence::Clear() {
   m_absences.clear();
+  m_machine_of.clear();
   m_machines.clear();
   m_listed.clear();
   m_requested_at = {};
@@ -24,17 +25,21 @@
     return;
   }
   std::set<core::InstanceId> listed;
+  std::map<core::InstanceId, core::MachineId> machine_of;
+  std::set<core::MachineId> occupied;
   // The worker of such a machine may be any of its pool.
   std::set<core::PoolId> uncertain_pools;
   for (const Machine& machine : list.machines) {
     if (!machine.worker.IsEmpty()) {
       listed.insert(machine.worker);
+      machine_of.emplace(machine.worker, machine.id);
+      occupied.insert(machine.id);
     } else if (machine.state == MachineState::kUp) {
       uncertain_pools.insert(machine.pool);
     }
   }
   const bool has_all_machines = HasAllMachines(list);
-  std::map<core::InstanceId, Absence> absences;
+  std::map<core::InstanceId, Evidence> absences;
   for (const KnownWorker& worker : workers) {
     if (listed.count(worker.id) > 0) {
       continue;
@@ -47,7 +52,19 @@
                uncertain_pools.count(worker.pool) == 0) {
       absences[worker.id] = {list.requested_at, now};
     }
+    const auto machine = m_machine_of.find(worker.id);
+    if (machine == m_machine_of.end()) {
+      continue;
+    }
+    machine_of.insert(*machine);
+    const auto absence = absences.find(worker.id);
+    if (absence != absences.end() && !absence->second.is_final &&
+        occupied.count(machine->second) > 0) {
+      absence->second.is_final = true;
+      absence->second.received_at = now;
+    }
   }
+  m_machine_of = std::move(machine_of);
   m_absences = std::move(absences);
   m_has_second_list = m_received_at.has_value();
   m_received_at = now;
@@ -78,15 +95,20 @@
                        m_machines.end());
 }
 
-std::optional<core::TimePoint> MachineEvidence::AbsentAt(
+std::optional<execution::Absence> MachineEvidence::AbsenceOf(
     const core::InstanceId& worker,
     core::TimePoint known_since,
     core::TimePoint confirmed_at) const {
   const auto absence = m_absences.find(worker);
-  const bool is_absent = absence != m_absences.end() &&
-                         known_since < absence->second.requested_at &&
-                         absence->second.received_at <= confirmed_at;
-  return is_absent ? std::optional(absence->second.requested_at) : std::nullopt;
+  if (absence == m_absences.end()) {
+    return std::nullopt;
+  }
+  const Evidence& evidence = absence->second;
+  const bool is_absent = known_since < evidence.requested_at &&
+                         evidence.received_at <= confirmed_at;
+  return is_absent ? std::optional(execution::Absence{evidence.requested_at,
+                                                      evidence.is_final})
+                   : std::nullopt;
 }
 
 bool MachineEvidence::IsMissing(const KnownWorker& worker) const {
--- a/src/crocusmast/scheduling/machine_evidence.h
+++ b/src/crocusmast/scheduling/machine_evidence.h
@@ -9,6 +9,7 @@
 
 #include "crocusmast/core/clock.h"
 #include "crocusmast/core/ids.h"
+#include "crocusmast/execution/worker.h"
 #include "crocusmast/upkeep/machine_port.h"
 
 namespace crocusmast::scheduling {
@@ -51,19 +52,20 @@
 
   /**
    * @brief Returns when a worker was known to run nothing, because no machine
-   * had it; absent if it was not.
+   * had it; empty if it was not.
    * @param worker The worker.
    * @param known_since When its incarnation became known.
    * @param confirmed_at Time up to which no other leader can have had a reply
    * of the worker; later evidence does not count.
    */
-  std::optional<core::TimePoint> AbsentAt(const core::InstanceId& worker,
-                                          core::TimePoint known_since,
-                                          core::TimePoint confirmed_at) const;
+  std::optional<execution::Absence> AbsenceOf(
+      const core::InstanceId& worker,
+      core::TimePoint known_since,
+      core::TimePoint confirmed_at) const;
 
   /**
    * @brief Tells whether no machine of the last list shows a worker. Enough not
-   * to use it yet; whether its runs have ended is for AbsentAt() to tell.
+   * to use it yet; whether its runs have ended is for AbsenceOf() to tell.
    * @param worker The worker.
    */
   bool IsMissing(const KnownWorker& worker) const;
@@ -76,14 +78,18 @@
   bool IsListDue(core::TimePoint last_request_at, core::TimePoint now) const;
 
  private:
-  struct Absence {
+  struct Evidence {
     core::TimePoint requested_at;
     core::TimePoint received_at;
+    /** @brief Its machine has another worker. */
+    bool is_final = false;
   };
 
   bool HasAllMachines(const upkeep::MachineListReceived& list) const;
 
-  std::map<core::InstanceId, Absence> m_absences;
+  std::map<core::InstanceId, Evidence> m_absences;
+  /** @brief The machine that was listed last with each worker. */
+  std::map<core::InstanceId, core::MachineId> m_machine_of;
   /** @brief Machines of the last list. */
   std::set<core::MachineId> m_machines;
   /** @brief Workers of the last list. */
--- a/src/crocusmast/scheduling/open_starts.cc
+++ b/src/crocusmast/scheduling/open_starts.cc
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <iterator>
 
-#include "crocusmast/execution/worker.h"
-
 namespace crocusmast::scheduling {
 namespace internal {
 
@@ -29,6 +27,13 @@
       is_held ? run.held_until : until + execution::WithClockDrift(max_lease)};
 }
 
+core::TimePoint OpenStart::BlocksUntil(const execution::Worker* known) const {
+  // A poll that was sent once the start could not be executed any more lists
+  // what it began.
+  const bool is_observed = known != nullptr && until <= known->runs_known_at;
+  return is_observed ? until : std::max(until, settled_at);
+}
+
 OpenStarts OpenStarts::Restore(const job::HandoverState& stored,
                                core::TimePoint ended_at) {
   OpenStarts starts;
@@ -68,7 +73,7 @@
   std::map<core::InstanceId, job::TaskId> workers;
   for (const auto& [worker, starts] : m_by_worker) {
     for (const auto& [key, start] : starts) {
-      if (now < start.settled_at) {
+      if (now < std::max(start.until, start.settled_at)) {
         workers.emplace(worker, key.task);
         break;
       }
@@ -118,8 +123,49 @@
   return open;
 }
 
+bool OpenStarts::HasUnobserved(const core::InstanceId& worker,
+                               core::TimePoint runs_known_at,
+                               core::TimePoint now) const {
+  const auto starts = m_by_worker.find(worker);
+  return starts != m_by_worker.end() &&
+         std::any_of(starts->second.begin(), starts->second.end(),
+                     [&](const auto& entry) {
+                       const core::TimePoint until = entry.second.until;
+                       return runs_known_at < until && until <= now;
+                     });
+}
+
+bool OpenStarts::Remove(const core::InstanceId& worker,
+                        const execution::RunKey& key) {
+  const auto starts = m_by_worker.find(worker);
+  const auto found = starts == m_by_worker.end() ? StartsOfWorker::iterator()
+                                                 : starts->second.find(key);
+  if (starts == m_by_worker.end() || found == starts->second.end()) {
+    return false;
+  }
+  const OpenStart removed = found->second;
+  starts->second.erase(found);
+  RemoveFromIndex(removed);
+  if (starts->second.empty()) {
+    m_by_worker.erase(starts);
+  }
+  return true;
+}
+
+void OpenStarts::HandleReplacement(const core::InstanceId& worker,
+                                   core::TimePoint now) {
+  const auto starts = m_by_worker.find(worker);
+  if (starts == m_by_worker.end()) {
+    return;
+  }
+  for (auto& [key, start] : starts->second) {
+    start.until = std::min(start.until, now);
+    start.settled_at = std::min(start.settled_at, now);
+  }
+}
+
 bool OpenStarts::HandleAbsence(const core::InstanceId& worker,
-                               core::TimePoint absent_at,
+                               const execution::Absence& absence,
                                core::Duration max_lease) {
   const auto starts = m_by_worker.find(worker);
   if (starts == m_by_worker.end()) {
@@ -128,8 +174,15 @@
   bool is_shortened = false;
   for (auto& [key, start] : starts->second) {
     const core::TimePoint sent_at = start.until - execution::kMaxCommandDelay;
-    if (sent_at <= absent_at && sent_at + max_lease < start.settled_at) {
-      start.settled_at = sent_at + max_lease;
+    if (absence.at < sent_at) {
+      continue;
+    }
+    const core::TimePoint ended_at =
+        absence.is_final ? absence.at : sent_at + max_lease;
+    core::TimePoint& last = absence.is_final ? start.until : start.settled_at;
+    if (ended_at < last) {
+      last = ended_at;
+      start.settled_at = std::min(start.settled_at, ended_at);
       is_shortened = true;
     }
   }
--- a/src/crocusmast/scheduling/open_starts.h
+++ b/src/crocusmast/scheduling/open_starts.h
@@ -10,6 +10,7 @@
 #include "crocusmast/core/clock.h"
 #include "crocusmast/core/ids.h"
 #include "crocusmast/execution/assigned_run.h"
+#include "crocusmast/execution/worker.h"
 #include "crocusmast/job/job_store.h"
 #include "crocusmast/job/task_id.h"
 
@@ -40,6 +41,14 @@
                       const execution::RunKey& key,
                       const execution::AssignedRun& run,
                       std::chrono::milliseconds max_lease);
+
+  /**
+   * @brief Returns until when a task that must not run twice waits for it,
+   * whatever its worker is known to reject: a later incarnation rejects
+   * nothing.
+   * @param known What is known of the worker; null for nothing.
+   */
+  core::TimePoint BlocksUntil(const execution::Worker* known) const;
 };
 
 /**
@@ -105,17 +114,45 @@
    */
   std::vector<OpenStart> OfTask(const job::TaskId& task) const;
 
+  /**
+   * @brief Tells whether the time of a start to a worker has passed since its
+   * runs were last listed, so that a run that it began may be unknown.
+   * @param worker The worker.
+   * @param runs_known_at When the runs of the worker were last listed.
+   * @param now The current time.
+   */
+  bool HasUnobserved(const core::InstanceId& worker,
+                     core::TimePoint runs_known_at,
+                     core::TimePoint now) const;
+
+  /**
+   * @brief Removes a start that was executed.
+   * @param worker The worker that it was sent to.
+   * @param key The run.
+   * @return True if it was known.
+   */
+  bool Remove(const core::InstanceId& worker, const execution::RunKey& key);
+
+  /**
+   * @brief Ends the wait for a worker in whose place another one replies, which
+   * rejects the starts to it.
+   * @param worker The worker.
+   * @param now The current time.
+   */
+  void HandleReplacement(const core::InstanceId& worker, core::TimePoint now);
+
   /**
    * @brief Shortens the wait for a worker whose machine ran nothing: only an
    * incarnation that started even later could execute a start that was sent
-   * before, and that is not waited for.
+   * before. That is not waited for, but for a task that must not run twice and
+   * a machine that may have the worker again.
    * @param worker The worker.
-   * @param absent_at When the machine ran nothing.
+   * @param absence When the machine ran nothing.
    * @param max_lease The longest lease that a worker grants, in real time.
    * @return True if a wait was shortened.
    */
   bool HandleAbsence(const core::InstanceId& worker,
-                     core::TimePoint absent_at,
+                     const execution::Absence& absence,
                      core::Duration max_lease);
 
   /**
--- a/src/crocusmast/scheduling/scheduler.cc
+++ b/src/crocusmast/scheduling/scheduler.cc
@@ -17,6 +17,7 @@
 Scheduler::Scheduler(const SchedulerPorts& ports)
     : m_ports(ports),
       m_run_monitor(ports.meter),
+      m_start_waits(ports.clock, ports.meter, ports.logger),
       m_crashes([this](const core::JobId& id) {
         const ActiveJob* active = FindJob(id);
         return active == nullptr ? nullptr : &active->job;
@@ -87,6 +88,8 @@
       StopWaiting(active);
       m_committer.MarkChanged(id);
       m_final_jobs.insert(id);
+    } else {
+      AddStoredStarts(active);
     }
   }
   Log(core::Severity::kInfo,
@@ -121,6 +124,7 @@
   m_workers_to_retry.clear();
   m_workers_to_poll.clear();
   m_drained_workers.clear();
+  m_answered_jobs.clear();
   m_is_handover_outdated = false;
   m_next_sweep_at = {};
   m_next_placement_at = {};
@@ -247,10 +251,12 @@
   CaptureHandover();
   const auto read = [this](const core::JobId& id) {
     ActiveJob* active = FindJob(id);
-    return active == nullptr ? std::nullopt
-                             : std::optional(job::ProgressWrite{
-                                   id, active->job.Accepted().queue,
-                                   active->job.CaptureProgress()});
+    if (active == nullptr) {
+      return std::optional<job::ProgressWrite>();
+    }
+    active->has_answered_starts = false;
+    return std::optional(job::ProgressWrite{id, active->job.Accepted().queue,
+                                            active->job.CaptureProgress()});
   };
   std::optional<job::Commit> commit =
       m_committer.NextCommit(m_term.token, m_ports.clock.Now(), read);
@@ -275,8 +281,7 @@
   if (m_may_have_silent_workers) {
     FreezeLeasesOfSilentWorkers();
   }
-  LogRunTimes();
-  LogJobPhases();
+  LogReports();
   const core::WallTime wall = m_ports.clock.WallNow();
   for (const core::JobId& id : m_scheduled_jobs) {
     ActiveJob* active = FindJob(id);
@@ -286,6 +291,7 @@
     }
   }
   RetryCommands();
+  StoreAnsweredStarts();
   if (m_next_placement_at <= now) {
     m_next_placement_at = now + kPlacementRetryInterval;
     UpdateAllCapacity();
--- a/src/crocusmast/scheduling/scheduler.h
+++ b/src/crocusmast/scheduling/scheduler.h
@@ -2,6 +2,7 @@
 #define CROCUSMAST_SCHEDULING_SCHEDULER_H_
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -36,6 +37,7 @@
 #include "crocusmast/scheduling/run_time_estimator.h"
 #include "crocusmast/scheduling/scheduler_ports.h"
 #include "crocusmast/scheduling/scheduling_term.h"
+#include "crocusmast/scheduling/start_wait_monitor.h"
 #include "crocusmast/scheduling/ticket_cache.h"
 #include "crocusmast/scheduling/timing.h"
 #include "crocusmast/scheduling/waiting_jobs.h"
@@ -188,10 +190,6 @@
                             core::Revision revision);
   void MoveLongRunningTasks(execution::Worker& worker);
   bool MayInterrupt(const ActiveJob& active, const job::TaskKey& key) const;
-  static bool MayHaveMadeReady(const ActiveJob& active,
-                               const job::TaskKey& ended,
-                               job::RunOutcome outcome);
-
   void EndIncarnation(execution::Worker& worker, const IncarnationEnd& end);
   void HandleOtherWorker(execution::Worker& worker);
   void HandleOtherIncarnation(execution::Worker& worker,
@@ -219,8 +217,7 @@
   void MeasureRun(execution::Worker& worker,
                   const execution::EndedRunReport& end,
                   const execution::PollReply& reply);
-  void LogRunTimes();
-  void LogJobPhases();
+  void LogReports();
   void ProcessRunningRuns(execution::Worker& worker,
                           const execution::PollReply& reply);
   void AdoptRun(execution::Worker& worker, const execution::RunReport& report);
@@ -238,8 +235,15 @@
                       const job::TaskId& task) const;
   void MarkStartSettled(const execution::RunKey& key,
                         const execution::AssignedRun& run);
+  void StoreAnsweredStarts();
   void AddOpenStart(const execution::Worker& worker,
                     const execution::RunKey& key);
+  void AddStoredStarts(const ActiveJob& active);
+  void AwaitOpenStart(execution::Worker& worker,
+                      const execution::RunKey& key,
+                      bool may_start);
+  void HandleExecutedStart(execution::Worker& worker,
+                           const execution::RunKey& key);
   bool IsReplying(const core::InstanceId& worker) const;
   std::optional<core::InstanceId> WorkerOfOpenStart(
       const ActiveJob& active,
@@ -264,7 +268,6 @@
   void HandleStartRejection(execution::Worker& worker,
                             const execution::RunKey& key,
                             const execution::WorkerCommandReply& reply);
-
   core::TimePoint KnownSince(const execution::Worker& worker) const;
   bool HasMachine(const execution::Worker& worker) const;
   void EndWorkersWithoutMachine(core::TimePoint confirmed_at);
@@ -286,7 +289,6 @@
   void StopRuns(ActiveJob& active);
   void ReportCancelSettled(const ActiveJob& active);
   void RemoveEndedJobs();
-
   void PlaceTasks();
   void UpdateCapacity(execution::Worker& worker);
   void UpdateAllCapacity();
@@ -295,7 +297,6 @@
   void PlaceJob(ActiveJob& active, PlacementRound& round);
   bool MayStartFiniteTasks(const ActiveJob& active) const;
   void SettleEarlierPlacements(ActiveJob& active);
-  static void UpdateMinResources(ActiveJob& active);
   bool PlaceGang(ActiveJob& active,
                  const std::vector<job::TaskKey>& members,
                  const job::Step& step,
@@ -323,7 +324,6 @@
                                      const std::vector<bool>& is_pending) const;
   core::TimePoint OldestDueTime(const ActiveJob& active) const;
   JobRank RankOf(const ActiveJob& active) const;
-
   std::string ViewAgeMs() const;
   void Log(core::Severity severity,
            std::string message,
@@ -336,12 +336,10 @@
   bool m_was_fenced = false;
   /** @brief Value of MayStartTasks that was logged last. */
   bool m_may_start_tasks = true;
-  /** @brief Sequence number of the last poll; rises over all terms, so that no
-   * reply to a poll of an earlier term is taken for a later one. */
+  /** @brief Rises over all terms, so that no reply is taken for a later one. */
   std::uint64_t m_last_poll_sequence = 0;
   SchedulingTerm m_term;
-  /** @brief An earlier leader has stored handover state, so that its commands
-   * may still be executed. */
+  /** @brief Commands of earlier leaders may still be executed. */
   bool m_has_predecessor = false;
   core::TimePoint m_term_began_at;
   StoreView m_store_view;
@@ -363,8 +361,7 @@
   std::set<core::JobId> m_scheduled_jobs;
   /** @brief Jobs in a final state that may still have active runs. */
   std::set<core::JobId> m_final_jobs;
-  /** @brief What the handover state describes has changed since it was captured
-   * for the store. */
+  /** @brief The handover state has changed since it was captured. */
   bool m_is_handover_outdated = false;
   /** @brief Jobs in a final state may have become removable. */
   bool m_may_remove_jobs = false;
@@ -377,6 +374,8 @@
   /** @brief Workers with commands that may have to be retried. */
   std::set<core::InstanceId> m_workers_to_retry;
   std::set<core::InstanceId> m_drained_workers;
+  /** @brief Jobs with answered starts, and when to store this at the latest. */
+  std::deque<std::pair<core::TimePoint, core::JobId>> m_answered_jobs;
   core::TimePoint m_next_sweep_at;
   core::TimePoint m_next_placement_at;
   /** @brief Pools in which tasks may have become placeable. */
@@ -386,6 +385,7 @@
   Committer m_committer;
   RunTimeEstimator m_run_time_estimator;
   RunMonitor m_run_monitor;
+  StartWaitMonitor m_start_waits;
   JobMonitor m_job_monitor;
   capacity::DemandEstimator m_demand;
   capacity::LateLimits m_late_limits;
--- a/src/crocusmast/scheduling/scheduler_incarnations.cc
+++ b/src/crocusmast/scheduling/scheduler_incarnations.cc
@@ -21,7 +21,7 @@
   const std::vector<RunKey> ended =
       end.evidence == Evidence::kAddressTaken
           ? worker.Keys()
-          : worker.HoldRuns(now, m_term.max_worker_lease, end.ran_nothing_at);
+          : worker.HoldRuns(now, m_term.max_worker_lease, end.absence);
   if (!is_known && !worker.Runs().empty()) {
     Log(core::Severity::kWarning,
         "Runs on worker " + id.Text() + " are lost: " + end.reason + ".",
@@ -59,7 +59,7 @@
   EndIncarnation(worker, {IncarnationEnd::Evidence::kAddressTaken,
                           "another worker replied at its address"});
   // It rejects what was sent to this one.
-  m_open_starts.HandleAbsence(worker.Record().id, m_ports.clock.Now(), {});
+  m_open_starts.HandleReplacement(worker.Record().id, m_ports.clock.Now());
   worker.MarkUnlisted();
   SettleCrash(worker.Record().id, known + core::Incarnation(1));
 }
@@ -204,13 +204,22 @@
     const bool runs_otherwise = std::any_of(
         reply.running.begin(), reply.running.end(),
         [&key](const auto& report) { return report.task == key.task; });
-    if (run->HasOpenStart(now) && !runs_otherwise && RepeatStart(worker, key)) {
+    // A single start may be executed after the poll, which this incarnation has
+    // handled.
+    const bool may_follow =
+        run->has_single_start && worker.poll_sent_at < run->StartableUntil();
+    if (may_follow && !runs_otherwise && !run->is_stopping) {
+      continue;
+    }
+    if (run->HasOpenStart(now) && !runs_otherwise && !run->has_single_start &&
+        RepeatStart(worker, key)) {
       continue;
     }
     // It reserves what it needs, so that room is left out of account.
     const ActiveJob* active = FindJob(key.task.job);
     const bool is_settled =
         active != nullptr && worker.IsListed() && !run->is_stopping &&
+        !may_follow &&
         (runs_otherwise ||
          !MayRepeatOn(worker, *active, active->job.StepOf(key.task.key)));
     EndRun(
--- a/src/crocusmast/scheduling/scheduler_machines.cc
+++ b/src/crocusmast/scheduling/scheduler_machines.cc
@@ -89,12 +89,12 @@
   for (const auto& [id, worker] : m_workers) {
     const bool may_have_runs =
         !worker->is_reconciled || !worker->Runs().empty();
-    const std::optional<core::TimePoint> absent_at =
-        m_machine_evidence.AbsentAt(id, KnownSince(*worker), confirmed_at);
-    if (may_have_runs && worker->failed_polls > 0 && absent_at) {
+    const std::optional<execution::Absence> absence =
+        m_machine_evidence.AbsenceOf(id, KnownSince(*worker), confirmed_at);
+    if (may_have_runs && worker->failed_polls > 0 && absence) {
       m_inherited_workers.MarkGone(id);
       EndIncarnation(*worker, {IncarnationEnd::Evidence::kMachineGone,
-                               internal::kNoMachine, absent_at});
+                               internal::kNoMachine, absence});
     }
   }
 }
@@ -107,13 +107,13 @@
   m_open_starts.RemoveSettled(confirmed_at - retention);
   bool is_changed = false;
   for (const MachineEvidence::KnownWorker& worker : WorkersOfOpenStarts()) {
-    const std::optional<core::TimePoint> absent_at =
-        m_machine_evidence.AbsentAt(worker.id, worker.known_since,
-                                    confirmed_at);
+    const std::optional<execution::Absence> absence =
+        m_machine_evidence.AbsenceOf(worker.id, worker.known_since,
+                                     confirmed_at);
     const bool is_shortened =
-        absent_at && m_open_starts.HandleAbsence(
-                         worker.id, *absent_at,
-                         execution::WithClockDrift(m_term.max_worker_lease));
+        absence && m_open_starts.HandleAbsence(
+                       worker.id, *absence,
+                       execution::WithClockDrift(m_term.max_worker_lease));
     is_changed = is_changed || is_shortened;
   }
   if (is_changed && m_has_worker_list) {
@@ -131,7 +131,7 @@
   std::vector<core::InstanceId> gone;
   for (const auto& [id, inherited] : m_inherited_workers.All()) {
     if (m_workers.count(id) == 0 &&
-        m_machine_evidence.AbsentAt(id, m_term_began_at, confirmed_at)) {
+        m_machine_evidence.AbsenceOf(id, m_term_began_at, confirmed_at)) {
       gone.push_back(id);
     }
   }
--- a/src/crocusmast/scheduling/scheduler_open_starts.cc
+++ b/src/crocusmast/scheduling/scheduler_open_starts.cc
@@ -8,6 +8,23 @@
 // ones.
 
 namespace crocusmast::scheduling {
+namespace internal {
+
+/** @brief Tells whether the members of a gang that run beside a member are
+ * fewer than all others. */
+bool LacksMembers(const job::Job& job, const execution::RunKey& key) {
+  std::uint32_t members = 0;
+  job.ForEachRun([&](const job::TaskKey& other, const job::Run& run) {
+    members += other.occurrence == key.task.key.occurrence &&
+                       other.step == key.task.key.step &&
+                       run.attempt == key.attempt && !run.is_stopping
+                   ? 1
+                   : 0;
+  });
+  return members < job.StepOf(key.task.key).count;
+}
+
+}  // namespace internal
 
 using execution::AssignedRun;
 using execution::RunKey;
@@ -76,13 +93,32 @@
 }
 
 // A successor need not wait for the start commands of this run then. It finds
-// finite tasks by polling all workers that may have them.
+// finite tasks by polling all workers that may have them, and waits for those
+// that are stored as open and that none of them has.
 void Scheduler::MarkStartSettled(const RunKey& key, const AssignedRun& run) {
+  const core::TimePoint now = m_ports.clock.Now();
   ActiveJob* active = FindJob(key.task.job);
-  if (active != nullptr && !run.HasOpenStart(m_ports.clock.Now()) &&
-      active->job.MarkStartSettled(key.task.key, key.attempt) &&
-      run.is_long_running) {
+  if (active == nullptr || run.HasOpenStart(now) ||
+      !active->job.MarkStartSettled(key.task.key, key.attempt)) {
+    return;
+  }
+  if (run.is_long_running) {
     m_committer.MarkChanged(key.task.job);
+  } else if (!std::exchange(active->has_answered_starts, true)) {
+    m_answered_jobs.emplace_back(now + kAnsweredStartsDelay, key.task.job);
+  }
+}
+
+// Most of these jobs were stored meanwhile, with ends of their tasks.
+void Scheduler::StoreAnsweredStarts() {
+  const core::TimePoint now = m_ports.clock.Now();
+  while (!m_answered_jobs.empty() && m_answered_jobs.front().first <= now) {
+    const core::JobId id = m_answered_jobs.front().second;
+    m_answered_jobs.pop_front();
+    const ActiveJob* active = FindJob(id);
+    if (active != nullptr && active->has_answered_starts) {
+      m_committer.MarkChanged(id);
+    }
   }
 }
 
@@ -122,18 +158,24 @@
 
 // The known incarnation of that worker rejects the earlier start, and one that
 // takes no task of the job any more is not waited for. A ticket is valid for
-// one incarnation.
+// one incarnation. None of this counts for a task that must not run twice.
 std::optional<core::InstanceId> Scheduler::WorkerOfOpenStart(
     const ActiveJob& active,
     const job::TaskId& task) const {
   const job::Step& step = active.job.StepOf(task.key);
-  if (m_open_starts.IsEmpty() || step.is_speculative || active.needs_tickets) {
+  const bool must_start_once = step.NeedsSingleStart();
+  if (m_open_starts.IsEmpty() || step.is_speculative ||
+      (active.needs_tickets && !must_start_once)) {
     return std::nullopt;
   }
   const core::TimePoint now = m_ports.clock.Now();
   for (const OpenStart& start : m_open_starts.OfTask(task)) {
     core::TimePoint until = start.settled_at;
-    if (IsReplying(start.worker)) {
+    if (must_start_once) {
+      const auto worker = m_workers.find(start.worker);
+      until = start.BlocksUntil(
+          worker == m_workers.end() ? nullptr : worker->second.get());
+    } else if (IsReplying(start.worker)) {
       until = MayTakeTasks(*m_workers.at(start.worker), active, step)
                   ? std::min(start.until, start.settled_at)
                   : now;
@@ -175,6 +217,19 @@
                    is_gone ? ended_at + lease : until + lease};
 }
 
+// What is left of their time counts for the successors of this leader too.
+void Scheduler::AddStoredStarts(const ActiveJob& active) {
+  for (const job::TaskPlacement& placement : active.job.Earlier().Open()) {
+    const std::optional<OpenStart> start =
+        active.job.Find(placement.task) == nullptr
+            ? std::nullopt
+            : FindEarlierStart(active, placement);
+    if (start && active.job.StepOf(placement.task).NeedsSingleStart()) {
+      m_open_starts.Add(*start);
+    }
+  }
+}
+
 // The worker may have replied without the run: the command may reach a later
 // incarnation of it.
 bool Scheduler::MayStillStart(const ActiveJob& active,
@@ -185,48 +240,92 @@
     return false;
   }
   const auto found = m_workers.find(placement.worker);
+  const job::Step& step = active.job.StepOf(placement.task);
+  const core::TimePoint now = m_ports.clock.Now();
+  if (step.NeedsSingleStart()) {
+    return now < start->BlocksUntil(
+                     found == m_workers.end() ? nullptr : found->second.get());
+  }
   const bool is_replying = found != m_workers.end() &&
                            found->second->is_reconciled &&
                            found->second->failed_polls == 0;
-  const job::Step& step = active.job.StepOf(placement.task);
-  const core::TimePoint now = m_ports.clock.Now();
   if (is_replying) {
     return !IsSettledWithoutRepeat(*found->second, active, step) &&
            now < start->until;
   }
-  // The record of a finite task does not tell whether its start was answered.
-  // If it was, its run has ended with the lease of its worker.
-  const bool is_known =
-      m_open_starts.Find(start->worker, start->key) != nullptr;
-  return (step.is_long_running || is_known) && now < start->settled_at;
+  return step.is_long_running && now < start->settled_at;
 }
 
 // How many copies of a start the earlier leader sent is not known, but for a
-// finite task without a stored open start: its only copy has been executed.
+// task of which only one is sent: the run shows its execution.
 void Scheduler::AdoptOpenStart(const ActiveJob& active,
                                const core::InstanceId& worker,
                                const RunKey& key,
                                AssignedRun& run) const {
-  const job::Step& step = active.job.StepOf(key.task.key);
-  const bool is_known = m_open_starts.Find(worker, key) != nullptr;
-  const bool may_be_open =
-      step.is_long_running &&
-      active.job.Earlier().IsOpen(key.task.key, key.attempt);
   const std::optional<OpenStart> start =
       FindEarlierStart(active, {key.task.key, worker, {}, key.attempt});
-  if (start && (is_known || may_be_open)) {
+  const bool may_be_open =
+      m_open_starts.Find(worker, key) != nullptr ||
+      active.job.Earlier().IsOpen(key.task.key, key.attempt);
+  if (start && may_be_open && !run.has_single_start) {
     run.unanswered_starts = 2;
     run.unanswered_start_until = start->until;
   }
 }
 
+// The start may reach the known incarnation, which would execute another one
+// only once, or a later one, which would execute each of them.
+void Scheduler::AwaitOpenStart(Worker& worker,
+                               const RunKey& key,
+                               bool may_start) {
+  AssignedRun* run = worker.Find(key);
+  const ActiveJob* active = FindJob(key.task.job);
+  const bool is_wanted =
+      active != nullptr && !job::IsFinal(active->job.State());
+  const job::Step* step =
+      is_wanted ? &active->job.StepOf(key.task.key) : nullptr;
+  if (worker.runs_known_at < run->unanswered_start_until) {
+    // What it began would have no room, or be an incomplete gang.
+    const bool is_incomplete =
+        is_wanted && step->is_gang &&
+        (!may_start || internal::LacksMembers(active->job, key));
+    if (!is_wanted || worker.IsOverCapacity() || is_incomplete) {
+      SendStop(worker, key);
+      GiveUpOtherGangMembers(key);
+    }
+    return;
+  }
+  m_start_waits.End(worker.Record().id, key, *run, StartWaitEnd::kNotExecuted);
+  run->DiscardUnexecutedStarts();
+  if (may_start && MayTakeTasks(worker, *active, *step)) {
+    SendStart(worker, key);
+    return;
+  }
+  EndRun(worker, key,
+         {job::RunOutcome::kRejected, "its start was not executed", "", true});
+}
+
+// The worker has listed the run or its end.
+void Scheduler::HandleExecutedStart(Worker& worker, const RunKey& key) {
+  if (const AssignedRun* run = worker.Find(key); run != nullptr) {
+    m_start_waits.End(worker.Record().id, key, *run, StartWaitEnd::kExecuted);
+  }
+  ActiveJob* active = FindJob(key.task.job);
+  const bool was_only_one = active != nullptr &&
+                            active->job.Find(key.task.key) != nullptr &&
+                            active->job.StepOf(key.task.key).NeedsSingleStart();
+  if (was_only_one) {
+    m_open_starts.Remove(worker.Record().id, key);
+    active->job.Earlier().RemoveStart(key.task.key, key.attempt);
+  }
+}
+
 void Scheduler::RepeatEarlierStarts(ActiveJob& active) {
   for (const job::TaskPlacement& placement : active.job.Earlier().Open()) {
     Worker* worker = FindWorker(placement.worker);
     const bool may_repeat =
         worker != nullptr &&
-        (active.job.StepOf(placement.task).is_long_running ||
-         MayStartFiniteTasks(active)) &&
+        !active.job.StepOf(placement.task).NeedsSingleStart() &&
         !m_inherited_workers.MayStillRun(placement) &&
         MayStillStart(active, placement) &&
         !MustStartAlone(*worker, {active.job.Id(), placement.task}) &&
--- a/src/crocusmast/scheduling/scheduler_placement.cc
+++ b/src/crocusmast/scheduling/scheduler_placement.cc
@@ -9,6 +9,19 @@
 // Placement of tasks on workers.
 
 namespace crocusmast::scheduling {
+namespace internal {
+
+void UpdateMinResources(ActiveJob& active) {
+  active.min_resources.reset();
+  active.job.ForEachReady([&](const job::TaskKey&, const job::Step& step) {
+    const job::Resources required = MakeAssignedRun(step).resources;
+    active.min_resources = active.min_resources
+                               ? ComponentMin(*active.min_resources, required)
+                               : required;
+  });
+}
+
+}  // namespace internal
 
 using execution::RunKey;
 using execution::Worker;
@@ -195,21 +208,11 @@
     }
     StartTask(active, *worker, task, active.job.NextAttempt(key));
   }
-  UpdateMinResources(active);
+  internal::UpdateMinResources(active);
   active.may_have_ready_tasks = active.min_resources || is_waiting;
   LogPlacements(active);
 }
 
-void Scheduler::UpdateMinResources(ActiveJob& active) {
-  active.min_resources.reset();
-  active.job.ForEachReady([&](const job::TaskKey&, const job::Step& step) {
-    const job::Resources required = MakeAssignedRun(step).resources;
-    active.min_resources = active.min_resources
-                               ? ComponentMin(*active.min_resources, required)
-                               : required;
-  });
-}
-
 bool Scheduler::PlaceGang(ActiveJob& active,
                           const std::vector<job::TaskKey>& members,
                           const job::Step& step,
--- a/src/crocusmast/scheduling/scheduler_poll_commands.cc
+++ b/src/crocusmast/scheduling/scheduler_poll_commands.cc
@@ -35,11 +35,14 @@
   const bool may_have_unknown_runs =
       !worker.is_reconciled &&
       (worker.IsListed() || m_inherited_workers.Find(id) != nullptr);
-  const bool is_needed = may_have_unknown_runs || !worker.Runs().empty() ||
-                         worker.acknowledged_end < worker.recorded_end ||
-                         worker.has_unlisted_ends ||
-                         (worker.failed_polls > 0 && worker.IsListed()) ||
-                         m_crashes.IsUncertain(id);
+  const bool is_needed =
+      may_have_unknown_runs || !worker.Runs().empty() ||
+      worker.acknowledged_end < worker.recorded_end ||
+      worker.has_unlisted_ends ||
+      (worker.failed_polls > 0 && worker.IsListed()) ||
+      m_crashes.IsUncertain(id) ||
+      (worker.IsListed() &&
+       m_open_starts.HasUnobserved(id, worker.runs_known_at, now));
   if (!is_needed) {
     return;
   }
@@ -72,6 +75,7 @@
     command.lease_until = worker.ExtendLease(kWorkerLeaseLength, now);
   }
   worker.is_poll_pending = true;
+  worker.poll_sent_at = now;
   worker.acknowledging_end =
       std::max(worker.acknowledged_end, command.recorded);
   m_ports.workers.PollStatus(std::move(command));
--- a/src/crocusmast/scheduling/scheduler_polls.cc
+++ b/src/crocusmast/scheduling/scheduler_polls.cc
@@ -109,6 +109,7 @@
   ProcessRunningRuns(*worker, reply);
   if (reply.lists_all_ends) {
     EndUnreportedRuns(*worker, reply);
+    worker->runs_known_at = worker->poll_sent_at;
   }
   ThrottleBestEffortRuns(*worker, reply);
   if (!worker->is_reconciled && reply.lists_all_ends) {
@@ -130,6 +131,7 @@
     worker.received_end = end.number;
     TrackFailures(worker, end.outcome);
     MeasureRun(worker, end, reply);
+    HandleExecutedStart(worker, {end.task, end.attempt});
     if (AssignedRun* run = worker.Find({end.task, end.attempt});
         run != nullptr) {
       run->MarkListed();
@@ -183,20 +185,16 @@
   }
 }
 
-void Scheduler::LogRunTimes() {
-  std::vector<core::LogField> fields =
+void Scheduler::LogReports() {
+  std::vector<core::LogField> run_times =
       m_run_monitor.NextReport(m_ports.clock.Now());
-  if (fields.empty()) {
-    return;
+  if (!run_times.empty()) {
+    run_times.insert(run_times.begin(), {"event", "run_time_ratios"});
+    run_times.push_back({"ratios", m_run_time_estimator.DescribeRatios()});
+    run_times.push_back({"slopes", m_run_time_estimator.DescribeSlopes()});
+    Log(core::Severity::kInfo, "Run times of the last second.",
+        std::move(run_times));
   }
-  fields.insert(fields.begin(), {"event", "run_time_ratios"});
-  fields.push_back({"ratios", m_run_time_estimator.DescribeRatios()});
-  fields.push_back({"slopes", m_run_time_estimator.DescribeSlopes()});
-  Log(core::Severity::kInfo, "Run times of the last second.",
-      std::move(fields));
-}
-
-void Scheduler::LogJobPhases() {
   for (std::vector<core::LogField>& fields :
        m_job_monitor.NextReports(m_ports.clock.Now())) {
     fields.insert(fields.begin(), {"event", "job_phases"});
@@ -234,6 +232,7 @@
     if (run != nullptr && run->is_held) {
       ResumeHeldRun(worker, key);
     }
+    HandleExecutedStart(worker, key);
     if (run == nullptr) {
       AdoptRun(worker, report);
     } else if (!run->is_confirmed) {
--- a/src/crocusmast/scheduling/scheduler_run_ends.cc
+++ b/src/crocusmast/scheduling/scheduler_run_ends.cc
@@ -6,6 +6,21 @@
 // The end of runs.
 
 namespace crocusmast::scheduling {
+namespace internal {
+
+bool MayHaveMadeReady(const ActiveJob& active,
+                      const job::TaskKey& ended,
+                      job::RunOutcome outcome) {
+  const auto occurrence = active.job.OpenOccurrences().find(ended.occurrence);
+  // The end of one of several tasks of a step lets no other task start.
+  return outcome != job::RunOutcome::kDone ||
+         job::IsFinal(active.job.State()) ||
+         occurrence == active.job.OpenOccurrences().end() ||
+         active.job.StepOf(ended).is_long_running ||
+         occurrence->second.steps[ended.step].IsDone();
+}
+
+}  // namespace internal
 
 using execution::RunKey;
 using execution::Worker;
@@ -82,6 +97,10 @@
   const bool was_stopped =
       assigned != nullptr && assigned->is_stop_acknowledged;
   LogRunEnd(worker, key, end);
+  if (assigned != nullptr) {
+    m_start_waits.End(worker.Record().id, key, *assigned,
+                      StartWaitEnd::kGivenUp);
+  }
   ActiveJob* active = FindJob(key.task.job);
   if (active != nullptr && active->job.MayRunAgain(key.task.key, end.outcome)) {
     AddOpenStart(worker, key);
@@ -96,7 +115,7 @@
   const bool is_changed =
       active->job.EndRun(key.task.key, key.attempt, end.outcome, end.checkpoint,
                          active->max_attempts);
-  if (MayHaveMadeReady(*active, key.task.key, end.outcome)) {
+  if (internal::MayHaveMadeReady(*active, key.task.key, end.outcome)) {
     MarkForPlacement(*active);
   }
   if (!was_stopped) {
@@ -125,16 +144,4 @@
   }
 }
 
-bool Scheduler::MayHaveMadeReady(const ActiveJob& active,
-                                 const job::TaskKey& ended,
-                                 job::RunOutcome outcome) {
-  const auto occurrence = active.job.OpenOccurrences().find(ended.occurrence);
-  // The end of one of several tasks of a step lets no other task start.
-  return outcome != job::RunOutcome::kDone ||
-         job::IsFinal(active.job.State()) ||
-         occurrence == active.job.OpenOccurrences().end() ||
-         active.job.StepOf(ended).is_long_running ||
-         occurrence->second.steps[ended.step].IsDone();
-}
-
 }  // namespace crocusmast::scheduling
--- a/src/crocusmast/scheduling/scheduler_runs.cc
+++ b/src/crocusmast/scheduling/scheduler_runs.cc
@@ -160,6 +160,9 @@
     case WorkerCallOutcome::kUnknown:
       run->has_unanswered_start = true;
       run->AddUnansweredStart();
+      if (run->has_single_start && !run->is_listed) {
+        m_start_waits.Begin(reply.worker, key, *run);
+      }
       run->is_repeat_unsent = false;
       m_workers_to_retry.insert(reply.worker);
       if (m_has_worker_list) {
@@ -299,7 +302,9 @@
                            !job::IsFinal(active->job.State()) &&
                            worker.IsListed() && !worker.Record().is_draining &&
                            !worker.IsOverCapacity();
-    if (may_start) {
+    if (run->has_single_start && run->has_unanswered_start) {
+      AwaitOpenStart(worker, key, may_start);
+    } else if (may_start) {
       SendStart(worker, key);
     } else {
       SendStop(worker, key);
--- a/src/crocusmast/scheduling/scheduler_selection.cc
+++ b/src/crocusmast/scheduling/scheduler_selection.cc
@@ -115,8 +115,8 @@
   }
   if (const auto only = WorkerOfOpenStart(active, task); only) {
     Worker* worker = FindWorker(*only);
-    const bool may_start = worker != nullptr && worker->CanFit(need) &&
-                           IsUsable(*worker, now) &&
+    const bool may_start = worker != nullptr && !step.NeedsSingleStart() &&
+                           worker->CanFit(need) && IsUsable(*worker, now) &&
                            MayRunOn(*worker, active, task);
     return may_start ? worker : nullptr;
   }
--- a/src/crocusmast/scheduling/scheduler_starts.cc
+++ b/src/crocusmast/scheduling/scheduler_starts.cc
@@ -24,12 +24,11 @@
   }
   active.times.last_placed_at = now;
   // A successor must know that the job has started, in which pools, and on
-  // which worker each long-running task may run. Later starts of finite tasks
-  // are stored soon, since their jobs would end later if they waited.
+  // which worker each task may start or run that must not run twice.
   const core::PoolId& pool = worker.Record().pool;
   active.job.Pools().Add(pool);
   assigned.is_waiting_for_commit = !active.is_start_recorded ||
-                                   step.is_long_running ||
+                                   step.NeedsStoredPlacement() ||
                                    !active.job.Pools().IsStored(pool);
   worker.Add({task, attempt}, assigned);
   if (worker.received_end == worker.recorded_end) {
@@ -64,10 +63,8 @@
       m_outdated_placements.empty() && m_has_worker_list) {
     StoreHandover();
   }
-  const bool has_new_pool = active.job.MarkCapturedProgressStored();
-  const bool may_send =
-      has_new_pool || active.job.Accepted().spec.HasLongRunningSteps();
-  if (is_first_start || (may_send && active.is_start_recorded)) {
+  active.job.MarkCapturedProgressStored();
+  if (is_first_start || active.is_start_recorded) {
     SendDeferredStarts(active);
   }
 }
@@ -77,7 +74,7 @@
   active.job.ForEachRun([&](const job::TaskKey& key, const job::Run& run) {
     const Worker* worker = FindWorker(run.worker);
     const bool is_stored =
-        active.job.StepOf(key).is_long_running
+        active.job.StepOf(key).NeedsStoredPlacement()
             ? run.is_placement_stored
             : worker != nullptr &&
                   active.job.Pools().IsStored(worker->Record().pool);
@@ -150,6 +147,9 @@
   }
   run->is_command_pending = true;
   run->has_start_in_flight = true;
+  // A single start is sent only once no earlier one is open.
+  run->has_unanswered_start =
+      run->has_unanswered_start && !run->has_single_start;
   run->command_sent_at = now;
   run->start_sent_at = now;
   execution::StartCommand command;
--- a/src/crocusmast/scheduling/timing.h
+++ b/src/crocusmast/scheduling/timing.h
@@ -40,6 +40,9 @@
  * cancellation takes effect within 3 s of its acknowledgement; the rest is for
  * the start command to reach the worker. */
 inline constexpr std::chrono::milliseconds kMaxStartViewAge{2500};
+/** @brief How long a stored job may list starts of finite tasks as open that
+ * were answered: above most run times, whose ends store the job anyway. */
+inline constexpr std::chrono::milliseconds kAnsweredStartsDelay{1000};
 /** @brief Interval of checks of all workers, due occurrences and retries;
  * well below the shortest delay, kPollRetryDelay. */
 inline constexpr std::chrono::milliseconds kSweepInterval{25};
--- a/src/crocusmast/scheduling/worker_eligibility.cc
+++ b/src/crocusmast/scheduling/worker_eligibility.cc
@@ -9,6 +9,7 @@
   run.resources = step.resources;
   run.is_best_effort = step.is_best_effort;
   run.is_long_running = step.is_long_running;
+  run.has_single_start = step.NeedsSingleStart();
   if (step.is_best_effort) {
     run.resources.processor = {};
   }
--- a/test/scheduling/committer_test.cc
+++ b/test/scheduling/committer_test.cc
@@ -36,6 +36,7 @@
   CPPUNIT_TEST(DeposedLeaderIsDetected);
   CPPUNIT_TEST(RunEndsAreRecordedOnlyWithAllOlderChanges);
   CPPUNIT_TEST(CommandedMachinesAreStoredAfterAFailure);
+  CPPUNIT_TEST(UrgentCommitFollowsSooner);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -70,6 +71,31 @@
         });
   }
 
+  // Starts wait for it; a loaded leader batches all the same.
+  void UrgentCommitFollowsSooner() {
+    const auto read = [](const core::JobId& id) {
+      return std::optional(
+          job::ProgressWrite{id, MakeId<core::QueueId>("queue"), {}});
+    };
+    const auto next = [&] {
+      return committer.NextCommit(core::FencingToken(5), clock.Now(), read);
+    };
+    for (const std::size_t jobs :
+         {std::size_t{1}, scheduling::kBusyCommitJobs}) {
+      for (std::size_t number = 0; number < jobs; ++number) {
+        committer.MarkChanged(MakeJobId(static_cast<int>(number)));
+      }
+      HandleReply(next().value(), StoreOutcome::kDone, 8);
+      committer.MarkChanged(MakeJobId(0));
+      clock.Advance(scheduling::kUrgentCommitDelay);
+      CPPUNIT_ASSERT(!next());
+      committer.MarkUrgent();
+      const bool is_sent = next().has_value();
+      CPPUNIT_ASSERT_EQUAL(jobs < scheduling::kBusyCommitJobs, is_sent);
+      committer.BeginTerm(core::Revision(7));
+    }
+  }
+
   // A leader that took a record for stored would command machines of which its
   // successor doesn't know.
   void CommandedMachinesAreStoredAfterAFailure() {
--- a/test/scheduling/dead_worker_test.cc
+++ b/test/scheduling/dead_worker_test.cc
@@ -254,6 +254,7 @@
     former.RunCycles();
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, former.worker_port.starts.size());
     former.ReplyToStart(former.worker_port.starts[0], WorkerCallOutcome::kDone);
+    former.clock.Advance(scheduling::kAnsweredStartsDelay);
     former.RunCycles();
     m_fixture.catalog.Apply(job::JobStored{job}, {});
     m_fixture.catalog.Apply(
--- a/test/scheduling/later_incarnation_fixture.h
+++ b/test/scheduling/later_incarnation_fixture.h
@@ -32,6 +32,13 @@
 
   execution::StartCommand BeginWithOneTask() { return Begin(MakeStep(1)); }
 
+  /** @brief Begins with a task whose start is repeated if it gets no reply. */
+  execution::StartCommand BeginWithLongRunningTask() {
+    job::Step step = MakeStep(1);
+    step.is_long_running = true;
+    return Begin(step);
+  }
+
   execution::StartCommand StartOn(const char* id) const {
     const auto& starts = m_fixture.worker_port.starts;
     const auto found =
--- a/test/scheduling/scheduler_fixture.h
+++ b/test/scheduling/scheduler_fixture.h
@@ -12,6 +12,24 @@
 
 namespace test {
 
+/** @brief Makes a configuration whose queue uses the pool "other". */
+inline queue::QueueCatalog MakeOtherPoolCatalog() {
+  queue::Queue queue;
+  queue.id = MakeId<core::QueueId>("queue");
+  queue.host = "host.example";
+  queue.prefix = "/jobs/";
+  queue.pool = MakeId<core::PoolId>("other");
+  queue.max_attempts = 3;
+  queue.slack_factor = 2;
+  queue.slack = std::chrono::milliseconds(600);
+  queue::Pool pool;
+  pool.id = MakeId<core::PoolId>("pool");
+  pool.enforces_capacity = true;
+  queue::Pool other = pool;
+  other.id = queue.pool;
+  return queue::QueueCatalog(core::Revision(2), {queue}, {pool, other}, {});
+}
+
 /** @brief A scheduler with fake collaborators, and helpers that drive them. */
 class SchedulerFixture {
  public:
--- a/test/scheduling/simulated_worker.h
+++ b/test/scheduling/simulated_worker.h
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <vector>
 
 #include "crocusmast/execution/commands.h"
@@ -13,6 +14,16 @@
 
 namespace test {
 
+/** @brief What a simulated cluster runs. */
+struct SimulatedLoad {
+  std::uint32_t worker_count = 3;
+  std::uint32_t task_count = 2;
+  /** @brief The tasks run until they are told to end, else for good. */
+  bool is_finite = false;
+  /** @brief See SimulatedCluster::kMaxStartDelay. */
+  bool executes_all_late_starts = false;
+};
+
 /** @brief What a worker of SimulatedCluster knows, by task index. */
 struct SimulatedWorker {
   static constexpr std::chrono::milliseconds kMaxLease{6000};
@@ -64,6 +75,36 @@
         std::max(lease_until, std::min(until, Clock(elapsed) + kMaxLease));
   }
 
+  /** @brief Handles a start command that it received, up to the start; returns
+   * nothing if the run is to start. */
+  std::optional<crocusmast::execution::WorkerCallOutcome> ReplyWithoutStart(
+      const crocusmast::execution::StartCommand& command,
+      std::chrono::milliseconds elapsed) {
+    using crocusmast::execution::WorkerCallOutcome;
+    const std::uint32_t index = command.task.key.index;
+    Extend(command.lease_until, elapsed);
+    const auto known = runs.find(index);
+    if (known != runs.end() && known->second == command.attempt) {
+      return WorkerCallOutcome::kDone;
+    }
+    if (!(last_stopped[index] < command.attempt)) {
+      return WorkerCallOutcome::kStaleAttempt;
+    }
+    if (lease_until <= Clock(elapsed)) {
+      return WorkerCallOutcome::kLeaseExpiredOnArrival;
+    }
+    return std::nullopt;
+  }
+
+  void Stop(const crocusmast::execution::StopCommand& command) {
+    const std::uint32_t index = command.task.key.index;
+    const auto run = runs.find(index);
+    last_stopped[index] = std::max(last_stopped[index], command.attempt);
+    if (run != runs.end() && !(command.attempt < run->second)) {
+      EndRun(command.task, crocusmast::job::RunOutcome::kStopped);
+    }
+  }
+
   void EndRun(const crocusmast::job::TaskId& task,
               crocusmast::job::RunOutcome outcome) {
     const std::uint32_t index = task.key.index;
