Commit sooner if starts wait for it

Cause: 15 ms pass after a commit before the next one, in which changes are batched.

Change: the delay is 5 ms if starts wait.

--- a/src/crocusmast/scheduling/committer.cc
+++ b/src/crocusmast/scheduling/committer.cc
@@ -57,6 +57,8 @@
   m_is_in_flight = false;
   m_last_commit = last_commit;
   m_next_at = {};
+  m_next_urgent_at = {};
+  m_is_urgent = false;
   m_changed.clear();
   m_positions.clear();
   m_in_flight.clear();
@@ -133,7 +135,8 @@
                                                  core::TimePoint now,
                                                  const ProgressReader& read) {
   const bool is_due = IsCommitDue() || IsBatchDue(now);
-  if (m_is_in_flight || !is_due || now < m_next_at) {
+  if (m_is_in_flight || !is_due ||
+      now < (m_is_urgent ? m_next_urgent_at : m_next_at)) {
     return std::nullopt;
   }
   job::Commit commit;
@@ -163,6 +166,7 @@
       std::exchange(m_commanded_machines, std::nullopt);
   commit.commanded_machines = m_in_flight_commanded_machines;
   m_is_in_flight = true;
+  m_is_urgent = false;
   return commit;
 }
 
@@ -231,6 +235,9 @@
   m_is_in_flight = false;
   if (reply.outcome == job::StoreOutcome::kDone) {
     m_next_at = now + DelayAfterCommit();
+    m_next_urgent_at = m_in_flight.size() < kBusyCommitJobs
+                           ? std::min(m_next_at, now + kUrgentCommitDelay)
+                           : m_next_at;
     m_last_commit = reply.revision;
     m_stored_handover = std::exchange(m_in_flight_handover, std::nullopt);
     m_stored_commanded_machines =
@@ -254,6 +261,7 @@
   }
   RequeueInFlight();
   m_next_at = now + kCommitRetryDelay;
+  m_next_urgent_at = m_next_at;
   if (reply.outcome != job::StoreOutcome::kConflict) {
     return true;
   }
@@ -261,6 +269,7 @@
   // that the leader's claim is no longer valid.
   m_last_commit = reply.revision;
   m_next_at = now;
+  m_next_urgent_at = now;
   return reply.is_still_leader;
 }
 
--- a/src/crocusmast/scheduling/committer.h
+++ b/src/crocusmast/scheduling/committer.h
@@ -40,6 +40,9 @@
 inline constexpr std::chrono::seconds kBatchAge{2};
 /** @brief Delay after a commit, so that changes are batched. */
 inline constexpr std::chrono::milliseconds kCommitDelay{15};
+/** @brief Delay after a commit of less than kBusyCommitJobs jobs if start
+ * commands wait for the next one. */
+inline constexpr std::chrono::milliseconds kUrgentCommitDelay{5};
 /** @brief Delay after a commit of at least kBusyCommitJobs jobs. More ended
  * runs share one commit and one poll, at the cost of a twentieth of a job's
  * slack.
@@ -117,6 +120,9 @@
    */
   void MarkChanged(const core::JobId& id);
 
+  /** @brief Registers that start commands wait for the next commit. */
+  void MarkUrgent() { m_is_urgent = true; }
+
   /**
    * @brief Registers ended runs of a worker, which count as recorded once all
    * changes that are pending now are stored.
@@ -239,6 +245,9 @@
   core::Revision m_last_commit;
   /** @brief Earliest time of the next commit. */
   core::TimePoint m_next_at;
+  /** @brief That time for an urgent one. */
+  core::TimePoint m_next_urgent_at;
+  bool m_is_urgent = false;
   Position m_last_position = 0;
   /** @brief Changed jobs, oldest change first. */
   std::deque<std::pair<Position, core::JobId>> m_changed;
--- a/src/crocusmast/scheduling/scheduler_starts.cc
+++ b/src/crocusmast/scheduling/scheduler_starts.cc
@@ -47,7 +47,9 @@
   m_crashes.BeginRun(worker.Record().id, {task, attempt});
   worker.ExtendLease(kWorkerLeaseLength, now);
   m_placement_log.Add(task, attempt, worker);
-  if (!assigned.is_waiting_for_commit) {
+  if (assigned.is_waiting_for_commit) {
+    m_committer.MarkUrgent();
+  } else {
     SendStart(worker, {task, attempt});
   }
 }
