--- a/src/crocusmast/scheduling/scheduler.h
+++ b/src/crocusmast/scheduling/scheduler.h
@@ -50,10 +50,10 @@
  *
  * The workers are authoritative on active runs. A new leader polls each worker
  * that earlier leaders may have used, which fences the worker against them,
- * before it starts tasks that may be running there. The worker of each
- * long-running task is stored before the task starts, so that only this worker
- * is waited for; a finite task may run on any worker of the pools in which
- * tasks of its job were started, which are stored before.
+ * before it starts tasks that may be running there. The worker of each task is
+ * stored before the task starts: a long-running one waits for this worker only,
+ * a finite one for the workers of the pools in which tasks of its job were
+ * started, and for a start of it that may still be executed.
  */
 class Scheduler final : public upkeep::WorkerDrainPort,
                         public capacity::PoolLoadSource {
--- a/src/crocusmast/scheduling/scheduler_starts.cc
+++ b/src/crocusmast/scheduling/scheduler_starts.cc
@@ -24,7 +24,7 @@
   }
   active.times.last_placed_at = now;
   // A successor must know that the job has started, in which pools, and on
-  // which worker each task may start or run that must not run twice.
+  // which worker each task may be started, but for speculative ones.
   const core::PoolId& pool = worker.Record().pool;
   active.job.Pools().Add(pool);
   assigned.is_waiting_for_commit = !active.is_start_recorded ||
